Let balancers tell a flow's owner that it ended

Cause: packets of a pinned flow go straight through any balancer, so the owner would never see its end and would count it for ever.

--- a/bronzelink/message.go
+++ b/bronzelink/message.go
@@ -161,6 +161,9 @@
 	CopyAcks []uint64 `cbor:",omitempty"`
 	// Forget ends what the receiver learned of a flow.
 	Forget *bronzeflow.Key `cbor:",omitempty"`
+	// Ended tells the owner that a direction of the flow, or the whole of
+	// it, ended in a packet that went straight through the sender.
+	Ended *Mapping `cbor:",omitempty"`
 }
 
 // Query is the question of a balancer that owns a flow but doesn't know it.
