--- /dev/null
+++ b/bronzepool/load.go
@@ -0,0 +1,106 @@
+package bronzepool
+
+import (
+	"time"
+
+	"bronzeusher.example/bronzeusher/bronzeflow"
+)
+
+// Report is what a server's own endpoint, or a peer that polled it, says.
+type Report struct {
+	Server      bronzeflow.ServerID
+	Connections int
+	Leaving     bool
+	At          time.Time
+}
+
+// share is what an origin said of one server, and this node's own count then.
+type share struct {
+	server *server
+	count  uint32
+	base   uint32
+}
+
+// origin is another owner's last word.
+type origin []share
+
+// SetOwned replaces what the node origin says of the flows that it owns.
+// A nil map forgets origin.
+func (p *Pool) SetOwned(name string, counts map[bronzeflow.ServerID]uint32) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.forget(name)
+	if counts == nil {
+		return
+	}
+	if p.origins == nil {
+		p.origins = make(map[string]origin)
+	}
+	o := make(origin, 0, len(p.servers))
+	for _, s := range p.servers {
+		sh := share{server: s, count: counts[s.id], base: uint32(s.own)}
+		s.shared += int64(sh.count)
+		s.base += int64(sh.base)
+		o = append(o, sh)
+	}
+	p.origins[name] = o
+}
+
+func (p *Pool) forget(name string) {
+	for _, sh := range p.origins[name] {
+		sh.server.shared -= int64(sh.count)
+		sh.server.base -= int64(sh.base)
+	}
+	delete(p.origins, name)
+}
+
+// dropRemoved takes servers that are no longer in force out of the origins.
+func (p *Pool) dropRemoved() {
+	for name, o := range p.origins {
+		kept := o[:0]
+		for _, sh := range o {
+			if p.index[sh.server.id] == sh.server {
+				kept = append(kept, sh)
+			}
+		}
+		clear(o[len(kept):])
+		p.origins[name] = kept
+	}
+}
+
+// Owned adds the counts of this node's own flows, to be shared, to dst.
+// Servers without any are left out.
+func (p *Pool) Owned(dst map[bronzeflow.ServerID]uint32) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.servers {
+		if s.own > 0 {
+			dst[s.id] += uint32(s.own)
+		}
+	}
+}
+
+// estimate returns the flows that all owners have on s. Another owner is
+// taken to have placed since its share what this node placed.
+func (p *Pool) estimate(s *server, now int64) float64 {
+	others := max(p.owners-1, len(p.origins))
+	total := int64(s.own) + s.shared + int64(others)*int64(s.own) - s.base
+	return float64(max(total, int64(s.own)))
+}
+
+// notePlaced keeps the decayed counts of recent placements.
+func (p *Pool) notePlaced(s *server) {
+	s.recent++
+	p.recent++
+	if int(p.recent) < recentWindow*len(p.servers) {
+		return
+	}
+	p.recent = 0
+	for _, s := range p.servers {
+		s.recent /= 2
+		p.recent += s.recent
+	}
+}
+
+// recentWindow is how many placements for each server are remembered.
+const recentWindow = 8
--- a/bronzepool/pool.go
+++ b/bronzepool/pool.go
@@ -1,6 +1,9 @@
 package bronzepool
 
 import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"bronzeusher.example/bronzeusher/bronzeconf"
@@ -9,65 +12,132 @@
 
 // Pool chooses backend servers for one service. The zero value is empty and
 // ready. All methods may be called concurrently.
-type Pool struct{}
+type Pool struct {
+	// Now is the clock, nil means time.Now. It is set before the first call.
+	Now func() time.Time
+
+	// ids is read without the lock, so that a search for existing flows
+	// never waits for placements.
+	ids atomic.Pointer[[]bronzeflow.ServerID]
+
+	mu      sync.Mutex
+	policy  bronzeconf.Policy
+	owners  int
+	servers []*server
+	index   map[bronzeflow.ServerID]*server
+	origins map[string]origin
+	recent  uint32
+}
 
 // SetService puts a service's pool and policy in force. Counts of servers
 // that stay are kept; now starts the ramp of servers that are new, except on
 // the first call.
-func (p *Pool) SetService(svc *bronzeconf.Service) {}
-
-// SetOwners tells how many nodes place flows on the pool, at least 1.
-func (p *Pool) SetOwners(n int) {}
-
-// Candidates appends to dst up to n servers for the flow hash in rendezvous
-// order over the whole pool, those that are leaving included: the order in
-// which to look for an existing flow.
-func (p *Pool) Candidates(hash uint64, n int, dst []bronzeflow.ServerID) []bronzeflow.ServerID {
-	return dst
+func (p *Pool) SetService(svc *bronzeconf.Service) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	first := p.index == nil
+	servers := make([]*server, 0, len(svc.Pool))
+	index := make(map[bronzeflow.ServerID]*server, len(svc.Pool))
+	ids := make([]bronzeflow.ServerID, 0, len(svc.Pool))
+	for i := range svc.Pool {
+		b := &svc.Pool[i]
+		if index[b.ID] != nil {
+			continue
+		}
+		s := p.index[b.ID]
+		if s == nil {
+			s = &server{id: b.ID}
+			if !first {
+				s.since = now
+			}
+		}
+		s.set(b)
+		index[b.ID] = s
+		servers = append(servers, s)
+		ids = append(ids, b.ID)
+	}
+	p.policy = svc.Policy
+	p.servers = servers
+	p.index = index
+	p.ids.Store(&ids)
+	p.dropRemoved()
 }
 
-// Choose picks the server for a new flow, never one of tried. first is true
-// when it is the flow's first candidate in the order of Candidates, so that
-// other nodes can derive it. With plain set it takes the first candidate that
-// may have work whatever its load (but for hard limits), so that both sides
-// of a partition choose alike. ok is false if no server may take it.
-func (p *Pool) Choose(hash uint64, tried []bronzeflow.ServerID, plain bool) (id bronzeflow.ServerID, first, ok bool) {
-	return 0, false, false
+// SetOwners tells how many nodes place flows on the pool, at least 1.
+func (p *Pool) SetOwners(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.owners = max(n, 1)
 }
 
 // Opened counts a flow that this node owns on server id.
-func (p *Pool) Opened(id bronzeflow.ServerID) {}
+func (p *Pool) Opened(id bronzeflow.ServerID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.index[id]
+	if s == nil {
+		return
+	}
+	s.own++
+	p.notePlaced(s)
+}
 
 // Ended takes a flow of Opened back.
-func (p *Pool) Ended(id bronzeflow.ServerID) {}
+func (p *Pool) Ended(id bronzeflow.ServerID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.index[id]
+	// A server that was removed and put back has lost its count, while
+	// flows of before still end: a negative count would draw new flows.
+	if s == nil || s.own == 0 {
+		return
+	}
+	s.own--
+}
 
 // Accepted notes that server id established a flow after the given time.
-func (p *Pool) Accepted(id bronzeflow.ServerID, after time.Duration) {}
+func (p *Pool) Accepted(id bronzeflow.ServerID, after time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.index[id]; s != nil {
+		s.accept(after)
+	}
+}
 
 // Refused notes that server id refused an opening or let it time out.
-func (p *Pool) Refused(id bronzeflow.ServerID, silent bool) {}
-
-// SetOwned replaces what the node origin says of the flows that it owns.
-// A nil map forgets origin.
-func (p *Pool) SetOwned(origin string, counts map[bronzeflow.ServerID]uint32) {}
-
-// Owned appends the counts of this node's own flows, to be shared.
-func (p *Pool) Owned(dst map[bronzeflow.ServerID]uint32) {}
-
-// Report is what a server's own endpoint, or a peer that polled it, says.
-type Report struct {
-	Server      bronzeflow.ServerID
-	Connections int
-	Leaving     bool
-	At          time.Time
+func (p *Pool) Refused(id bronzeflow.ServerID, silent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.index[id]; s != nil {
+		s.refuse(p.now(), silent, rand.Float64())
+	}
 }
 
-// Observe takes a report in.
-func (p *Pool) Observe(r Report) {}
+// Observe takes a report in. One that is older than the last is ignored.
+func (p *Pool) Observe(r Report) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.index[r.Server]
+	if s == nil {
+		return
+	}
+	if r.Leaving {
+		s.leave(p.now() + int64(ReportedLeavingHold))
+	}
+	s.observe(&r)
+}
 
 // SetLeaving marks server id as leaving, from whatever source; it is cleared
-// after hold unless a source says so again.
-func (p *Pool) SetLeaving(id bronzeflow.ServerID, hold time.Duration) {}
+// after hold unless a source says so again. Sources never shorten each
+// other's hold. A server that isn't in force is ignored.
+func (p *Pool) SetLeaving(id bronzeflow.ServerID, hold time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.index[id]; s != nil {
+		s.leave(p.now() + int64(hold))
+	}
+}
 
 // ServerLoad is one server's state for operators.
 type ServerLoad struct {
@@ -81,4 +151,29 @@
 }
 
 // Loads returns the state of every server.
-func (p *Pool) Loads() []ServerLoad { return nil }
+func (p *Pool) Loads() []ServerLoad {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	loads := make([]ServerLoad, 0, len(p.servers))
+	for _, s := range p.servers {
+		loads = append(loads, ServerLoad{
+			Server:   s.id,
+			Instance: s.instance,
+			Own:      s.own,
+			Total:    p.estimate(s, now),
+			Reported: s.reported,
+			Trust:    1 - s.distrust,
+			Leaving:  s.leaving(now),
+		})
+	}
+	return loads
+}
+
+// now returns the time in nanoseconds.
+func (p *Pool) now() int64 {
+	if p.Now != nil {
+		return p.Now().UnixNano()
+	}
+	return time.Now().UnixNano()
+}
--- /dev/null
+++ b/bronzepool/server.go
@@ -0,0 +1,105 @@
+package bronzepool
+
+import (
+	"time"
+
+	"bronzeusher.example/bronzeusher/bronzeconf"
+	"bronzeusher.example/bronzeusher/bronzeflow"
+)
+
+// ReportedLeavingHold is how long a server's own word that it is leaving
+// holds. Later reports that don't say so don't end it sooner: of two sources
+// that contradict each other the one that stops new work wins.
+const ReportedLeavingHold = 30 * time.Second
+
+// The back-off of a server that fails openings.
+const (
+	backoffBase   = 100 * time.Millisecond
+	backoffSilent = 400 * time.Millisecond
+	backoffMax    = 10 * time.Second
+	backoffSteps  = 8
+)
+
+// server is the state of one backend server; the Pool's lock guards it.
+// Times are in nanoseconds since the epoch.
+type server struct {
+	id          bronzeflow.ServerID
+	instance    string
+	zone        string
+	slots       int
+	connections int
+	draining    bool
+
+	// since is when the ramp of a new server began, 0 means it has none.
+	since int64
+	// leavingUntil is until when some source says that it is leaving.
+	leavingUntil int64
+
+	own    int
+	shared int64
+	base   int64
+	recent uint32
+
+	reported    int
+	reportAt    int64
+	ownAtReport int
+	distrust    float64
+
+	fails   int
+	retryAt int64
+}
+
+func (s *server) set(b *bronzeconf.BackendServer) {
+	s.instance = b.Instance
+	s.zone = b.AvailabilityZone
+	s.slots = b.Slots
+	s.connections = b.Connections
+	s.draining = b.Status == bronzeconf.Draining
+}
+
+func (s *server) leaving(now int64) bool {
+	return s.draining || now < s.leavingUntil
+}
+
+func (s *server) leave(until int64) {
+	s.leavingUntil = max(s.leavingUntil, until)
+}
+
+func (s *server) accept(time.Duration) {
+	s.fails = 0
+	s.retryAt = 0
+}
+
+// refuse starts or prolongs the back-off; jitter is in [0,1).
+func (s *server) refuse(now int64, silent bool, jitter float64) {
+	step := backoffBase
+	if silent {
+		step = backoffSilent
+	}
+	step = min(step<<min(s.fails, backoffSteps), backoffMax)
+	s.fails++
+	// Owners that met the same refusal must not come back together.
+	s.retryAt = now + int64(float64(step)*(0.5+jitter))
+}
+
+// ramp returns the part of its full share that a new server may have.
+func (s *server) ramp(now int64, coldStart time.Duration) float64 {
+	if s.since == 0 || coldStart <= 0 {
+		return 1
+	}
+	f := float64(now-s.since) / float64(coldStart)
+	return min(max(f, rampFloor), 1)
+}
+
+// rampFloor is the share that a new server starts with.
+const rampFloor = 0.05
+
+func (s *server) observe(r *Report) {
+	at := r.At.UnixNano()
+	if at <= s.reportAt {
+		return
+	}
+	s.reported = r.Connections
+	s.reportAt = at
+	s.ownAtReport = s.own
+}
