--- /dev/null
+++ b/bronzewire/errors.go
@@ -0,0 +1,75 @@
+package bronzewire
+
+import "github.com/pkg/errors"
+
+// The reasons for which a packet, a frame or a request to build one is
+// refused. The functions of this package return them bare where a flood of
+// bad packets must cost no allocation; compare with errors.Is.
+var (
+	// ErrTruncated: the buffer ends before what its headers announce.
+	ErrTruncated = errors.New("packet is truncated")
+	// ErrVersion: neither IPv4 nor IPv6.
+	ErrVersion = errors.New("unknown IP version")
+	// ErrHeader: a header contradicts itself or asks for source routing.
+	ErrHeader = errors.New("malformed header")
+	// ErrFragment: a fragment, whose ports may be in another packet.
+	ErrFragment = errors.New("packet is a fragment")
+	// ErrProtocol: not TCP, not UDP, and no ICMP error that matters to a flow.
+	ErrProtocol = errors.New("unsupported protocol")
+	// ErrChecksum: the IPv4 header's or the ICMP message's checksum is wrong.
+	ErrChecksum = errors.New("wrong checksum")
+	// ErrFlags: TCP flags that no sound sender combines in this direction.
+	ErrFlags = errors.New("impossible TCP flags")
+	// ErrPorts: a source or destination port of 0.
+	ErrPorts = errors.New("port is zero")
+	// ErrAddress: an address that is no endpoint of a flow, or two addresses
+	// of different families.
+	ErrAddress = errors.New("unusable address")
+	// ErrQuote: an ICMP error for another receiver than the sender of the
+	// packet that it quotes.
+	ErrQuote = errors.New("quoted packet is not the receiver's")
+	// ErrSize: a packet to build is longer than an IP packet can be.
+	ErrSize = errors.New("packet too long")
+	// ErrFrame: not a relay frame.
+	ErrFrame = errors.New("not a relay frame")
+	// ErrFrameVersion: a relay frame of a version that this build doesn't know.
+	ErrFrameVersion = errors.New("unknown relay frame version")
+	// ErrFrameKind: a relay frame of a kind that this build doesn't know.
+	ErrFrameKind = errors.New("unknown relay frame kind")
+)
+
+// reasons orders the errors with their names as counters show them.
+var reasons = []struct {
+	err  error
+	name string
+}{
+	{ErrTruncated, "Truncated"},
+	{ErrVersion, "Version"},
+	{ErrHeader, "Header"},
+	{ErrFragment, "Fragment"},
+	{ErrProtocol, "Protocol"},
+	{ErrChecksum, "Checksum"},
+	{ErrFlags, "Flags"},
+	{ErrPorts, "Ports"},
+	{ErrAddress, "Address"},
+	{ErrQuote, "Quote"},
+	{ErrSize, "Size"},
+	{ErrFrame, "Frame"},
+	{ErrFrameVersion, "FrameVersion"},
+	{ErrFrameKind, "FrameKind"},
+}
+
+// Reason returns the name of err for a counter, in Pascal case: "Truncated"
+// for ErrTruncated and so on, "Other" for an error of other packages, and ""
+// for nil.
+func Reason(err error) string {
+	if err == nil {
+		return ""
+	}
+	for i := range reasons {
+		if errors.Is(err, reasons[i].err) {
+			return reasons[i].name
+		}
+	}
+	return "Other"
+}
--- /dev/null
+++ b/bronzewire/socket.go
@@ -0,0 +1,185 @@
+package bronzewire
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/pkg/errors"
+	"golang.org/x/net/ipv4"
+)
+
+// MaxBatch is how many datagrams one system call reads or writes at most.
+const MaxBatch = 64
+
+// socketBuffer is the size asked for the kernel's buffers, in bytes; the
+// kernel may grant less. It holds the packets that arrive while the process
+// is paused by the scheduler or the garbage collector.
+const socketBuffer = 4 << 20
+
+// Datagram is one UDP datagram of a batch.
+type Datagram struct {
+	// Addr is where it came from, or where it goes.
+	Addr netip.AddrPort
+	// Buf holds the content in Buf[:N]. Reads fill it up to its length and
+	// cut off what doesn't fit.
+	Buf []byte
+	N   int
+}
+
+// Socket is a UDP socket that moves datagrams in batches. Its methods may be
+// called by several goroutines at once.
+type Socket struct {
+	conn    *net.UDPConn
+	packets *ipv4.PacketConn
+	batches sync.Pool
+}
+
+// batch is the form of a batch that the system calls want, reused between
+// calls.
+type batch struct {
+	messages [MaxBatch]ipv4.Message
+	buffers  [MaxBatch][1][]byte
+	addrs    [MaxBatch]net.UDPAddr
+	ips      [MaxBatch][16]byte
+}
+
+// Listen opens a socket on address, an IP number with a port, where port 0
+// means any free one.
+func Listen(address string) (s *Socket, err error) {
+	defer annotate(&err, "listen on UDP "+address)
+	ap, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := net.ListenUDP(networkName(ap.Addr()), net.UDPAddrFromAddrPort(ap))
+	if err != nil {
+		return nil, err
+	}
+	// ipv4.PacketConn's batch calls carry addresses of both families.
+	s = &Socket{conn: conn, packets: ipv4.NewPacketConn(conn)}
+	if err := s.growBuffers(); err != nil {
+		return nil, errors.WithMessage(err, closeMessage(conn))
+	}
+	return s, nil
+}
+
+func networkName(a netip.Addr) string {
+	if a.Unmap().Is4() {
+		return "udp4"
+	}
+	return "udp6"
+}
+
+func closeMessage(conn *net.UDPConn) string {
+	if err := conn.Close(); err != nil {
+		return "close: " + err.Error()
+	}
+	return "socket closed"
+}
+
+func (s *Socket) growBuffers() error {
+	if err := s.conn.SetReadBuffer(socketBuffer); err != nil {
+		return err
+	}
+	return s.conn.SetWriteBuffer(socketBuffer)
+}
+
+// LocalAddrPort returns the address that the socket is bound to.
+func (s *Socket) LocalAddrPort() netip.AddrPort {
+	ap := s.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	return netip.AddrPortFrom(ap.Addr().Unmap(), ap.Port())
+}
+
+// ReadBatch waits for at least one datagram, fills ms from its start, and
+// returns how many it filled. After Close the error wraps net.ErrClosed.
+func (s *Socket) ReadBatch(ms []Datagram) (n int, err error) {
+	defer annotate(&err, "read a batch")
+	if len(ms) == 0 {
+		return 0, nil
+	}
+	b := s.batch()
+	defer s.batches.Put(b)
+	ms = ms[:min(len(ms), MaxBatch)]
+	for i := range ms {
+		b.buffers[i][0] = ms[i].Buf
+		b.messages[i] = ipv4.Message{Buffers: b.buffers[i][:]}
+	}
+	n, err = s.packets.ReadBatch(b.messages[:len(ms)], 0)
+	if err != nil {
+		return 0, err
+	}
+	for i := range ms[:n] {
+		ms[i].N = b.messages[i].N
+		ms[i].Addr = addrPort(b.messages[i].Addr)
+	}
+	b.release(len(ms))
+	return n, nil
+}
+
+// WriteBatch sends each Buf[:N] of ms to its Addr, in order and whole, in as
+// few system calls as it can. On an error, n datagrams were sent and ms[n]
+// was refused; the caller may go on after it.
+func (s *Socket) WriteBatch(ms []Datagram) (n int, err error) {
+	defer annotate(&err, "write a batch")
+	b := s.batch()
+	defer s.batches.Put(b)
+	for n < len(ms) {
+		sent, err := s.write(b, ms[n:min(len(ms), n+MaxBatch)])
+		n += sent
+		if err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
+func (s *Socket) write(b *batch, ms []Datagram) (n int, err error) {
+	for i := range ms {
+		b.buffers[i][0] = ms[i].Buf[:ms[i].N]
+		b.messages[i] = ipv4.Message{Buffers: b.buffers[i][:], Addr: b.addr(i, ms[i].Addr)}
+	}
+	n, err = s.packets.WriteBatch(b.messages[:len(ms)], 0)
+	b.release(len(ms))
+	return max(n, 0), err
+}
+
+// Close closes the socket and ends a waiting ReadBatch.
+func (s *Socket) Close() (err error) {
+	defer annotate(&err, "close a UDP socket")
+	return s.conn.Close()
+}
+
+func (s *Socket) batch() *batch {
+	if b, ok := s.batches.Get().(*batch); ok {
+		return b
+	}
+	return new(batch)
+}
+
+// release drops the references to the first n datagrams' memory.
+func (b *batch) release(n int) {
+	for i := range n {
+		b.buffers[i][0] = nil
+		b.messages[i].Addr = nil
+	}
+}
+
+// addr returns a in the form of package net, in memory of b's.
+func (b *batch) addr(i int, a netip.AddrPort) *net.UDPAddr {
+	u := &b.addrs[i]
+	b.ips[i] = a.Addr().As16()
+	u.IP = b.ips[i][:]
+	u.Port = int(a.Port())
+	u.Zone = a.Addr().Zone()
+	return u
+}
+
+func addrPort(a net.Addr) netip.AddrPort {
+	u, ok := a.(*net.UDPAddr)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	ap := u.AddrPort()
+	return netip.AddrPortFrom(ap.Addr().Unmap(), ap.Port())
+}
