--- /dev/null
+++ b/bronzepool/limits_test.go
@@ -0,0 +1,117 @@
+package bronzepool
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"bronzeusher.example/bronzeusher/bronzeconf"
+)
+
+func newAccount(a *Admission, customer, name string, l bronzeconf.Limits) *Account {
+	return a.Set(&bronzeconf.Service{Customer: customer, Name: name, Limits: l})
+}
+
+func TestServiceLimits(t *testing.T) {
+	var a Admission
+	acc := newAccount(&a, "Acme", "web", bronzeconf.Limits{HalfOpen: 2, Open: 3})
+	require.Equal(t, Admitted, acc.Admit())
+	require.Equal(t, Admitted, acc.Admit())
+	require.Equal(t, HalfOpenDenied, acc.Admit())
+	acc.Established()
+	require.Equal(t, Admitted, acc.Admit())
+	acc.Established()
+	require.Equal(t, OpenDenied, acc.Admit())
+	acc.Ended(true)
+	require.Equal(t, Admitted, acc.Admit())
+}
+
+func TestRateLimitRefills(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var a Admission
+		acc := newAccount(&a, "Acme", "web", bronzeconf.Limits{NewPerSecond: 5})
+		for range 5 {
+			require.Equal(t, Admitted, acc.Admit())
+		}
+		require.Equal(t, RateDenied, acc.Admit())
+		time.Sleep(time.Second / 5)
+		require.Equal(t, Admitted, acc.Admit())
+		require.Equal(t, RateDenied, acc.Admit())
+	})
+}
+
+// One brand's callers flood its service with openings that never establish.
+// Callers of other brands must not notice: they arrive when the flood already
+// has all that it can get of the node's half-open flows, and are admitted;
+// as the flood's flows time out, its part goes down to the fair one.
+func TestStormOfOneBrandLeavesRoom(t *testing.T) {
+	a := Admission{HalfOpen: 300}
+	storm := newAccount(&a, "Storm", "web", bronzeconf.Limits{})
+	calm := newAccount(&a, "Calm", "web", bronzeconf.Limits{})
+	for range 1000 {
+		storm.Admit()
+	}
+	require.Equal(t, NodeHalfOpenDenied, storm.Admit())
+	const want = 75
+	for range want {
+		require.Equal(t, Admitted, calm.Admit())
+	}
+	for range 1000 {
+		storm.Ended(false)
+		storm.Admit()
+		calm.Admit()
+	}
+	require.InDelta(t, 100, calm.halfOpen, 2)
+	require.InDelta(t, 100, storm.halfOpen, 2)
+}
+
+func TestAdmissionCountsMatchFlows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := Admission{HalfOpen: 20, Open: 40}
+		accounts := []*Account{
+			newAccount(&a, "A", "x", bronzeconf.Limits{HalfOpen: 5, Open: 9}),
+			newAccount(&a, "A", "y", bronzeconf.Limits{}),
+			newAccount(&a, "B", "x", bronzeconf.Limits{}),
+		}
+		half, established := make([]int64, 3), make([]int64, 3)
+		steps := rapid.SliceOf(rapid.IntRange(0, 11)).Draw(t, "Steps")
+		for _, step := range steps {
+			i := step % 3
+			acc := accounts[i]
+			switch op := step / 3; {
+			case op == 0 && acc.Admit() == Admitted:
+				half[i]++
+			case op == 1 && half[i] > 0:
+				acc.Established()
+				half[i]--
+				established[i]++
+			case op == 2 && half[i] > 0:
+				acc.Ended(false)
+				half[i]--
+			case op == 3 && established[i] > 0:
+				acc.Ended(true)
+				established[i]--
+			}
+			require.Equal(t, half[0]+half[1]+half[2], a.halfOpen.Load())
+			require.LessOrEqual(t, a.halfOpen.Load(), int64(20))
+			require.LessOrEqual(t, a.open.Load(), int64(40))
+			require.Equal(t, half[i]+established[i], acc.open)
+			require.LessOrEqual(t, accounts[0].open, int64(9))
+			require.LessOrEqual(t, accounts[0].halfOpen, int64(5))
+		}
+	})
+}
+
+func TestAdmitDoesNotAllocate(t *testing.T) {
+	a := Admission{HalfOpen: 10, Open: 10}
+	acc := newAccount(&a, "Acme", "web", bronzeconf.Limits{NewPerSecond: 1 << 30})
+	n := testing.AllocsPerRun(100, func() {
+		acc.Admit()
+		acc.Established()
+		acc.Ended(true)
+	})
+	require.Zero(t, n)
+}
