--- /dev/null
+++ b/bronzeconf/check.go
@@ -0,0 +1,197 @@
+package bronzeconf
+
+import (
+	"net/netip"
+	"net/url"
+	"strings"
+	"time"
+	"unicode"
+)
+
+// The bounds of a record's fields.
+const (
+	MaxNameBytes    = 128
+	MaxAttempts     = 16
+	MaxColdStart    = time.Hour
+	MaxOpenDeadline = time.Minute
+	MinIdleTimeout  = time.Second
+	MaxIdleTimeout  = 7 * 24 * time.Hour
+)
+
+func (f *faults) checkV1(v *ServiceV1) {
+	f.checkName("Customer", v.Customer)
+	// An identifier of a BackendServer is made of "Customer/Instance". With
+	// a slash in Customer two customers' instances could share one, and a
+	// packet would reach the other's server.
+	if strings.Contains(v.Customer, "/") {
+		f.add("Customer", "%q contains a slash", v.Customer)
+	}
+	f.checkName("Brand", v.Brand)
+	f.checkName("Name", v.Name)
+	f.checkAddresses(v.Addresses)
+	f.checkRules(v.Rules)
+	f.checkPool(v.Pool)
+}
+
+func (f *faults) checkV2(v *ServiceV2) {
+	f.checkV1(&ServiceV1{
+		Customer:  v.Customer,
+		Brand:     v.Brand,
+		Name:      v.Name,
+		Addresses: v.Addresses,
+		Rules:     v.Rules,
+		Pool:      v.Pool,
+	})
+	if v.Policy.ImbalanceBound < 1 {
+		f.add("Policy.ImbalanceBound", "%v is less than 1", v.Policy.ImbalanceBound)
+	}
+	f.checkDuration("Policy.ColdStart", v.Policy.ColdStart, 0, MaxColdStart)
+	f.checkCount("Limits.HalfOpen", v.Limits.HalfOpen)
+	f.checkCount("Limits.Open", v.Limits.Open)
+	f.checkCount("Limits.NewPerSecond", v.Limits.NewPerSecond)
+	if v.Retry.Budget < 0 || v.Retry.Budget > 1 {
+		f.add("Retry.Budget", "%v is not between 0 and 1", v.Retry.Budget)
+	}
+	if v.Retry.Attempts < 1 || v.Retry.Attempts > MaxAttempts {
+		f.add("Retry.Attempts", "%d is not between 1 and %d", v.Retry.Attempts, MaxAttempts)
+	}
+	f.checkDuration("OpenDeadline", v.OpenDeadline, time.Millisecond, MaxOpenDeadline)
+	f.checkDuration("IdleTimeout", v.IdleTimeout, MinIdleTimeout, MaxIdleTimeout)
+}
+
+func (f *faults) checkName(path, s string) {
+	switch {
+	case s == "":
+		f.add(path, "is empty")
+	case len(s) > MaxNameBytes:
+		f.add(path, "is longer than %d bytes", MaxNameBytes)
+	case strings.TrimSpace(s) != s:
+		f.add(path, "%q begins or ends with a space", s)
+	case strings.ContainsFunc(s, unprintable):
+		f.add(path, "%q contains a character that can't be printed", s)
+	}
+}
+
+func unprintable(r rune) bool {
+	return !unicode.IsPrint(r) || r == unicode.ReplacementChar
+}
+
+func (f *faults) checkCount(path string, n int) {
+	if n < 0 {
+		f.add(path, "%d is negative", n)
+	}
+}
+
+func (f *faults) checkDuration(path string, d Duration, least, most time.Duration) {
+	if v := time.Duration(d); v < least || v > most {
+		f.add(path, "%v is not between %v and %v", v, least, most)
+	}
+}
+
+func (f *faults) checkAddresses(addresses []netip.Addr) {
+	if len(addresses) == 0 {
+		f.add("Addresses", "is empty")
+	}
+	seen := make(map[netip.Addr]int)
+	for i, a := range addresses {
+		path := element("Addresses", i)
+		if !f.checkAddress(path, a) {
+			continue
+		}
+		if j, ok := seen[a.Unmap()]; ok {
+			f.add(path, "%v is given twice, first at %s", a, element("Addresses", j))
+			continue
+		}
+		seen[a.Unmap()] = i
+	}
+}
+
+func (f *faults) checkAddress(path string, a netip.Addr) (ok bool) {
+	switch {
+	case !a.IsValid():
+		f.add(path, "is not an IP address")
+	case a.Zone() != "":
+		f.add(path, "%v has an IPv6 zone", a)
+	case a.Unmap().IsUnspecified(), a.Unmap().IsMulticast():
+		f.add(path, "%v is not a unicast address", a)
+	default:
+		return true
+	}
+	return false
+}
+
+func (f *faults) checkRules(rules []RuleV1) {
+	if len(rules) == 0 {
+		f.add("Rules", "is empty")
+	}
+	seen := make(map[RuleV1]int)
+	for i, r := range rules {
+		path := element("Rules", i)
+		if _, ok := parseProtocol(r.Protocol); !ok {
+			f.add(member(path, "Protocol"), "%q is neither TCP nor UDP", r.Protocol)
+		}
+		if r.Port == 0 {
+			f.add(member(path, "Port"), "is 0")
+		}
+		if j, ok := seen[r]; ok {
+			f.add(path, "is given twice, first at %s", element("Rules", j))
+			continue
+		}
+		seen[r] = i
+	}
+}
+
+func (f *faults) checkPool(pool []BackendServerV1) {
+	if pool == nil {
+		f.add("Pool", "is missing; a service without servers has an empty one")
+	}
+	instances := make(map[string]int)
+	addresses := make(map[netip.AddrPort]int)
+	for i, b := range pool {
+		path := element("Pool", i)
+		f.checkServer(path, b)
+		if j, ok := instances[b.Instance]; ok && b.Instance != "" {
+			f.add(member(path, "Instance"), "%q is given twice, first at %s", b.Instance, element("Pool", j))
+		} else {
+			instances[b.Instance] = i
+		}
+		a := unmapPort(b.Address)
+		if j, ok := addresses[a]; ok && a.IsValid() {
+			f.add(member(path, "Address"), "%v is given twice, first at %s", a, element("Pool", j))
+		} else {
+			addresses[a] = i
+		}
+	}
+}
+
+func (f *faults) checkServer(path string, b BackendServerV1) {
+	f.checkName(member(path, "Instance"), b.Instance)
+	f.checkName(member(path, "AvailabilityZone"), b.AvailabilityZone)
+	f.checkCount(member(path, "Slots"), b.Slots)
+	f.checkCount(member(path, "Connections"), b.Connections)
+	if f.checkAddress(member(path, "Address"), b.Address.Addr()) && b.Address.Port() == 0 {
+		f.add(member(path, "Address"), "has port 0")
+	}
+	switch b.Status {
+	case "", Serving, Draining:
+	default:
+		f.add(member(path, "Status"), "%q is neither %s nor %s", b.Status, Serving, Draining)
+	}
+	f.checkReport(member(path, "Report"), b.Report)
+}
+
+// checkReport accepts numbers only for the host: a balancer asks no name
+// service, which could be down when the report is needed most.
+func (f *faults) checkReport(path, report string) {
+	if report == "" {
+		return
+	}
+	u, err := url.Parse(report)
+	if err != nil || u.Scheme != "http" && u.Scheme != "https" {
+		f.add(path, "%q is not an http or https URL", report)
+		return
+	}
+	if _, err := netip.ParseAddr(u.Hostname()); err != nil {
+		f.add(path, "%q doesn't name its host by an IP address", report)
+	}
+}
--- /dev/null
+++ b/bronzeconf/record.go
@@ -0,0 +1,248 @@
+package bronzeconf
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bronzeusher.example/bronzeusher/bronzeflow"
+)
+
+// The schema versions of records that this build knows.
+const (
+	SchemaV1     = 1
+	SchemaV2     = 2
+	SchemaNewest = SchemaV2
+)
+
+// MaxRecordBytes is the longest record that is accepted; the platform holds
+// values up to this size.
+const MaxRecordBytes = 1 << 20
+
+// What a record takes where it says nothing. Version 1 can't say any of it.
+const (
+	DefaultImbalanceBound = 1.05
+	DefaultColdStart      = 30 * time.Second
+	// The limits are those of one balancer, wide enough for a service that
+	// is alone on it, yet below the size of its flow table.
+	DefaultHalfOpen     = 20_000
+	DefaultOpen         = 300_000
+	DefaultNewPerSecond = 10_000
+	DefaultRetryBudget  = 0.1
+	DefaultAttempts     = 3
+	DefaultOpenDeadline = 3 * time.Second
+	// DefaultIdleTimeout follows RFC 5382: TCP keep-alives are sent after
+	// two hours, so a flow without packets for longer is gone.
+	DefaultIdleTimeout = 2*time.Hour + 4*time.Minute
+)
+
+// Record is a published record under its name.
+type Record struct {
+	Name string
+	Body []byte
+	// Service is what Body decodes to. Build decodes Body where it is nil,
+	// and otherwise takes Service as checked.
+	Service *Service
+}
+
+// Duration is a time.Duration that is written as a string such as "3s".
+type Duration time.Duration
+
+// MarshalText writes d as time.Duration does.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText reads what time.ParseDuration reads.
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	if err != nil {
+		return errors.New("is not a duration such as 3s")
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// ServiceV1 is a record of schema version 1. Its JSON form has the fields'
+// names.
+type ServiceV1 struct {
+	SchemaVersion int
+	Customer      string
+	Brand         string
+	Name          string
+	Addresses     []netip.Addr
+	Rules         []RuleV1
+	Pool          []BackendServerV1
+}
+
+// RuleV1 is a Rule in a record. Protocol is "TCP" or "UDP".
+type RuleV1 struct {
+	Protocol string
+	Port     uint16
+}
+
+// BackendServerV1 is a BackendServer in a record. An empty Status means
+// Serving.
+type BackendServerV1 struct {
+	Instance         string
+	Address          netip.AddrPort
+	AvailabilityZone string
+	Slots            int          `json:",omitempty"`
+	Connections      int          `json:",omitempty"`
+	Status           ServerStatus `json:",omitempty"`
+	Report           string       `json:",omitempty"`
+}
+
+// ServiceV2 is a record of schema version 2. A field of Policy, Limits or
+// Retry, OpenDeadline or IdleTimeout that the record leaves out takes its
+// default; NewServiceV2 returns a record with these.
+type ServiceV2 struct {
+	SchemaVersion int
+	Customer      string
+	Brand         string
+	Name          string
+	Addresses     []netip.Addr
+	Rules         []RuleV1
+	Pool          []BackendServerV1
+	Policy        PolicyV2
+	Limits        LimitsV2
+	Retry         RetryV2
+	OpenDeadline  Duration
+	IdleTimeout   Duration
+}
+
+// PolicyV2 is a Policy in a record.
+type PolicyV2 struct {
+	ImbalanceBound float64
+	ColdStart      Duration
+}
+
+// LimitsV2 are Limits in a record.
+type LimitsV2 struct {
+	HalfOpen     int
+	Open         int
+	NewPerSecond int
+}
+
+// RetryV2 is a Retry in a record.
+type RetryV2 struct {
+	Budget     float64
+	Attempts   int
+	Idempotent bool
+}
+
+// NewServiceV2 returns a record that has every default and no addresses,
+// rules or pool.
+func NewServiceV2() ServiceV2 {
+	return ServiceV2{
+		SchemaVersion: SchemaV2,
+		Policy: PolicyV2{
+			ImbalanceBound: DefaultImbalanceBound,
+			ColdStart:      Duration(DefaultColdStart),
+		},
+		Limits: LimitsV2{
+			HalfOpen:     DefaultHalfOpen,
+			Open:         DefaultOpen,
+			NewPerSecond: DefaultNewPerSecond,
+		},
+		Retry: RetryV2{
+			Budget:   DefaultRetryBudget,
+			Attempts: DefaultAttempts,
+		},
+		OpenDeadline: Duration(DefaultOpenDeadline),
+		IdleTimeout:  Duration(DefaultIdleTimeout),
+	}
+}
+
+// V2 returns the record of version 2 that means the same.
+func (v *ServiceV1) V2() ServiceV2 {
+	w := NewServiceV2()
+	w.Customer = v.Customer
+	w.Brand = v.Brand
+	w.Name = v.Name
+	w.Addresses = v.Addresses
+	w.Rules = v.Rules
+	w.Pool = v.Pool
+	return w
+}
+
+// Service converts a record that has no faults.
+func (v *ServiceV1) Service() *Service {
+	w := v.V2()
+	svc := w.Service()
+	svc.SchemaVersion = SchemaV1
+	return svc
+}
+
+// Service converts a record that has no faults.
+func (v *ServiceV2) Service() *Service {
+	return &Service{
+		Customer:      v.Customer,
+		Brand:         v.Brand,
+		Name:          v.Name,
+		SchemaVersion: SchemaV2,
+		Addresses:     unmapped(v.Addresses),
+		Rules:         rules(v.Rules),
+		Pool:          servers(v.Customer, v.Pool),
+		Policy: Policy{
+			ImbalanceBound: v.Policy.ImbalanceBound,
+			ColdStart:      time.Duration(v.Policy.ColdStart),
+		},
+		Limits:       Limits(v.Limits),
+		Retry:        Retry(v.Retry),
+		OpenDeadline: time.Duration(v.OpenDeadline),
+		IdleTimeout:  time.Duration(v.IdleTimeout),
+	}
+}
+
+func unmapped(list []netip.Addr) []netip.Addr {
+	out := make([]netip.Addr, len(list))
+	for i, a := range list {
+		out[i] = a.Unmap()
+	}
+	return out
+}
+
+func rules(list []RuleV1) []Rule {
+	out := make([]Rule, len(list))
+	for i, r := range list {
+		p, _ := parseProtocol(r.Protocol)
+		out[i] = Rule{Protocol: p, Port: r.Port}
+	}
+	return out
+}
+
+func servers(customer string, list []BackendServerV1) []BackendServer {
+	out := make([]BackendServer, len(list))
+	for i, b := range list {
+		out[i] = BackendServer{
+			ID:               bronzeflow.NewServerID(customer, b.Instance),
+			Instance:         b.Instance,
+			Address:          unmapPort(b.Address),
+			AvailabilityZone: b.AvailabilityZone,
+			Slots:            b.Slots,
+			Connections:      b.Connections,
+			Status:           b.Status,
+			Report:           b.Report,
+		}
+		if b.Status == "" {
+			out[i].Status = Serving
+		}
+	}
+	return out
+}
+
+func unmapPort(a netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
+
+// parseProtocol is the inverse of bronzeflow.Protocol.String.
+func parseProtocol(name string) (p bronzeflow.Protocol, ok bool) {
+	for _, p := range []bronzeflow.Protocol{bronzeflow.TCP, bronzeflow.UDP} {
+		if p.String() == name {
+			return p, true
+		}
+	}
+	return 0, false
+}
--- a/bronzeconf/service.go
+++ b/bronzeconf/service.go
@@ -136,7 +136,8 @@
 	server  *BackendServer
 }
 
-// Refusal tells why a record is not in force as published.
+// Refusal tells why a record is not in force as published. Field is the path
+// of what is wrong, or empty for the record as a whole.
 type Refusal struct {
 	Record string
 	Field  string
@@ -145,6 +146,9 @@
 
 // Error describes the refusal.
 func (r Refusal) Error() string {
+	if r.Field == "" {
+		return r.Record + ": " + r.Reason
+	}
 	return r.Record + ": " + r.Field + ": " + r.Reason
 }
 
