Decide packets: match, place, pin, relay, recover

Cause: the daemon, the demo and the proofs all need the decisions as a library without sockets. Payload goes only to a confirmed server; derivation orders probes; exceptions are copied to the successor, paced.

--- a/bronzecore/action.go
+++ b/bronzecore/action.go
@@ -37,6 +37,18 @@
 	Send
 )
 
+var actionNames = [...]string{
+	"None", "Forward", "Reply", "Relay", "RelayReply", "Drop", "Refuse", "Abort", "Cancel", "Probe", "Send",
+}
+
+// String returns the kind's name.
+func (k ActionKind) String() string {
+	if int(k) < len(actionNames) {
+		return actionNames[k]
+	}
+	return "Unknown"
+}
+
 // Action is one output of a decision.
 type Action struct {
 	Kind       ActionKind
--- a/bronzecore/balancer.go
+++ b/bronzecore/balancer.go
@@ -1,25 +1,61 @@
 package bronzecore
 
 import (
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"bronzeusher.example/bronzeusher/bronzeconf"
 	"bronzeusher.example/bronzeusher/bronzefleet"
 	"bronzeusher.example/bronzeusher/bronzeflow"
-	"bronzeusher.example/bronzeusher/bronzelink"
+	"bronzeusher.example/bronzeusher/bronzepool"
 )
 
-// Balancer makes the decisions of one node. Its fields are set before the
-// first call and not changed afterwards; the zero value works alone, without
-// peers. All methods may be called concurrently. Methods append what the
-// driver has to do to out and return it.
+// TickInterval is how often the driver calls Tick.
+const TickInterval = 10 * time.Millisecond
+
+// MaxHops is how many nodes may relay a packet before it is dropped: one to
+// the owner, and one more when two nodes disagree about who that is.
+const MaxHops = 2
+
+// Balancer makes the decisions of one node. Its exported fields are set
+// before the first call and not changed afterwards; the zero value works
+// alone, without peers. All methods may be called concurrently. Methods
+// append what the driver has to do to out and return it.
 type Balancer struct {
 	// Name is this node's name in the fleet.
 	Name string
-	// Capacity bounds the flow table, 0 means DefaultCapacity.
+	// Capacity bounds the flow table, 0 means bronzeflow.DefaultCapacity.
 	Capacity int
-	// Settings of time; zero values mean the defaults.
+	// Timing holds durations; zero values mean the defaults.
 	Timing Timing
+	// CopyBytesPerSecond paces the copies of exceptions to successors,
+	// 0 means DefaultCopyBytesPerSecond, and less than 0 no copies.
+	CopyBytesPerSecond int
+	// HalfOpen and Open bound the half-open flows and all flows that this
+	// node owns, shared fairly among Customers; 0 means no bound.
+	HalfOpen int
+	Open     int
+	// Lease returns the time until which the view of the fleet may be
+	// trusted. A packet that comes later finds the node fenced even if the
+	// view was not replaced yet. nil means that it may always be trusted.
+	Lease func() time.Time
+
+	once     sync.Once
+	started  time.Time
+	snapshot atomic.Pointer[bronzeconf.Snapshot]
+	services atomic.Pointer[serviceSet]
+	view     atomic.Pointer[bronzefleet.View]
+	woke     atomic.Uint32
+	leaving  atomic.Bool
+	update   sync.Mutex // serializes SetSnapshot and SetView
+
+	limits bronzepool.Admission
+	table  bronzeflow.Table
+	shards [attemptShards]attemptShard
+	copies copyStore
+	copier copier
+	sweep  sweeper
 }
 
 // Timing holds the durations that a Balancer works with.
@@ -28,48 +64,141 @@
 	Attempt time.Duration
 	// Query is how long peers may take to answer a query.
 	Query time.Duration
+	// Probe is how long a server may take to answer a probe.
+	Probe time.Duration
 	// Recover is how long a flow may stay unknown before a definite end.
 	Recover time.Duration
 	// Learned is how long a learned mapping may be idle before it is
 	// checked with the flow's owner again.
 	Learned time.Duration
-	// Closed is how long a closed flow is remembered.
+	// Refresh is how old a learned mapping may grow, idle or not.
+	Refresh time.Duration
+	// Closed is how long a closed flow is remembered. It has to be longer
+	// than Learned.
 	Closed time.Duration
 	// Unsettled is for how long after a change of ownership the previous
 	// owners are asked before a flow is placed.
 	Unsettled time.Duration
+	// CopyAge is how old an exception has to be to be worth a copy.
+	CopyAge time.Duration
+	// RetryAfter is what a refused caller is told to wait.
+	RetryAfter time.Duration
 }
 
-// SetSnapshot puts a configuration in force. Older revisions are ignored.
-func (b *Balancer) SetSnapshot(s *bronzeconf.Snapshot) {}
+// The defaults of Timing.
+const (
+	DefaultAttempt    = 800 * time.Millisecond
+	DefaultQuery      = 40 * time.Millisecond
+	DefaultProbe      = 60 * time.Millisecond
+	DefaultRecover    = 3 * time.Second
+	DefaultLearned    = 30 * time.Second
+	DefaultRefresh    = time.Minute
+	DefaultClosed     = 60 * time.Second
+	DefaultUnsettled  = 10 * time.Second
+	DefaultCopyAge    = 2 * time.Second
+	DefaultRetryAfter = time.Second
+)
 
-// SetView puts a view of the fleet in force.
-func (b *Balancer) SetView(v *bronzefleet.View) {}
+func (t *Timing) setDefaults() {
+	set := func(d *time.Duration, value time.Duration) {
+		if *d == 0 {
+			*d = value
+		}
+	}
+	set(&t.Attempt, DefaultAttempt)
+	set(&t.Query, DefaultQuery)
+	set(&t.Probe, DefaultProbe)
+	set(&t.Recover, DefaultRecover)
+	set(&t.Learned, DefaultLearned)
+	set(&t.Refresh, DefaultRefresh)
+	set(&t.Closed, DefaultClosed)
+	set(&t.Unsettled, DefaultUnsettled)
+	set(&t.CopyAge, DefaultCopyAge)
+	set(&t.RetryAfter, DefaultRetryAfter)
+}
 
-// FromCaller decides on a packet that the fabric handed over.
-func (b *Balancer) FromCaller(p *bronzeflow.Packet, out []Action) []Action { return out }
+// init makes the zero Balancer ready at its first use.
+func (b *Balancer) init() {
+	b.once.Do(func() {
+		b.started = time.Now()
+		b.Timing.setDefaults()
+		b.table.Capacity = b.Capacity
+		b.table.Evicted = b.evicted
+		b.limits.HalfOpen = b.HalfOpen
+		b.limits.Open = b.Open
+		b.copier.setRate(b.CopyBytesPerSecond)
+		b.services.Store(&serviceSet{})
+	})
+}
 
-// FromServer decides on a packet that came from the backend server whose
-// tunnel endpoint has one of the given identifiers (one address may serve
-// several services).
-func (b *Balancer) FromServer(p *bronzeflow.Packet, ids []bronzeflow.ServerID, out []Action) []Action {
-	return out
+// seconds returns the table's clock: seconds since the first use, from 1.
+func (b *Balancer) seconds(now time.Time) uint32 {
+	return uint32(now.Sub(b.started)/time.Second) + 1
 }
 
-// FromPeer decides on a caller's packet that the node peer relayed.
-func (b *Balancer) FromPeer(p *bronzeflow.Packet, peer string, out []Action) []Action { return out }
+func toSeconds(d time.Duration) uint32 {
+	return uint32((d + time.Second - 1) / time.Second)
+}
 
-// ReplyFromPeer decides on a packet of server id that the node peer relayed.
-func (b *Balancer) ReplyFromPeer(p *bronzeflow.Packet, id bronzeflow.ServerID, peer string, out []Action) []Action {
-	return out
+// SetSnapshot puts a configuration in force. Older revisions are ignored.
+func (b *Balancer) SetSnapshot(s *bronzeconf.Snapshot) {
+	b.init()
+	b.update.Lock()
+	defer b.update.Unlock()
+	if old := b.snapshot.Load(); old != nil && s.Revision < old.Revision {
+		return
+	}
+	b.services.Store(b.services.Load().next(s, &b.limits, b.owners()))
+	b.snapshot.Store(s)
+	b.sweep.again()
 }
 
-// Message handles a message about a flow from the node peer.
-func (b *Balancer) Message(m *bronzelink.FlowMessage, peer string, out []Action) []Action { return out }
+// SetView puts a view of the fleet in force.
+func (b *Balancer) SetView(v *bronzefleet.View) {
+	b.init()
+	b.update.Lock()
+	defer b.update.Unlock()
+	old := b.view.Load()
+	if old != nil && old.Fenced && !v.Fenced {
+		b.woke.Store(b.seconds(time.Now()))
+	}
+	b.view.Store(v)
+	b.services.Load().setOwners(b.owners())
+	b.sweep.again()
+}
 
-// Tick does what is due: deadlines, retries, copies, expiry. The driver
-// calls it every TickInterval.
-func (b *Balancer) Tick(out []Action) []Action { return out }
+// owners returns how many nodes place flows.
+func (b *Balancer) owners() int {
+	v := b.view.Load()
+	if v == nil {
+		return 1
+	}
+	return max(v.OwnerCount(), 1)
+}
 
-// TickInterval is how often the driver calls Tick.
-const TickInterval = 10 * time.Millisecond
+// Leave makes the balancer place nothing new and hand its exceptions over.
+// It goes on serving until the driver stops.
+func (b *Balancer) Leave() {
+	b.init()
+	b.leaving.Store(true)
+	b.sweep.again()
+}
+
+// fenced reports whether this node has to check its beliefs with its peers
+// before it acts as an owner.
+func (b *Balancer) fenced(v *bronzefleet.View, now time.Time) bool {
+	if v != nil && v.Fenced {
+		return true
+	}
+	// A process that was stopped may handle a packet before its membership
+	// has had a chance to notice. The lease tells, because time went on.
+	return b.Lease != nil && now.After(b.Lease())
+}
+
+// owner returns the flow's owner as this node sees it.
+func (b *Balancer) owner(v *bronzefleet.View, hash uint64) string {
+	if v == nil {
+		return b.Name
+	}
+	return v.Owner(hash)
+}
--- /dev/null
+++ b/bronzecore/message.go
@@ -0,0 +1,136 @@
+package bronzecore
+
+import (
+	"time"
+
+	"bronzeusher.example/bronzeusher/bronzeflow"
+	"bronzeusher.example/bronzeusher/bronzelink"
+)
+
+// Message handles a message about flows from the node peer. Messages may be
+// lost, doubled and late; each is idempotent.
+func (b *Balancer) Message(m *bronzelink.FlowMessage, peer string, out []Action) []Action {
+	b.init()
+	now := time.Now()
+	switch {
+	case m.Learn != nil:
+		b.learned(m.Learn, now)
+	case m.Query != nil:
+		return b.queried(m.Query, peer, now, out)
+	case m.Answer != nil:
+		return b.answered(m.Answer, peer, now, out)
+	case m.Ended != nil:
+		b.endedElsewhere(m.Ended)
+	case m.Forget != nil:
+		b.forgotten(m.Forget)
+	case m.Copies != nil:
+		return b.copied(m.Copies, peer, out)
+	case m.CopyAcks != nil:
+		b.acknowledged(m.CopyAcks)
+	}
+	return out
+}
+
+// learned takes in where the owner of a flow has pinned it.
+func (b *Balancer) learned(m *bronzelink.Mapping, now time.Time) {
+	hash := m.Key.Hash()
+	e, ok := b.table.Get(&m.Key, hash)
+	if ok && e.Flags&bronzeflow.Owned != 0 {
+		return
+	}
+	if m.State != bronzeflow.Established || !b.inForce(m.Server, &m.Key) {
+		return
+	}
+	b.table.Put(&m.Key, hash, bronzeflow.Entry{
+		Server: m.Server,
+		Used:   b.seconds(now),
+		Opened: b.seconds(now),
+		Echo:   m.Echo,
+		State:  bronzeflow.Established,
+		Flags:  m.Flags &^ (bronzeflow.Owned | bronzeflow.Copied | bronzeflow.Exception),
+	})
+}
+
+// queried answers a node that owns a flow and doesn't know it.
+func (b *Balancer) queried(q *bronzelink.Query, peer string, now time.Time, out []Action) []Action {
+	hash := q.Key.Hash()
+	s := b.shard(hash)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := b.known(s, q, hash, now)
+	if m.Server != 0 && b.owner(b.view.Load(), hash) != b.Name {
+		b.handOver(s, &q.Key, hash)
+	}
+	return append(out, Action{Kind: Send, Peer: peer, Message: &bronzelink.FlowMessage{Answer: &m}})
+}
+
+// known returns what this node knows of a flow.
+func (b *Balancer) known(s *attemptShard, q *bronzelink.Query, hash uint64, now time.Time) bronzelink.Mapping {
+	e, ok := b.table.Get(&q.Key, hash)
+	if ok && b.trusted(e, now) {
+		return mapping(q.Key, e)
+	}
+	if a, ok := s.attempts[q.Key]; ok && a.belief.Server != 0 {
+		return bronzelink.Mapping{Key: q.Key}
+	}
+	if id, ok := b.copies.get(hash); ok {
+		return bronzelink.Mapping{Key: q.Key, Server: id, State: bronzeflow.Established}
+	}
+	return bronzelink.Mapping{Key: q.Key}
+}
+
+// handOver makes a flow another owner's: it is no longer counted here, and a
+// pending attempt is no longer retried here, so that only one owner tries.
+func (b *Balancer) handOver(s *attemptShard, key *bronzeflow.Key, hash uint64) {
+	e, ok := b.table.Get(key, hash)
+	if !ok || e.Flags&bronzeflow.Owned == 0 {
+		return
+	}
+	if a, ok := s.attempts[*key]; ok {
+		s.remove(a)
+	}
+	b.table.Delete(key, hash)
+	b.uncount(key, e)
+	if e.State == bronzeflow.Pending {
+		return
+	}
+	e.Flags &^= bronzeflow.Owned | bronzeflow.Copied | bronzeflow.Exception
+	e.Opened = e.Used
+	b.table.Put(key, hash, e)
+}
+
+// endedElsewhere takes in that a flow of this owner ended in a packet that
+// another node forwarded.
+func (b *Balancer) endedElsewhere(m *bronzelink.Mapping) {
+	hash := m.Key.Hash()
+	e, ok := b.table.Get(&m.Key, hash)
+	if !ok || e.Server != m.Server {
+		return
+	}
+	b.markEnded(&m.Key, hash, m.Flags, m.State == bronzeflow.Closed)
+}
+
+// forget tells all nodes that a key no longer meets the server that they may
+// have learned for it.
+func (b *Balancer) forget(key bronzeflow.Key, out []Action) []Action {
+	v := b.view.Load()
+	if v == nil {
+		return out
+	}
+	for name := range v.Members {
+		if name == b.Name {
+			continue
+		}
+		out = append(out, Action{Kind: Send, Peer: name, Message: &bronzelink.FlowMessage{Forget: &key}})
+	}
+	return out
+}
+
+func (b *Balancer) forgotten(key *bronzeflow.Key) {
+	hash := key.Hash()
+	e, ok := b.table.Get(key, hash)
+	if !ok || e.Flags&bronzeflow.Owned != 0 {
+		return
+	}
+	b.table.Delete(key, hash)
+}
--- /dev/null
+++ b/bronzecore/service.go
@@ -0,0 +1,95 @@
+package bronzecore
+
+import (
+	"bronzeusher.example/bronzeusher/bronzeconf"
+	"bronzeusher.example/bronzeusher/bronzeflow"
+	"bronzeusher.example/bronzeusher/bronzepool"
+)
+
+// service is a service in force with the state that outlives its record's
+// revisions.
+type service struct {
+	conf    *bronzeconf.Service
+	pool    *bronzepool.Pool
+	budget  *bronzepool.Budget
+	account *bronzepool.Account
+}
+
+// serviceSet holds the services of one snapshot. It is immutable.
+type serviceSet struct {
+	byConf map[*bronzeconf.Service]*service
+	byName map[string]*service
+}
+
+// of returns the state of a service, or nil.
+func (s *serviceSet) of(conf *bronzeconf.Service) *service {
+	return s.byConf[conf]
+}
+
+func serviceName(conf *bronzeconf.Service) string {
+	return conf.Customer + "/" + conf.Name
+}
+
+// next returns the set for a new snapshot; services that stay keep their
+// counts.
+func (s *serviceSet) next(snap *bronzeconf.Snapshot, limits *bronzepool.Admission, owners int) *serviceSet {
+	n := &serviceSet{
+		byConf: make(map[*bronzeconf.Service]*service, len(snap.Services)),
+		byName: make(map[string]*service, len(snap.Services)),
+	}
+	for _, conf := range snap.Services {
+		name := serviceName(conf)
+		st := &service{conf: conf, account: limits.Set(conf)}
+		if old, ok := s.byName[name]; ok {
+			st.pool = old.pool
+			st.budget = old.budget
+		} else {
+			st.pool = &bronzepool.Pool{}
+			st.budget = &bronzepool.Budget{}
+		}
+		st.pool.SetOwners(owners)
+		st.pool.SetService(conf)
+		st.budget.SetShare(conf.Retry.Budget)
+		n.byConf[conf] = st
+		n.byName[name] = st
+	}
+	for name, old := range s.byName {
+		if _, ok := n.byName[name]; !ok {
+			limits.Remove(old.conf)
+		}
+	}
+	return n
+}
+
+func (s *serviceSet) setOwners(n int) {
+	for _, st := range s.byName {
+		st.pool.SetOwners(n)
+	}
+}
+
+// ended takes back what a flow in the table held.
+func (st *service) ended(e bronzeflow.Entry) {
+	st.pool.Ended(e.Server)
+	st.account.Ended(e.State != bronzeflow.Pending)
+}
+
+// adopted counts an established flow that another node had placed.
+func (st *service) adopted(e bronzeflow.Entry) {
+	st.pool.Opened(e.Server)
+	st.account.Adopt()
+}
+
+// denialReasons maps the reasons of limits.
+var denialReasons = map[bronzepool.Denial]Reason{
+	bronzepool.Admitted:           None,
+	bronzepool.HalfOpenDenied:     HalfOpenLimit,
+	bronzepool.OpenDenied:         OpenLimit,
+	bronzepool.RateDenied:         RateLimit,
+	bronzepool.NodeHalfOpenDenied: HalfOpenLimit,
+	bronzepool.NodeOpenDenied:     OpenLimit,
+}
+
+// admit counts a new flow, or tells why there must be none.
+func (st *service) admit() Reason {
+	return denialReasons[st.account.Admit()]
+}
--- /dev/null
+++ b/bronzecore/status.go
@@ -0,0 +1,130 @@
+package bronzecore
+
+import (
+	"time"
+
+	"bronzeusher.example/bronzeusher/bronzeconf"
+	"bronzeusher.example/bronzeusher/bronzeflow"
+	"bronzeusher.example/bronzeusher/bronzepool"
+)
+
+// Status is what an operator sees of a Balancer.
+type Status struct {
+	// Revision is that of the configuration in force.
+	Revision uint64
+	// Flows counts the entries of the table, Attempts the flows that are
+	// being opened or looked for.
+	Flows    int
+	Attempts int
+	// Copies counts the exceptions held for other owners, CopiesDue the own
+	// ones that no successor holds yet.
+	Copies    int
+	CopiesDue int
+	Leaving   bool
+	Services  []ServiceStatus
+	Refusals  []bronzeconf.Refusal
+}
+
+// ServiceStatus is one service in a Status.
+type ServiceStatus struct {
+	Customer      string
+	Name          string
+	Brand         string
+	SchemaVersion int
+	Servers       []bronzepool.ServerLoad
+}
+
+// Status returns the present state. It walks all services' pools.
+func (b *Balancer) Status() Status {
+	b.init()
+	st := Status{
+		Flows:     b.table.Len(),
+		Copies:    b.copies.len(),
+		CopiesDue: b.copier.pending(),
+		Leaving:   b.leaving.Load(),
+	}
+	for i := range b.shards {
+		s := &b.shards[i]
+		s.mu.Lock()
+		st.Attempts += len(s.attempts)
+		s.mu.Unlock()
+	}
+	snap := b.snapshot.Load()
+	if snap == nil {
+		return st
+	}
+	st.Revision = snap.Revision
+	st.Refusals = snap.Refusals
+	for _, conf := range snap.Services {
+		s := b.services.Load().of(conf)
+		if s == nil {
+			continue
+		}
+		st.Services = append(st.Services, ServiceStatus{
+			Customer:      conf.Customer,
+			Name:          conf.Name,
+			Brand:         conf.Brand,
+			SchemaVersion: conf.SchemaVersion,
+			Servers:       s.pool.Loads(),
+		})
+	}
+	return st
+}
+
+// Undone is what a leaving balancer has not handed over.
+type Undone struct {
+	// Copies is how many exceptions no other node is known to hold.
+	Copies int
+	// Attempts is how many flows were being opened or looked for.
+	Attempts int
+}
+
+// Undone returns what is left to hand over.
+func (b *Balancer) Undone() Undone {
+	s := b.Status()
+	return Undone{Copies: s.CopiesDue, Attempts: s.Attempts}
+}
+
+// Owned returns the counts of the flows that this node owns on each server,
+// to be shared with the other nodes.
+func (b *Balancer) Owned() map[bronzeflow.ServerID]uint32 {
+	b.init()
+	counts := make(map[bronzeflow.ServerID]uint32)
+	for _, st := range b.services.Load().byName {
+		st.pool.Owned(counts)
+	}
+	return counts
+}
+
+// SetOwned replaces what the node origin says that it owns; nil forgets it.
+func (b *Balancer) SetOwned(origin string, counts map[bronzeflow.ServerID]uint32) {
+	b.init()
+	for _, st := range b.services.Load().byName {
+		st.pool.SetOwned(origin, counts)
+	}
+}
+
+// Observe takes in a report of a server's own endpoint, polled by this node
+// or by another.
+func (b *Balancer) Observe(r bronzepool.Report) {
+	b.init()
+	if st := b.serviceOf(r.Server); st != nil {
+		st.pool.Observe(r)
+	}
+}
+
+// SetLeaving stops new work for a server, from whatever source, for hold.
+func (b *Balancer) SetLeaving(id bronzeflow.ServerID, hold time.Duration) {
+	b.init()
+	if st := b.serviceOf(id); st != nil {
+		st.pool.SetLeaving(id, hold)
+	}
+}
+
+func (b *Balancer) serviceOf(id bronzeflow.ServerID) *service {
+	svc, _, ok := b.snapshot.Load().Server(id)
+	if !ok {
+		return nil
+	}
+	return b.services.Load().of(svc)
+}
