Link peers over WebSocket with mutual TLS

Nodes need links that are opened on demand, refuse strangers with a reason and a counter, agree on a version, and are replaced when they go silent. Messages gain optional fields for checks by third parties and for partial synchronization.

--- /dev/null
+++ b/bronzelink/link.go
@@ -0,0 +1,245 @@
+package bronzelink
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/pkg/errors"
+)
+
+// livenessChecks is how often a link is looked at in one liveness deadline.
+const livenessChecks = 3
+
+// errIdle and errDuplicate end links that did nothing wrong.
+var (
+	errIdle      = errors.New("link is idle")
+	errDuplicate = errors.New("there is another link to the peer")
+	errFinished  = errors.New("link is finished")
+)
+
+// link is one connection to a peer, or the attempt to open one.
+type link struct {
+	mesh  *Mesh
+	queue chan []byte
+	done  chan struct{} // closed when the link has ended
+	drain chan struct{} // closed when the writer is to empty the queue and stop
+
+	endOnce    sync.Once
+	finishOnce sync.Once
+	err        error // set before done is closed
+
+	// Set by the handshake, before register.
+	conn    *websocket.Conn
+	raw     *countedConn
+	peer    Member
+	version uint8
+	dialer  string
+	opened  time.Time
+	up      bool // registered; guarded by Mesh.mu
+
+	mu   sync.Mutex
+	used time.Time // the last message in either direction
+}
+
+func (m *Mesh) newLink() *link {
+	return &link{
+		mesh:  m,
+		queue: make(chan []byte, orDefault(m.QueueLength, DefaultQueueLength)),
+		done:  make(chan struct{}),
+		drain: make(chan struct{}),
+	}
+}
+
+// push queues an encoded message. A peer that doesn't read fills its own
+// queue only, so it delays no other peer; what doesn't fit is dropped, and
+// whoever needs an answer asks again.
+func (l *link) push(b []byte) error {
+	select {
+	case l.queue <- b:
+		return nil
+	default:
+		l.mesh.count(CountQueueFull)
+		return ErrQueueFull
+	}
+}
+
+// moveTo gives the messages that still wait to the link other.
+func (l *link) moveTo(other *link) {
+	for {
+		select {
+		case b := <-l.queue:
+			_ = other.push(b)
+		default:
+			return
+		}
+	}
+}
+
+// end closes the link because of err; only the first call counts.
+func (l *link) end(err error) {
+	l.endOnce.Do(func() {
+		l.err = err
+		close(l.done)
+	})
+}
+
+// finish lets the writer send what is queued and end the link.
+func (l *link) finish() { l.finishOnce.Do(func() { close(l.drain) }) }
+
+// retire ends the link after messages on their way have arrived.
+func (l *link) retire() {
+	time.AfterFunc(duplicateGrace, func() { l.end(errDuplicate) })
+}
+
+// touch notes that a message was sent or received.
+func (l *link) touch() {
+	l.mu.Lock()
+	l.used = time.Now()
+	l.mu.Unlock()
+}
+
+func (l *link) lastUsed() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.used
+}
+
+// run carries messages over l until it ends, and then closes it.
+func (m *Mesh) run(l *link) {
+	if err := m.register(l); err != nil {
+		l.end(err)
+		_ = l.conn.CloseNow()
+		return
+	}
+	ctx, cancel := context.WithCancel(m.ctx)
+	var tasks sync.WaitGroup
+	tasks.Go(func() { l.end(l.write(ctx)) })
+	tasks.Go(func() { l.end(l.read(ctx)) })
+	tasks.Go(func() { l.end(l.watch(ctx)) })
+	<-l.done
+	current := m.forget(l.peer.Name, l)
+	m.close(l, current)
+	cancel()
+	tasks.Wait()
+}
+
+// close ends the connection of l and tells why, if it was the current link.
+func (m *Mesh) close(l *link, current bool) {
+	switch {
+	case errors.Is(l.err, errIdle), errors.Is(l.err, errDuplicate), errors.Is(l.err, errFinished):
+		_ = l.conn.Close(websocket.StatusNormalClosure, l.err.Error())
+		return
+	case errors.Is(l.err, ErrSilent):
+		m.count(CountSilent)
+	case errors.Is(l.err, context.DeadlineExceeded):
+		m.count(CountWriteTimeout)
+	}
+	_ = l.conn.CloseNow()
+	if current && websocket.CloseStatus(l.err) != websocket.StatusNormalClosure {
+		m.lost(l.peer.Name, l.err)
+	}
+}
+
+// write sends queued messages until the link ends.
+func (l *link) write(ctx context.Context) (err error) {
+	for {
+		select {
+		case b := <-l.queue:
+			err = l.writeOne(ctx, b)
+		case <-l.drain:
+			return l.writeRest(ctx)
+		case <-l.done:
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// writeRest sends what is queued and then ends the link.
+func (l *link) writeRest(ctx context.Context) error {
+	for {
+		select {
+		case b := <-l.queue:
+			if err := l.writeOne(ctx, b); err != nil {
+				return err
+			}
+		default:
+			return errFinished
+		}
+	}
+}
+
+// writeOne sends one message. The deadline is what frees the link of a peer
+// that has stopped reading: without it the writer would wait for ever.
+func (l *link) writeOne(ctx context.Context, b []byte) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, l.mesh.writeTimeout())
+	defer cancel()
+	l.touch()
+	err = l.conn.Write(ctx, websocket.MessageBinary, b)
+	if err != nil && ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return err
+}
+
+// read hands on messages until the link ends.
+func (l *link) read(ctx context.Context) error {
+	for {
+		_, b, err := l.conn.Read(ctx)
+		if err != nil {
+			return err
+		}
+		l.touch()
+		msg, err := Decode(b)
+		if err != nil {
+			l.mesh.count(CountBadMessage)
+			return err
+		}
+		if l.mesh.OnMessage != nil {
+			l.mesh.OnMessage(l.peer.Name, msg)
+		}
+	}
+}
+
+// watch ends the link when it is idle or silent. A connection whose state was
+// lost somewhere between the ends stays open for hours as far as TCP knows,
+// and messages vanish; a peer that is there answers a ping with bytes, so
+// their absence for a whole deadline is enough to tell.
+func (l *link) watch(ctx context.Context) error {
+	deadline := l.mesh.liveness()
+	ticker := time.NewTicker(deadline / livenessChecks)
+	defer ticker.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-l.done:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		now := time.Now()
+		late := now.Sub(last) > deadline/livenessChecks*2
+		last = now
+		silence := now.Sub(l.raw.lastRead())
+		switch {
+		case now.Sub(l.lastUsed()) > l.mesh.idle():
+			return errIdle
+		case silence > deadline && !late:
+			return ErrSilent
+		case silence > deadline/livenessChecks:
+			go l.ping(ctx, deadline)
+		}
+	}
+}
+
+// ping asks the peer for a sign of life; any byte from it will do.
+func (l *link) ping(ctx context.Context, deadline time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, deadline)
+	defer cancel()
+	_ = l.conn.Ping(ctx)
+}
--- a/bronzelink/message.go
+++ b/bronzelink/message.go
@@ -26,11 +26,11 @@
 	Name             string
 	Incarnation      uint64
 	Status           Status
-	AvailabilityZone string
-	Region           string
-	ControlAddress   string // host:port of the WebSocket listener
-	DataAddress      string // host:port of the UDP socket for relays
-	Revision         uint64 // the configuration revision in force there
+	AvailabilityZone string `cbor:",omitempty"`
+	Region           string `cbor:",omitempty"`
+	ControlAddress   string `cbor:",omitempty"` // host:port of the WebSocket listener
+	DataAddress      string `cbor:",omitempty"` // host:port of the UDP socket for relays
+	Revision         uint64 `cbor:",omitempty"` // the configuration revision in force there
 }
 
 // Hello opens a link. A node that finds no common version, another fleet, or
@@ -41,7 +41,8 @@
 	Member   Member
 }
 
-// Heartbeat is sent on every link once an interval.
+// Heartbeat is sent once an interval to each peer that the sender monitors.
+// Its Member has no zone, region and addresses: the receiver knows them.
 type Heartbeat struct {
 	Sequence uint64
 	Member   Member
@@ -57,11 +58,36 @@
 	Revision uint64
 }
 
-// Members carries news of members: a few, or all in answer to a Digest.
+// Members carries news of members: a few, or many in answer to a Sequence.
 type Members struct {
-	Members []Member
+	Members []Member `cbor:",omitempty"`
 	// Full asks the receiver to answer with its own whole list.
-	Full bool
+	Full bool `cbor:",omitempty"`
+	// Sequence, if not 0, asks the receiver for an answer.
+	Sequence uint64 `cbor:",omitempty"`
+	// Answer is the Sequence that is answered.
+	Answer uint64 `cbor:",omitempty"`
+	// Digests are hashes over the parts of the sender's list. The answer has
+	// the members of the parts that differ.
+	Digests []uint32 `cbor:",omitempty"`
+	// Joined, in an answer, tells that the sender is in step with the fleet.
+	Joined bool `cbor:",omitempty"`
+	// Revision, in an answer, is the sender's configuration revision.
+	Revision uint64 `cbor:",omitempty"`
+}
+
+// Check asks the receiver to find out whether it reaches the member Target,
+// which the sender doesn't.
+type Check struct {
+	Sequence uint64
+	Target   string
+}
+
+// CheckAck answers a Check.
+type CheckAck struct {
+	Sequence uint64
+	Target   string
+	Reached  bool
 }
 
 // LoadItem is one server's load as one origin knows it, in compact form.
@@ -77,10 +103,10 @@
 type Load struct {
 	Origin   string
 	Sequence uint64
-	Owned    []LoadItem
-	Reported []LoadItem
+	Owned    []LoadItem `cbor:",omitempty"`
+	Reported []LoadItem `cbor:",omitempty"`
 	// Leaving lists servers that Origin knows to be leaving.
-	Leaving []bronzeflow.ServerID
+	Leaving []bronzeflow.ServerID `cbor:",omitempty"`
 }
 
 // RecordVersion names one record as the sender holds it.
@@ -116,11 +142,15 @@
 // Message is the envelope of the control links: exactly one field is set.
 // Unknown fields are skipped, so that versions can meet during a rollout.
 type Message struct {
-	Hello          *Hello          `cbor:",omitempty"`
-	Heartbeat      *Heartbeat      `cbor:",omitempty"`
-	HeartbeatAck   *HeartbeatAck   `cbor:",omitempty"`
-	Members        *Members        `cbor:",omitempty"`
-	Load           *Load           `cbor:",omitempty"`
+	Hello        *Hello        `cbor:",omitempty"`
+	Heartbeat    *Heartbeat    `cbor:",omitempty"`
+	HeartbeatAck *HeartbeatAck `cbor:",omitempty"`
+	Members      *Members      `cbor:",omitempty"`
+	Check        *Check        `cbor:",omitempty"`
+	CheckAck     *CheckAck     `cbor:",omitempty"`
+	Load         *Load         `cbor:",omitempty"`
+	// Prune lists origins whose Load the sender gets from another peer.
+	Prune          []string        `cbor:",omitempty"`
 	RecordsRequest *RecordsRequest `cbor:",omitempty"`
 	Records        *Records        `cbor:",omitempty"`
 }
