Prove the decisions under kills, pauses, splits and rolling changes

Cause: the promises need proofs that fail first. TestPartitionSidesDiffer did: a request ran twice, because an answer of the other side's server, met while an opening was pending here, was taken for a late one and its connection was cancelled; the retry then opened the same server anew. Ruled out: the echo window (one in 4,096), probes of half-open connections. Conclusion: only acceptances are cancelled, only outside a split; data of an untried server shows where the flow is.

--- a/bronzecore/action.go
+++ b/bronzecore/action.go
@@ -31,7 +31,10 @@
 	// Cancel tells Server that the flow of Packet.Key is given up there.
 	Cancel
 	// Probe asks Server whether it holds the flow of Packet, with an empty
-	// packet that runs nothing. Server answers with Data or Refuse.
+	// packet that runs nothing. Server answers with Data if it does and
+	// Packet.Echo fits its connection (TCP servers check that by themselves),
+	// otherwise with Refuse: a half-open connection that the caller never
+	// took doesn't count.
 	Probe
 	// Send sends Message to the node Peer.
 	Send
--- a/bronzecore/attempt.go
+++ b/bronzecore/attempt.go
@@ -1,6 +1,7 @@
 package bronzecore
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -53,12 +54,7 @@
 }
 
 func (a *attempt) wasTried(id bronzeflow.ServerID) bool {
-	for _, t := range a.tried {
-		if t == id {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(a.tried, id)
 }
 
 // isOpen reports whether the attempt is to place a new flow, not to find one.
@@ -66,11 +62,11 @@
 	return a.held.Kind == bronzeflow.Open || a.held.Kind == bronzeflow.Datagram
 }
 
-// hold keeps a copy of the packet that waits.
+// hold keeps a copy of the packet that waits. An earlier copy is not written
+// over: a driver may still be sending it.
 func (a *attempt) hold(p *bronzeflow.Packet) {
-	raw := append(a.held.Raw[:0], p.Raw...)
 	a.held = *p
-	a.held.Raw = raw
+	a.held.Raw = slices.Clone(p.Raw)
 }
 
 const (
--- a/bronzecore/caller.go
+++ b/bronzecore/caller.go
@@ -31,7 +31,7 @@
 	default:
 		return append(out, Action{Kind: Drop, Packet: *p, Reason: InvalidPacket})
 	}
-	return b.unpinned(p, hash, e, ok, peer, now, out)
+	return b.unpinned(p, hash, e, ok, now, out)
 }
 
 // touch notes that a flow is in use, once a second at most. An entry that is
@@ -110,7 +110,7 @@
 
 // unpinned decides on a caller's packet whose flow is not known here, or
 // whose entry may not be trusted.
-func (b *Balancer) unpinned(p *bronzeflow.Packet, hash uint64, e bronzeflow.Entry, known bool, peer string, now time.Time, out []Action) []Action {
+func (b *Balancer) unpinned(p *bronzeflow.Packet, hash uint64, e bronzeflow.Entry, known bool, now time.Time, out []Action) []Action {
 	svc := b.snapshot.Load().Match(&p.Key)
 	if svc == nil {
 		return append(out, Action{Kind: Drop, Packet: *p, Reason: NoService})
--- /dev/null
+++ b/bronzecore/failure_test.go
@@ -0,0 +1,235 @@
+package bronzecore_test
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bronzeusher.example/bronzeusher/bronzefleet"
+	"bronzeusher.example/bronzeusher/bronzeflow"
+)
+
+// inBubble runs a story for some seeds, each in a bubble of its own.
+func inBubble(t *testing.T, nodes, servers int, story func(w *world)) {
+	for seed := range uint64(8) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, seed, nodes, servers)
+			story(w)
+			w.checkSafe()
+		})
+	}
+}
+
+func (w *world) openMany(n int) {
+	for range n {
+		w.open()
+	}
+}
+
+// Callers see nothing: every packet of every flow enters by another node,
+// which relays to the owner until it has learned the flow's server.
+func TestSprayedFlowsStay(t *testing.T) {
+	inBubble(t, 7, 5, func(w *world) {
+		w.openMany(30)
+		w.settle(3 * time.Second)
+		w.checkGoingOn(make([]int, len(w.flows)))
+	})
+}
+
+// A caller has sent its opening when the owner dies; its retransmission
+// meets the new owner. The server's acceptance of the first may still come.
+// The flow opens at one server, without a refusal.
+func TestOwnerDiesMidOpen(t *testing.T) {
+	inBubble(t, 5, 5, func(w *world) {
+		f := w.open()
+		f.sentAt = time.Now().Add(-retransmit)
+		w.step(f)
+		w.kill(w.ownerOf(f))
+		w.settle(100 * time.Millisecond)
+		w.setViews(w.names())
+		w.settle(3 * time.Second)
+		w.checkGoingOn([]int{0})
+	})
+}
+
+// Callers go on with their flows while their owner dies. The packets of
+// flows that the others have not learned meet a new owner, which asks the
+// others, its copies, and at last the servers. No flow ends.
+func TestOwnerDiesMidFlow(t *testing.T) {
+	inBubble(t, 5, 6, func(w *world) {
+		w.openMany(40)
+		w.settle(600 * time.Millisecond)
+		mark := w.mark()
+		w.kill(w.ownerOf(w.flows[0]))
+		w.settle(500 * time.Millisecond)
+		w.setViews(w.names())
+		w.settle(3 * time.Second)
+		w.checkGoingOn(mark)
+	})
+}
+
+// As before, but the owner dies together with the successor that held its
+// copies. What the other nodes have learned and what the servers answer to
+// probes is all that is left, and it is enough.
+func TestOwnerAndSuccessorDie(t *testing.T) {
+	inBubble(t, 5, 6, func(w *world) {
+		w.openMany(40)
+		w.settle(600 * time.Millisecond)
+		mark := w.mark()
+		order, _ := w.nodes[w.names()[0]].view.Order(w.flows[0].key.Hash())
+		w.kill(order[0], order[1])
+		w.settle(500 * time.Millisecond)
+		w.setViews(w.names())
+		w.settle(4 * time.Second)
+		w.checkGoingOn(mark)
+	})
+}
+
+// The owner sleeps, is declared dead, and its flows are taken over. It wakes
+// with its old beliefs, fenced; callers' packets enter by it at once. They
+// see a retransmission at the most, and no flow moves.
+func TestOwnerPausesAndWakes(t *testing.T) {
+	inBubble(t, 5, 6, func(w *world) {
+		w.openMany(40)
+		w.settle(time.Second)
+		owner := w.ownerOf(w.flows[0])
+		w.nodes[owner].asleep = true
+		others := slices.DeleteFunc(w.names(), func(n string) bool { return n == owner })
+		w.settle(300 * time.Millisecond)
+		w.setViews(others)
+		w.openMany(5)
+		w.settle(4 * time.Second)
+		mark := w.mark()
+		n := w.nodes[owner]
+		n.asleep = false
+		fenced := *n.view
+		fenced.Fenced = true
+		n.SetView(&fenced)
+		w.settle(300 * time.Millisecond)
+		w.setViews(w.names(), func(v *bronzefleet.View) { v.Fenced = false })
+		w.settle(4 * time.Second)
+		w.checkGoingOn(mark)
+	})
+}
+
+// The fleet splits and the fabric hands packets of one flow to both sides.
+// Each side has taken the other's flows over. Flows that were open go on on
+// both sides at their server; of flows that are opened now no payload may
+// reach two servers, even where the sides choose differently.
+func TestPartitionSprayed(t *testing.T) {
+	inBubble(t, 6, 6, func(w *world) {
+		w.openMany(30)
+		w.settle(time.Second)
+		mark := w.mark()
+		side := map[string]bool{"vm-0": true, "vm-1": true, "vm-2": true}
+		w.cut = func(from, to string) bool {
+			_, a := w.nodes[from]
+			_, b := w.nodes[to]
+			return a && b && side[from] != side[to]
+		}
+		w.settle(500 * time.Millisecond)
+		split := func(v *bronzefleet.View) { v.Split = true }
+		w.setViews([]string{"vm-0", "vm-1", "vm-2"}, split)
+		w.setViews([]string{"vm-3", "vm-4", "vm-5"}, split)
+		w.settle(3 * time.Second)
+		w.checkGoingOn(mark)
+		w.openMany(30)
+		w.settle(3 * time.Second)
+	})
+}
+
+// As above, and one side can't reach the flows' first candidate, so that it
+// opens them elsewhere: the caller has taken the other side's acceptance, and
+// its packets to this side are dropped by their echo, not run here.
+func TestPartitionSidesDiffer(t *testing.T) {
+	inBubble(t, 4, 3, func(w *world) {
+		side := map[string]bool{"vm-0": true, "vm-1": true}
+		w.cut = func(from, to string) bool {
+			_, a := w.nodes[from]
+			_, b := w.nodes[to]
+			cutHost := to == "host-0" && !side[from] || from == "host-0" && !side[to]
+			return a && b && side[from] != side[to] || cutHost
+		}
+		split := func(v *bronzefleet.View) { v.Split = true }
+		w.setViews([]string{"vm-0", "vm-1"}, split)
+		w.setViews([]string{"vm-2", "vm-3"}, split)
+		w.openMany(20)
+		w.settle(6 * time.Second)
+	})
+}
+
+// A drain is published while the fleet is split, so that one side has not
+// heard of it; then the sides meet again. No established flow ends, and the
+// leaving server gets nothing new once both sides know.
+func TestPartitionHealsDuringDrain(t *testing.T) {
+	inBubble(t, 6, 6, func(w *world) {
+		w.openMany(30)
+		w.settle(time.Second)
+		mark := w.mark()
+		left, right := []string{"vm-0", "vm-1", "vm-2"}, []string{"vm-3", "vm-4", "vm-5"}
+		w.cut = func(from, to string) bool {
+			_, a := w.nodes[from]
+			_, b := w.nodes[to]
+			return a && b && slices.Contains(left, from) != slices.Contains(left, to)
+		}
+		w.setViews(left)
+		w.setViews(right)
+		w.drain(0, left...)
+		w.settle(2 * time.Second)
+		w.cut = func(string, string) bool { return false }
+		w.publish()
+		w.setViews(w.names())
+		leaving := w.servers[bronzeflow.NewServerID(customer, "host-0")]
+		opened := leaving.opened
+		w.openMany(20)
+		w.settle(3 * time.Second)
+		w.checkGoingOn(append(mark, make([]int, 20)...))
+		require.Equal(w.t, opened, leaving.opened)
+	})
+}
+
+// Every node is replaced, one after the other, while half of the servers
+// start to leave one by one. Callers see no change at all.
+func TestRollingReplacementDuringDrain(t *testing.T) {
+	inBubble(t, 4, 6, func(w *world) {
+		w.openMany(40)
+		w.settle(time.Second)
+		for i, old := range w.names() {
+			fresh := w.newNode(nodeName(100 + i))
+			w.nodes[fresh.Name] = fresh
+			w.publish()
+			stay := slices.DeleteFunc(w.names(), func(n string) bool { return n == old })
+			mark := w.mark()
+			w.nodes[old].Leave()
+			w.setViews(stay)
+			leaver := w.nodes[old]
+			leaver.view = bronzefleet.NewView(old, viewMembers(stay), leaver.view, time.Now())
+			leaver.view.Ready = true
+			leaver.SetView(leaver.view)
+			if i < 3 {
+				w.drain(i)
+			}
+			w.settle(2 * time.Second)
+			w.kill(old)
+			w.openMany(3)
+			w.settle(time.Second)
+			w.checkGoingOn(append(mark, 0, 0, 0))
+		}
+	})
+}
+
+// The owner hears the others, but what it sends to them is lost. Relayed
+// openings reach their server, whose acceptance enters anywhere and is
+// relayed to the owner, which lets it through itself.
+func TestLinkSilentOneWay(t *testing.T) {
+	inBubble(t, 3, 4, func(w *world) {
+		w.openMany(10)
+		mute := w.ownerOf(w.flows[0])
+		w.cut = func(from, to string) bool { return from == mute && w.nodes[to] != nil }
+		w.settle(3 * time.Second)
+		w.checkGoingOn(make([]int, len(w.flows)))
+	})
+}
--- /dev/null
+++ b/bronzecore/harness_test.go
@@ -0,0 +1,389 @@
+package bronzecore_test
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bronzeusher.example/bronzeusher/bronzeconf"
+	"bronzeusher.example/bronzeusher/bronzecore"
+	"bronzeusher.example/bronzeusher/bronzefleet"
+	"bronzeusher.example/bronzeusher/bronzeflow"
+	"bronzeusher.example/bronzeusher/bronzelink"
+)
+
+const (
+	customer   = "Registry"
+	retransmit = 200 * time.Millisecond
+)
+
+var serviceAddr = netip.MustParseAddrPort("192.0.2.1:443")
+
+// world is a handful of balancers, servers and callers in one synctest
+// bubble. Everything sent waits in a queue and is delivered in random order.
+type world struct {
+	t       *testing.T
+	rng     *rand.Rand
+	nodes   map[string]*node
+	servers map[bronzeflow.ServerID]*server
+	flows   []*flow
+	queue   []func()
+	record  record
+	rev     uint64
+	// cut says whether what from sends to to is lost. Names are those of
+	// nodes and instances, and "caller".
+	cut func(from, to string) bool
+	// runs counts how often each request was run.
+	runs map[uint64]int
+}
+
+type node struct {
+	*bronzecore.Balancer
+	view  *bronzefleet.View
+	alive bool
+	// asleep nodes get their packets when they wake.
+	asleep bool
+}
+
+// server is a backend server that believes all it is sent: it knows no TCP
+// sequence numbers that would save it from another server's packets.
+type server struct {
+	name    string
+	refuses bool
+	silent  bool
+	conns   map[bronzeflow.Key]*conn
+	opened  int
+}
+
+type conn struct {
+	echo uint32
+	ran  map[uint64]bool
+}
+
+type flow struct {
+	key       bronzeflow.Key
+	accepted  bool
+	echo      uint32
+	request   uint64
+	answered  int
+	sentAt    time.Time
+	refused   bool
+	aborted   bool
+	payloadAt map[bronzeflow.ServerID]bool
+	via       []string // nodes that its packets may enter by, nil is all
+}
+
+// record is a service's record, version 2.
+type record struct {
+	SchemaVersion int
+	Customer      string
+	Brand         string
+	Name          string
+	Addresses     []string
+	Rules         []map[string]any
+	Pool          []map[string]any
+	Retry         map[string]any
+	OpenDeadline  string
+}
+
+func newWorld(t *testing.T, seed uint64, nodes, servers int) *world {
+	w := &world{
+		t:       t,
+		rng:     rand.New(rand.NewPCG(seed, seed)),
+		nodes:   make(map[string]*node),
+		servers: make(map[bronzeflow.ServerID]*server),
+		runs:    make(map[uint64]int),
+		cut:     func(string, string) bool { return false },
+	}
+	w.record = record{
+		SchemaVersion: 2, Customer: customer, Brand: "Maps", Name: "live",
+		Addresses:    []string{serviceAddr.Addr().String()},
+		Rules:        []map[string]any{{"Protocol": "TCP", "Port": serviceAddr.Port()}},
+		Retry:        map[string]any{"Budget": 0.5, "Attempts": 3},
+		OpenDeadline: "3s",
+	}
+	for i := range servers {
+		w.addServer(i)
+	}
+	for i := range nodes {
+		w.nodes[nodeName(i)] = w.newNode(nodeName(i))
+	}
+	w.publish()
+	w.setViews(w.names())
+	return w
+}
+
+func nodeName(i int) string { return fmt.Sprintf("vm-%d", i) }
+
+func (w *world) newNode(name string) *node {
+	return &node{Balancer: &bronzecore.Balancer{Name: name}, alive: true}
+}
+
+func (w *world) addServer(i int) bronzeflow.ServerID {
+	name := fmt.Sprintf("host-%d", i)
+	w.record.Pool = append(w.record.Pool, map[string]any{
+		"Instance": name, "Address": fmt.Sprintf("198.51.100.%d:6080", i+1), "AvailabilityZone": "a",
+		"Slots": 2, "Connections": 2000, "Status": "Serving",
+	})
+	id := bronzeflow.NewServerID(customer, name)
+	w.servers[id] = &server{name: name, conns: make(map[bronzeflow.Key]*conn)}
+	return id
+}
+
+// publish puts the record in force on all nodes at once.
+func (w *world) publish(only ...string) {
+	w.rev++
+	body, err := json.Marshal(w.record)
+	require.NoError(w.t, err)
+	s := bronzeconf.Build(w.rev, []bronzeconf.Record{{Name: "live", Body: body}})
+	require.Empty(w.t, s.Refusals)
+	for name, n := range w.nodes {
+		if len(only) == 0 || slices.Contains(only, name) {
+			n.SetSnapshot(s)
+		}
+	}
+}
+
+func (w *world) drain(i int, only ...string) {
+	w.record.Pool[i]["Status"] = "Draining"
+	w.publish(only...)
+}
+
+func (w *world) names() (names []string) {
+	for name, n := range w.nodes {
+		if n.alive {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// setViews makes the named nodes see each other and nobody else.
+func (w *world) setViews(names []string, change ...func(v *bronzefleet.View)) {
+	for _, name := range names {
+		n := w.nodes[name]
+		v := bronzefleet.NewView(name, viewMembers(names), n.view, time.Now())
+		v.Ready = true
+		for _, f := range change {
+			f(v)
+		}
+		n.view = v
+		n.SetView(v)
+	}
+}
+
+func viewMembers(names []string) (members []bronzelink.Member) {
+	for _, n := range names {
+		members = append(members, bronzelink.Member{Name: n, Status: bronzelink.Alive})
+	}
+	return members
+}
+
+func (w *world) open() *flow {
+	caller := netip.AddrPortFrom(netip.MustParseAddr("203.0.113.7"), uint16(1024+len(w.flows)))
+	f := &flow{
+		key:       bronzeflow.NewKey(bronzeflow.TCP, caller, serviceAddr),
+		payloadAt: make(map[bronzeflow.ServerID]bool),
+	}
+	w.flows = append(w.flows, f)
+	return f
+}
+
+// settle runs the world for d of the bubble's clock.
+func (w *world) settle(d time.Duration) {
+	for range d / bronzecore.TickInterval {
+		for _, f := range w.flows {
+			w.step(f)
+		}
+		w.deliver()
+		for _, name := range w.names() {
+			if n := w.nodes[name]; !n.asleep {
+				w.do(name, n.Tick(nil))
+			}
+		}
+		w.deliver()
+		<-time.After(bronzecore.TickInterval)
+	}
+}
+
+func (w *world) deliver() {
+	for len(w.queue) > 0 {
+		i := w.rng.IntN(len(w.queue))
+		f := w.queue[i]
+		w.queue = slices.Delete(w.queue, i, i+1)
+		f()
+	}
+}
+
+// step lets a caller send what is due.
+func (w *world) step(f *flow) {
+	if f.refused || f.aborted || time.Since(f.sentAt) < retransmit {
+		return
+	}
+	f.sentAt = time.Now()
+	if !f.accepted {
+		w.fromCaller(f, bronzeflow.Packet{Key: f.key, Kind: bronzeflow.Open})
+		return
+	}
+	if f.request == 0 {
+		f.request = w.rng.Uint64() | 1
+	}
+	raw := binary.BigEndian.AppendUint64(nil, f.request)
+	w.fromCaller(f, bronzeflow.Packet{Key: f.key, Kind: bronzeflow.Data, Payload: len(raw), Echo: f.echo, Raw: raw})
+}
+
+// fromCaller sprays a packet over the nodes.
+func (w *world) fromCaller(f *flow, p bronzeflow.Packet) {
+	names := f.via
+	if names == nil {
+		names = w.names()
+	}
+	if len(names) > 0 {
+		w.send("caller", names[w.rng.IntN(len(names))], func(n *node) []bronzecore.Action { return n.FromCaller(&p, nil) })
+	}
+}
+
+// send delivers to a node, if it can be reached.
+func (w *world) send(from, to string, f func(n *node) []bronzecore.Action) {
+	w.queue = append(w.queue, func() {
+		n := w.nodes[to]
+		if n == nil || !n.alive || n.asleep || w.cut(from, to) {
+			return
+		}
+		w.do(to, f(n))
+	})
+}
+
+// do carries actions out.
+func (w *world) do(name string, out []bronzecore.Action) {
+	for _, a := range out {
+		p := a.Packet
+		switch a.Kind {
+		case bronzecore.Relay:
+			w.send(name, a.Peer, func(n *node) []bronzecore.Action { return n.FromPeer(&p, name, nil) })
+		case bronzecore.RelayReply:
+			w.send(name, a.Peer, func(n *node) []bronzecore.Action { return n.ReplyFromPeer(&p, a.Server, name, nil) })
+		case bronzecore.Send:
+			w.send(name, a.Peer, func(n *node) []bronzecore.Action { return n.Message(a.Message, name, nil) })
+		case bronzecore.Forward, bronzecore.Probe, bronzecore.Cancel:
+			w.queue = append(w.queue, func() { w.atServer(name, a) })
+		case bronzecore.Reply, bronzecore.Refuse, bronzecore.Abort:
+			w.queue = append(w.queue, func() { w.atCaller(a) })
+		}
+	}
+}
+
+func (w *world) flowOf(key bronzeflow.Key) *flow {
+	return w.flows[int(key.CallerPort)-1024]
+}
+
+// atServer is a backend server's part.
+func (w *world) atServer(from string, a bronzecore.Action) {
+	s := w.servers[a.Server]
+	if s.silent || w.cut(from, s.name) {
+		return
+	}
+	key := a.Packet.Key
+	c := s.conns[key]
+	reply := bronzeflow.Packet{Key: key, Kind: bronzeflow.Data}
+	switch {
+	case a.Kind == bronzecore.Cancel || a.Packet.Kind == bronzeflow.Reset:
+		delete(s.conns, key)
+		return
+	case a.Kind == bronzecore.Probe && c != nil && c.echo == a.Packet.Echo:
+	case a.Packet.Kind == bronzeflow.Open && s.refuses, c == nil && a.Packet.Kind != bronzeflow.Open, a.Kind == bronzecore.Probe:
+		reply.Kind = bronzeflow.Refuse
+	case a.Packet.Kind == bronzeflow.Open:
+		if c == nil {
+			c = &conn{echo: w.rng.Uint32() | 1, ran: make(map[uint64]bool)}
+			s.conns[key] = c
+			s.opened++
+		}
+		reply.Kind, reply.Echo = bronzeflow.Accept, c.echo
+	default:
+		id := binary.BigEndian.Uint64(a.Packet.Raw)
+		w.flowOf(key).payloadAt[a.Server] = true
+		if !c.ran[id] {
+			c.ran[id] = true
+			w.runs[id]++
+		}
+		reply.Payload, reply.Raw = len(a.Packet.Raw), a.Packet.Raw
+	}
+	w.fromServer(s, a.Server, reply)
+}
+
+// fromServer sprays an answer over the nodes.
+func (w *world) fromServer(s *server, id bronzeflow.ServerID, p bronzeflow.Packet) {
+	names := w.names()
+	ids := []bronzeflow.ServerID{id}
+	if len(names) > 0 {
+		w.send(s.name, names[w.rng.IntN(len(names))], func(n *node) []bronzecore.Action { return n.FromServer(&p, ids, nil) })
+	}
+}
+
+// atCaller is a caller's part.
+func (w *world) atCaller(a bronzecore.Action) {
+	f := w.flowOf(a.Packet.Key)
+	switch {
+	case a.Kind == bronzecore.Refuse:
+		f.refused = true
+		require.Empty(w.t, f.payloadAt, "told that nothing ran, but payload was forwarded")
+		require.Positive(w.t, a.RetryAfter)
+	case a.Kind == bronzecore.Abort, a.Packet.Kind == bronzeflow.Refuse:
+		f.aborted = true
+	case a.Packet.Kind == bronzeflow.Accept && !f.accepted:
+		f.accepted, f.echo = true, a.Packet.Echo
+		f.sentAt = time.Time{}
+	case a.Packet.Kind == bronzeflow.Data && a.Packet.Payload > 0 && f.request == binary.BigEndian.Uint64(a.Packet.Raw):
+		f.request = 0
+		f.answered++
+		f.sentAt = time.Time{}
+	}
+}
+
+// checkSafe requires what must hold whatever happened.
+func (w *world) checkSafe() {
+	for id, n := range w.runs {
+		require.Equal(w.t, 1, n, "request %d ran %d times", id, n)
+	}
+	for _, f := range w.flows {
+		require.LessOrEqual(w.t, len(f.payloadAt), 1, "payload of one flow reached two servers")
+	}
+}
+
+// checkGoingOn requires that no established flow has ended, and that each has
+// been answered since the mark.
+func (w *world) checkGoingOn(mark []int) {
+	for i, f := range w.flows {
+		require.False(w.t, f.refused || f.aborted, "flow %d ended", i)
+		require.Greater(w.t, f.answered, mark[i], "flow %d stands still", i)
+	}
+}
+
+func (w *world) mark() []int {
+	n := make([]int, len(w.flows))
+	for i, f := range w.flows {
+		n[i] = f.answered
+	}
+	return n
+}
+
+// kill ends a node without a word.
+func (w *world) kill(names ...string) {
+	for _, name := range names {
+		w.nodes[name].alive = false
+	}
+}
+
+// ownerOf returns the owner of a flow in the eyes of the first live node.
+func (w *world) ownerOf(f *flow) string {
+	return w.nodes[w.names()[0]].view.Owner(f.key.Hash())
+}
--- a/bronzecore/owner.go
+++ b/bronzecore/owner.go
@@ -91,12 +91,12 @@
 	}
 	b.table.Delete(&p.Key, hash)
 	if st.pool.Available(e.Server) {
-		return b.place(s, st, a, e.Server, None, now, out)
+		return b.place(s, st, a, e.Server, now, out)
 	}
 	// The key moves to another server while other nodes may have learned
 	// the old one; they are told before they could forward to it.
 	out = b.forget(p.Key, out)
-	return b.place(s, st, a, 0, None, now, out)
+	return b.place(s, st, a, 0, now, out)
 }
 
 // open starts to place a new flow.
@@ -109,17 +109,17 @@
 		return append(out, b.refusal(p, HalfOpenLimit))
 	}
 	if id, ok := b.copies.get(hash); ok && b.usable(st, id) != 0 {
-		return b.place(s, st, a, id, None, now, out)
+		return b.place(s, st, a, id, now, out)
 	}
 	v := b.view.Load()
 	if v == nil || !v.Unsettled(hash, b.Timing.Unsettled) {
-		return b.place(s, st, a, 0, None, now, out)
+		return b.place(s, st, a, 0, now, out)
 	}
 	// The former owner may have placed this flow a moment ago. Placing it
 	// again without asking could open it at two servers.
 	out = b.query(a, now, out)
 	if len(a.asked) == 0 {
-		return b.place(s, st, a, 0, None, now, out)
+		return b.place(s, st, a, 0, now, out)
 	}
 	return out
 }
@@ -134,14 +134,14 @@
 
 // place admits the flow of an attempt and sends its opening to a server:
 // to prefer if that is not 0, otherwise to the pool's choice.
-func (b *Balancer) place(s *attemptShard, st *service, a *attempt, prefer bronzeflow.ServerID, why Reason, now time.Time, out []Action) []Action {
+func (b *Balancer) place(s *attemptShard, st *service, a *attempt, prefer bronzeflow.ServerID, now time.Time, out []Action) []Action {
 	if r := st.admit(); r != None {
 		s.remove(a)
 		return append(out, b.refusal(&a.held, r))
 	}
 	st.budget.Open()
 	a.deadline = a.started.Add(openDeadline(st))
-	return b.attempt(s, st, a, prefer, why, now, out)
+	return b.attempt(s, st, a, prefer, None, now, out)
 }
 
 func openDeadline(st *service) time.Duration {
--- a/bronzecore/recover.go
+++ b/bronzecore/recover.go
@@ -153,12 +153,12 @@
 	case m.State != bronzeflow.Pending:
 		s.remove(a)
 		if a.isOpen() && a.held.Kind == bronzeflow.Open && m.State == bronzeflow.Closed {
-			return b.place(s, st, b.newAttempt(s, &a.held, a.hash, now), b.usable(st, m.Server), None, now, out)
+			return b.place(s, st, b.newAttempt(s, &a.held, a.hash, now), b.usable(st, m.Server), now, out)
 		}
 		return b.adopt(&a.held, a.hash, m, now, out)
 	case a.held.Kind == bronzeflow.Open:
 		// The former owner had sent the opening to a server. That goes on.
-		return b.place(s, st, a, b.usable(st, m.Server), None, now, out)
+		return b.place(s, st, a, b.usable(st, m.Server), now, out)
 	default:
 		// Data of a flow that was pending a moment ago: its server tells.
 		return b.probe(s, a, now, out)
@@ -184,7 +184,7 @@
 		s.remove(a)
 		return b.adopt(&a.held, a.hash, mapping(a.key, a.belief), now, out)
 	case a.isOpen():
-		return b.place(s, st, a, 0, None, now, out)
+		return b.place(s, st, a, 0, now, out)
 	default:
 		return b.probe(s, a, now, out)
 	}
--- a/bronzecore/server.go
+++ b/bronzecore/server.go
@@ -103,8 +103,15 @@
 		return b.probed(s, a, p, id, now, out)
 	case a.phase != opening:
 		return append(out, Action{Kind: Drop, Packet: *p, Reason: Recovering})
-	case id != a.server():
+	case a.wasTried(id) && id != a.server():
 		return b.late(p, id, out)
+	case id != a.server() && p.Kind == bronzeflow.Data:
+		// While the fleet is split, the other side has opened this flow at
+		// another server, and the caller is using it.
+		b.abandon(s, a)
+		return b.adoptReply(p, a.hash, id, now, out)
+	case id != a.server():
+		return append(out, Action{Kind: Drop, Packet: *p, Reason: LateAnswer})
 	}
 	st := b.services.Load().of(b.snapshot.Load().Match(&p.Key))
 	if st == nil {
@@ -136,11 +143,13 @@
 	return append(out, Action{Kind: Reply, Server: a.server(), Packet: *p})
 }
 
-// late discards an answer of an attempt that was given up, and tells its
-// server, which else would keep the connection.
+// late discards an answer of an attempt that was given up. Its server was told
+// so when it was given up; an acceptance shows that it has not heard, and it
+// is told again. While the fleet is split the connection may be the one that
+// the other side has given the caller, so it is left alone.
 func (b *Balancer) late(p *bronzeflow.Packet, id bronzeflow.ServerID, out []Action) []Action {
 	out = append(out, Action{Kind: Drop, Packet: *p, Reason: LateAnswer})
-	if p.Kind == bronzeflow.Refuse {
+	if p.Kind != bronzeflow.Accept || b.split() {
 		return out
 	}
 	return append(out, Action{Kind: Cancel, Server: id, Packet: *p, Reason: LateAnswer})
