--- /dev/null
+++ b/bronzewire/fuzz_test.go
@@ -0,0 +1,108 @@
+package bronzewire
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/net/ipv4"
+	"golang.org/x/net/ipv6"
+
+	"bronzeusher.example/bronzeusher/bronzeflow"
+)
+
+// FuzzParse holds for any bytes, in both directions: a packet that is taken
+// has whole headers, the key of its own addresses as another library reads
+// them, and a kind of its direction; what is refused has a named reason; what
+// is built from it is sound in its turn; and raw stays as it was.
+func FuzzParse(f *testing.F) {
+	for _, e := range []ends{ends4, ends6} {
+		for _, flags := range []TCPFlags{SYN, SYN | ACK, ACK, FIN | ACK, RST} {
+			f.Add(e.tcp(f, false, flags, ""))
+			f.Add(e.tcp(f, true, flags, "payload"))
+		}
+		datagram := e.udp(f, []byte("payload"))
+		f.Add(datagram)
+		unreachable, err := Refusal(nil, datagram)
+		require.NoError(f, err)
+		f.Add(unreachable)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		before := bytes.Clone(raw)
+		for _, fromServer := range []bool{false, true} {
+			var r Parser
+			var p bronzeflow.Packet
+			if err := r.parse(raw, &p, fromServer); err != nil {
+				require.Zero(t, p)
+				require.NotContains(t, []string{"", "Other"}, Reason(err))
+				continue
+			}
+			checkPacket(t, raw, &p, fromServer, r.icmp)
+			checkAnswers(t, raw, fromServer)
+		}
+		require.Equal(t, before, raw)
+	})
+}
+
+func checkPacket(t *testing.T, raw []byte, p *bronzeflow.Packet, fromServer, icmp bool) {
+	kinds := []bronzeflow.Kind{bronzeflow.Data, bronzeflow.Datagram, bronzeflow.Close, bronzeflow.Open, bronzeflow.Reset}
+	if fromServer {
+		kinds = append(kinds[:3], bronzeflow.Accept, bronzeflow.Refuse)
+	}
+	require.Contains(t, kinds, p.Kind)
+	require.True(t, bytes.HasPrefix(raw, p.Raw))
+	require.Less(t, p.Payload, len(p.Raw))
+	require.NotZero(t, p.Key.CallerPort)
+	require.NotZero(t, p.Key.ServicePort)
+	src, to := p.Key.CallerAddrPort().Addr(), p.Key.ServiceAddrPort().Addr()
+	if fromServer {
+		src, to = to, src
+	}
+	if raw[0]>>4 == 4 {
+		h, err := ipv4.ParseHeader(raw)
+		require.NoError(t, err)
+		require.Equal(t, h.TotalLen, len(p.Raw))
+		require.Equal(t, h.Dst.String(), to.String())
+		require.True(t, icmp || h.Src.String() == src.String())
+		return
+	}
+	h, err := ipv6.ParseHeader(raw)
+	require.NoError(t, err)
+	require.Equal(t, h.PayloadLen+ipv6HeaderLen, len(p.Raw))
+	require.Equal(t, h.Dst.String(), to.String())
+	require.True(t, icmp || h.Src.String() == src.String())
+}
+
+func checkAnswers(t *testing.T, raw []byte, fromServer bool) {
+	var r Parser
+	if b, err := Cancellation(nil, raw, fromServer); err == nil && b != nil {
+		require.Equal(t, bronzeflow.Reset, r.mustParse(t, b, false).Kind)
+	}
+	if fromServer {
+		return
+	}
+	if b, err := Refusal(nil, raw); err == nil && b != nil {
+		require.Equal(t, bronzeflow.Refuse, r.mustParse(t, b, true).Kind)
+	}
+	if b, err := Probe(nil, raw); err == nil {
+		p := r.mustParse(t, b, false)
+		require.Equal(t, bronzeflow.Data, p.Kind)
+		require.Zero(t, p.Payload)
+	}
+}
+
+// FuzzFrame holds for any bytes: what is taken is written back the same.
+func FuzzFrame(f *testing.F) {
+	f.Add(AppendFrame(nil, &Frame{Kind: FramePacket, Hops: 1, Body: ends4.udp(f, nil)}))
+	f.Add(AppendFrame(nil, &Frame{Kind: FrameReply, Server: 7, Body: ends6.tcp(f, true, SYN|ACK, "")}))
+	f.Add(AppendFrame(nil, &Frame{Kind: FrameFlow}))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var frame Frame
+		if err := ParseFrame(b, &frame); err != nil {
+			require.Zero(t, frame)
+			require.NotContains(t, []string{"", "Other"}, Reason(err))
+			return
+		}
+		require.Equal(t, b, AppendFrame(nil, &frame))
+	})
+}
