--- a/bronzecore/failure_test.go
+++ b/bronzecore/failure_test.go
@@ -201,21 +201,13 @@
 			fresh := w.newNode(nodeName(100 + i))
 			w.nodes[fresh.Name] = fresh
 			w.publish()
-			stay := slices.DeleteFunc(w.names(), func(n string) bool { return n == old })
 			mark := w.mark()
-			w.nodes[old].Leave()
-			w.setViews(stay)
-			leaver := w.nodes[old]
-			leaver.view = bronzefleet.NewView(old, viewMembers(stay), leaver.view, time.Now())
-			leaver.view.Ready = true
-			leaver.SetView(leaver.view)
 			if i < 3 {
 				w.drain(i)
 			}
-			w.settle(2 * time.Second)
-			w.kill(old)
+			w.leave(old)
 			w.openMany(3)
-			w.settle(time.Second)
+			w.settle(2 * time.Second)
 			w.checkGoingOn(append(mark, 0, 0, 0))
 		}
 	})
