Place exceptions on the least loaded of five candidates

An exception went to the next candidate under the bound, which filled servers that were close to it and so made more exceptions.

No server gets more than its part of a node's recent exceptions, so that one stale share or report can't draw all new flows.

--- a/bronzepool/choose.go
+++ b/bronzepool/choose.go
@@ -9,9 +9,17 @@
 // DefaultImbalanceBound holds where a Policy has none.
 const DefaultImbalanceBound = 1.10
 
-// minSlack is how many flows over its fair share a server may always have,
-// so that a service with few flows doesn't have exceptions only.
-const minSlack = 1
+const (
+	// minSlack is how many flows over its fair share a server may always
+	// have, so that a service with few flows doesn't have exceptions only.
+	minSlack = 1
+	// overflowChoices is how many candidates an exception is chosen from, by
+	// load. The least loaded of all would spread little better, and every
+	// owner would pick the same.
+	overflowChoices = 5
+	// tolerance absorbs the rounding of loads.
+	tolerance = 1e-9
+)
 
 // Candidates appends to dst up to n servers for the flow hash in rendezvous
 // order over the whole pool, those that are leaving included: the order in
@@ -59,74 +67,166 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
-	fair := p.fair(now)
-	var top, plainBest, best *server
+	p.weigh(now)
+	top := p.first(hash, func(*server) bool { return true })
+	if top == nil {
+		return 0, false, false
+	}
+	allowed := func(s *server) bool { return s.allowed && !slices.Contains(tried, s.id) }
+	s := p.pick(hash, top, allowed, plain, now)
+	if s == nil {
+		return 0, false, false
+	}
+	if !plain {
+		s.noteTrial(now)
+	}
+	return s.id, s == top, true
+}
+
+// pick chooses among the servers that are allowed; top is the flow's first
+// candidate.
+func (p *Pool) pick(hash uint64, top *server, allowed func(*server) bool, plain bool, now int64) *server {
+	if plain {
+		return p.first(hash, allowed)
+	}
+	ready := func(s *server) bool { return now >= s.retryAt && allowed(s) }
+	if top.fits && ready(top) {
+		return top
+	}
+	if s := p.overflow(hash, ready); s != nil {
+		return s
+	}
+	// Every server that is ready is over its limit, or has had more than its
+	// part of the recent flows. The order spreads as evenly as anything.
+	if s := p.first(hash, ready); s != nil {
+		return s
+	}
+	return p.soonest(allowed)
+}
+
+// first returns the first server in the order for hash that is accepted.
+func (p *Pool) first(hash uint64, accept func(*server) bool) *server {
+	var best *server
 	for _, s := range p.servers {
-		if top == nil || before(hash, s.id, top.id) {
-			top = s
-		}
-		if slices.Contains(tried, s.id) || s.leaving(now) {
-			continue
+		if accept(s) && (best == nil || before(hash, s.id, best.id)) {
+			best = s
 		}
-		load := p.estimate(s, now)
-		if s.connections > 0 && load >= float64(s.connections) {
+	}
+	return best
+}
+
+// overflow returns the least loaded of the first candidates that have room.
+// A server that has much less load than the others, or is said to, would get
+// every exception of every owner until the next share shows what they did;
+// so none gets more than its part of what this node placed of late.
+func (p *Pool) overflow(hash uint64, ready func(*server) bool) *server {
+	var order [overflowChoices]*server
+	n := 0
+	for _, s := range p.servers {
+		if !s.fits || p.crowded(s) || !ready(s) {
 			continue
 		}
-		if plainBest == nil || before(hash, s.id, plainBest.id) {
-			plainBest = s
-		}
-		if now < s.retryAt {
+		if n < len(order) {
+			n++
+		} else if !before(hash, s.id, order[n-1].id) {
 			continue
 		}
-		if load+1 > p.limit(s, fair, now) {
-			continue
+		i := n - 1
+		for ; i > 0 && before(hash, s.id, order[i-1].id); i-- {
+			order[i] = order[i-1]
 		}
-		if best == nil || before(hash, s.id, best.id) {
+		order[i] = s
+	}
+	var best *server
+	for _, s := range order[:n] {
+		if best == nil || s.load*best.weight < best.load*s.weight {
 			best = s
 		}
 	}
-	s := best
-	if plain || s == nil {
-		s = plainBest
-	}
-	if s == nil {
-		return 0, false, false
+	return best
+}
+
+// soonest returns the allowed server whose back-off ends first. The back-off
+// is a guess of ours, no reason to refuse a flow that some server might take.
+func (p *Pool) soonest(allowed func(*server) bool) *server {
+	var best *server
+	for _, s := range p.servers {
+		if allowed(s) && (best == nil || s.retryAt < best.retryAt) {
+			best = s
+		}
 	}
-	return s.id, s == top, true
+	return best
 }
 
-// fair returns the load that one unit of weight would have if all servers
-// that may have work were loaded alike, the new flow included.
-func (p *Pool) fair(now int64) float64 {
-	var load, weight float64
+// weigh brings the loads, weights and verdicts of all servers up to date.
+func (p *Pool) weigh(now int64) {
+	total, weight := 0.0, 0.0
 	for _, s := range p.servers {
+		s.load = p.estimate(s)
+		s.weight = s.ramp(now, p.policy.ColdStart)
+		if s.connections > 0 {
+			s.weight *= float64(s.connections)
+		}
+		s.allowed = !s.leaving(now) && !s.full()
 		if s.leaving(now) {
 			continue
 		}
-		load += p.estimate(s, now)
-		weight += p.weight(s, now)
+		total += s.load
+		weight += s.weight
 	}
-	if weight == 0 {
-		return 0
-	}
-	return (load + 1) / weight
-}
-
-// weight returns the capacity of s against that of the others.
-func (p *Pool) weight(s *server, now int64) float64 {
-	w := s.ramp(now, p.policy.ColdStart)
-	if s.connections > 0 {
-		w *= float64(s.connections)
+	p.weight = weight
+	for _, s := range p.servers {
+		share := 0.0
+		if weight > 0 {
+			share = (total + 1) * s.weight / weight
+		}
+		s.fits = s.allowed && s.load+1 <= p.limit(s, share)+tolerance
 	}
-	return w
 }
 
-// limit returns how many flows s may have before it is passed over.
-func (p *Pool) limit(s *server, fair float64, now int64) float64 {
+// limit returns how many flows s may have before it is passed over, given its
+// fair share of them.
+func (p *Pool) limit(s *server, share float64) float64 {
 	bound := p.policy.ImbalanceBound
 	if bound < 1 {
 		bound = DefaultImbalanceBound
 	}
-	share := fair * p.weight(s, now)
-	return max(share*bound, share+minSlack)
+	limit := max(share*bound, share+minSlack)
+	if s.slots > 0 && share <= float64(s.slots) {
+		// While there are slots for all flows, none needs to wait for one.
+		limit = min(limit, float64(s.slots))
+	}
+	return limit
+}
+
+const (
+	// recentWindow is how many placements for each server are remembered.
+	recentWindow = 8
+	// crowdedFactor times its fair part of the recent placements, a server
+	// gets no exceptions; crowdedMost bounds it in a small pool.
+	crowdedFactor = 2.5
+	crowdedMost   = 0.75
+)
+
+// crowded reports whether s had too much of what this node placed of late.
+func (p *Pool) crowded(s *server) bool {
+	if p.weight == 0 || int(p.recent) < 2*len(p.servers) {
+		return false
+	}
+	part := min(crowdedFactor*s.weight/p.weight, crowdedMost)
+	return float64(s.recent+1) > part*float64(p.recent+1)
+}
+
+// notePlaced keeps the decayed counts of recent placements.
+func (p *Pool) notePlaced(s *server) {
+	s.recent++
+	p.recent++
+	if int(p.recent) < recentWindow*len(p.servers) {
+		return
+	}
+	p.recent = 0
+	for _, s := range p.servers {
+		s.recent /= 2
+		p.recent += s.recent
+	}
 }
--- a/bronzepool/load.go
+++ b/bronzepool/load.go
@@ -80,27 +80,18 @@
 	}
 }
 
-// estimate returns the flows that all owners have on s. Another owner is
-// taken to have placed since its share what this node placed.
-func (p *Pool) estimate(s *server, now int64) float64 {
-	others := max(p.owners-1, len(p.origins))
-	total := int64(s.own) + s.shared + int64(others)*int64(s.own) - s.base
-	return float64(max(total, int64(s.own)))
-}
+// othersWeight is how much of a change of this node's own count is taken to
+// have happened at each other owner too. All of it would make the estimate's
+// error grow with the number of owners; nothing would let them all go on
+// filling a server that is full.
+const othersWeight = 1.0
 
-// notePlaced keeps the decayed counts of recent placements.
-func (p *Pool) notePlaced(s *server) {
-	s.recent++
-	p.recent++
-	if int(p.recent) < recentWindow*len(p.servers) {
-		return
-	}
-	p.recent = 0
-	for _, s := range p.servers {
-		s.recent /= 2
-		p.recent += s.recent
-	}
+// estimate returns the flows that all owners have on s. Another owner is
+// taken to have placed since its share what this node placed, in part.
+func (p *Pool) estimate(s *server) float64 {
+	heard := len(p.origins)
+	unheard := max(p.owners-1-heard, 0)
+	since := int64(heard+unheard)*int64(s.own) - s.base
+	total := float64(int64(s.own)+s.shared) + othersWeight*float64(since)
+	return max(total, float64(s.own))
 }
-
-// recentWindow is how many placements for each server are remembered.
-const recentWindow = 8
--- a/bronzepool/pool.go
+++ b/bronzepool/pool.go
@@ -27,6 +27,7 @@
 	index   map[bronzeflow.ServerID]*server
 	origins map[string]origin
 	recent  uint32
+	weight  float64
 }
 
 // SetService puts a service's pool and policy in force. Counts of servers
@@ -161,7 +162,7 @@
 			Server:   s.id,
 			Instance: s.instance,
 			Own:      s.own,
-			Total:    p.estimate(s, now),
+			Total:    p.estimate(s),
 			Reported: s.reported,
 			Trust:    1 - s.distrust,
 			Leaving:  s.leaving(now),
--- a/bronzepool/server.go
+++ b/bronzepool/server.go
@@ -47,6 +47,13 @@
 
 	fails   int
 	retryAt int64
+
+	// What the last weigh found: the estimated load, the weight, whether it
+	// may have new flows at all, and whether it is under its limit.
+	load    float64
+	weight  float64
+	allowed bool
+	fits    bool
 }
 
 func (s *server) set(b *bronzeconf.BackendServer) {
@@ -82,6 +89,19 @@
 	s.retryAt = now + int64(float64(step)*(0.5+jitter))
 }
 
+// noteTrial lets one opening through to a server whose back-off is over, and
+// puts the next off until this one's outcome should be known.
+func (s *server) noteTrial(now int64) {
+	if s.fails > 0 {
+		s.retryAt = now + int64(backoffSilent)
+	}
+}
+
+// full reports whether s has reached its hard limit.
+func (s *server) full() bool {
+	return s.connections > 0 && s.load+1 > float64(s.connections)
+}
+
 // ramp returns the part of its full share that a new server may have.
 func (s *server) ramp(now int64, coldStart time.Duration) float64 {
 	if s.since == 0 || coldStart <= 0 {
