Scale only half of this node's changes to the other owners

The estimate took every other owner to have placed what this one did since the last shares. Between two shares of a service with short flows that is mostly noise, times the number of owners.

--- a/bronzepool/load.go
+++ b/bronzepool/load.go
@@ -84,7 +84,7 @@
 // have happened at each other owner too. All of it would make the estimate's
 // error grow with the number of owners; nothing would let them all go on
 // filling a server that is full.
-const othersWeight = 1.0
+const othersWeight = 0.5
 
 // estimate returns the flows that all owners have on s. Another owner is
 // taken to have placed since its share what this node placed, in part.
