Weigh in the servers' reports as far as they can be believed

A report counts by its age, by trust, and by the part of the owners that don't share their counts; with all of them heard it has a fifth. A report that contradicts what the node saw (fewer flows than the node itself has, idle while openings fail, full while it accepts at once, one figure for ever) halves the trust and is counted; the way back is slower.

--- a/bronzepool/available.go
+++ b/bronzepool/available.go
@@ -15,5 +15,5 @@
 	if s.leaving(now) {
 		return false
 	}
-	return s.connections <= 0 || p.estimate(s) < float64(s.connections)
+	return s.connections <= 0 || p.estimate(s, now) < float64(s.connections)
 }
--- a/bronzepool/choose.go
+++ b/bronzepool/choose.go
@@ -89,7 +89,7 @@
 	if plain {
 		return p.first(hash, allowed)
 	}
-	ready := func(s *server) bool { return now >= s.retryAt && allowed(s) }
+	ready := func(s *server) bool { return now >= s.retryAt && !s.shut(now) && allowed(s) }
 	if top.fits && ready(top) {
 		return top
 	}
@@ -162,7 +162,7 @@
 func (p *Pool) weigh(now int64) {
 	total, weight := 0.0, 0.0
 	for _, s := range p.servers {
-		s.load = p.estimate(s)
+		s.load = p.estimate(s, now)
 		s.weight = s.ramp(now, p.policy.ColdStart)
 		if s.connections > 0 {
 			s.weight *= float64(s.connections)
--- a/bronzepool/load.go
+++ b/bronzepool/load.go
@@ -1,19 +1,9 @@
 package bronzepool
 
 import (
-	"time"
-
 	"bronzeusher.example/bronzeusher/bronzeflow"
 )
 
-// Report is what a server's own endpoint, or a peer that polled it, says.
-type Report struct {
-	Server      bronzeflow.ServerID
-	Connections int
-	Leaving     bool
-	At          time.Time
-}
-
 // share is what an origin said of one server, and this node's own count then.
 type share struct {
 	server *server
@@ -86,12 +76,23 @@
 // filling a server that is full.
 const othersWeight = 0.5
 
-// estimate returns the flows that all owners have on s. Another owner is
-// taken to have placed since its share what this node placed, in part.
-func (p *Pool) estimate(s *server) float64 {
+// estimate returns the flows that all owners have on s: the counts, with the
+// server's own report blended in as far as it is believed.
+func (p *Pool) estimate(s *server, now int64) float64 {
 	heard := len(p.origins)
-	unheard := max(p.owners-1-heard, 0)
-	since := int64(heard+unheard)*int64(s.own) - s.base
-	total := float64(int64(s.own)+s.shared) + othersWeight*float64(since)
+	others := max(p.owners-1, heard)
+	since := int64(others)*int64(s.own) - s.base
+	total := s.counted() + othersWeight*float64(since)
+	unheard := float64(others-heard) / float64(others+1)
+	if w := s.believed(now, unheard); w > 0 {
+		grown := float64(s.own-s.report.own) * (1 + othersWeight*float64(others))
+		total += w * (float64(s.report.connections) + grown - total)
+	}
 	return max(total, float64(s.own))
 }
+
+// counted returns the flows of s that this node has, and that the others
+// have last said to have.
+func (s *server) counted() float64 {
+	return float64(int64(s.own) + s.shared)
+}
--- a/bronzepool/pool.go
+++ b/bronzepool/pool.go
@@ -31,8 +31,8 @@
 }
 
 // SetService puts a service's pool and policy in force. Counts of servers
-// that stay are kept; now starts the ramp of servers that are new, except on
-// the first call.
+// that stay are kept; the time of the call starts the ramp of servers that
+// are new, except on the first call.
 func (p *Pool) SetService(svc *bronzeconf.Service) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -126,7 +126,7 @@
 	if r.Leaving {
 		s.leave(p.now() + int64(ReportedLeavingHold))
 	}
-	s.observe(&r)
+	s.observe(&r, p.now())
 }
 
 // SetLeaving marks server id as leaving, from whatever source; it is cleared
@@ -147,8 +147,11 @@
 	Own      int
 	Total    float64
 	Reported int
-	Trust    float64
-	Leaving  bool
+	// Trust is how far its reports are believed, 0 to 1; Contradictions
+	// counts those that contradicted what this node saw.
+	Trust          float64
+	Contradictions uint64
+	Leaving        bool
 }
 
 // Loads returns the state of every server.
@@ -159,13 +162,14 @@
 	loads := make([]ServerLoad, 0, len(p.servers))
 	for _, s := range p.servers {
 		loads = append(loads, ServerLoad{
-			Server:   s.id,
-			Instance: s.instance,
-			Own:      s.own,
-			Total:    p.estimate(s),
-			Reported: s.reported,
-			Trust:    1 - s.distrust,
-			Leaving:  s.leaving(now),
+			Server:         s.id,
+			Instance:       s.instance,
+			Own:            s.own,
+			Total:          p.estimate(s, now),
+			Reported:       s.report.connections,
+			Trust:          1 - s.report.distrust,
+			Contradictions: s.report.contradictions,
+			Leaving:        s.leaving(now),
 		})
 	}
 	return loads
--- a/bronzepool/server.go
+++ b/bronzepool/server.go
@@ -7,11 +7,6 @@
 	"bronzeusher.example/bronzeusher/bronzeflow"
 )
 
-// ReportedLeavingHold is how long a server's own word that it is leaving
-// holds. Later reports that don't say so don't end it sooner: of two sources
-// that contradict each other the one that stops new work wins.
-const ReportedLeavingHold = 30 * time.Second
-
 // The back-off of a server that fails openings.
 const (
 	backoffBase   = 100 * time.Millisecond
@@ -40,13 +35,12 @@
 	base   int64
 	recent uint32
 
-	reported    int
-	reportAt    int64
-	ownAtReport int
-	distrust    float64
+	report report
 
 	fails   int
 	retryAt int64
+	// tryShutAt is when a server that says it is full is tried again.
+	tryShutAt int64
 
 	// What the last weigh found: the estimated load, the weight, whether it
 	// may have new flows at all, and whether it is under its limit.
@@ -72,7 +66,12 @@
 	s.leavingUntil = max(s.leavingUntil, until)
 }
 
-func (s *server) accept(time.Duration) {
+// accept ends the back-off.
+func (s *server) accept(after time.Duration) {
+	s.report.seen.accepted++
+	if after <= quickAccept {
+		s.report.seen.quick++
+	}
 	s.fails = 0
 	s.retryAt = 0
 }
@@ -85,6 +84,7 @@
 	}
 	step = min(step<<min(s.fails, backoffSteps), backoffMax)
 	s.fails++
+	s.report.seen.refused++
 	// Owners that met the same refusal must not come back together.
 	s.retryAt = now + int64(float64(step)*(0.5+jitter))
 }
@@ -95,6 +95,7 @@
 	if s.fails > 0 {
 		s.retryAt = now + int64(backoffSilent)
 	}
+	s.tryShutAt = now + int64(shutTrial)
 }
 
 // full reports whether s has reached its hard limit.
@@ -113,13 +114,3 @@
 
 // rampFloor is the share that a new server starts with.
 const rampFloor = 0.05
-
-func (s *server) observe(r *Report) {
-	at := r.At.UnixNano()
-	if at <= s.reportAt {
-		return
-	}
-	s.reported = r.Connections
-	s.reportAt = at
-	s.ownAtReport = s.own
-}
