--- /dev/null
+++ b/bronzeconf/build_test.go
@@ -0,0 +1,126 @@
+package bronzeconf
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"bronzeusher.example/bronzeusher/bronzeflow"
+)
+
+func TestBuildRefusesSecondClaim(t *testing.T) {
+	tests := []struct {
+		name          string
+		change        func(v *ServiceV2)
+		field, reason string
+	}{
+		{"address and port", func(v *ServiceV2) { v.Addresses = append(v.Addresses, netip.MustParseAddr("203.0.113.1")) },
+			"Addresses[1] Rules[0]", `203.0.113.1 TCP port 443 is taken by record "a"`},
+		{"server of another Customer", func(v *ServiceV2) { v.Pool = append(v.Pool, testServer("other", 1)) },
+			"Pool[1].Address", `10.0.0.1:6080 is taken by record "a" of another Customer`},
+		{"service", func(v *ServiceV2) { v.Customer, v.Name = "agency", "map-live" },
+			"Name", `"map-live" of "agency" is taken by record "a"`},
+		{"instance", func(v *ServiceV2) { v.Customer, v.Pool[0].Instance = "agency", "map-live-1" },
+			"Pool[0].Instance", `"map-live-1" is taken by record "a"`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			first := testService("agency", "map-live", 1)
+			second := testService("braille", "printout", 2)
+			tt.change(&second)
+			records := []Record{{Name: "b", Body: body(t, second)}, {Name: "a", Body: body(t, first)}}
+			require.Equal(t, []Refusal{{Record: "b", Field: tt.field, Reason: tt.reason}}, CheckRecords(records))
+			s := Build(1, records)
+			require.Equal(t, "map-live", s.Services[0].Name)
+			require.Same(t, s.Services[0], s.Match(testKey(s.Services[0])))
+			of, _, ok := s.Server(bronzeflow.NewServerID("agency", "map-live-1"))
+			require.True(t, ok)
+			require.Same(t, s.Services[0], of)
+		})
+	}
+}
+
+func TestBuildKeepsTheRestOfTheLoser(t *testing.T) {
+	// What the callers of "printout" see: the operator gave it an address of
+	// "map-live" as well. Packets to that address go to map-live, those to
+	// printout's own address still to printout.
+	first := testService("agency", "map-live", 1)
+	second := testService("braille", "printout", 2)
+	second.Addresses = append(second.Addresses, first.Addresses...)
+	s := Build(1, []Record{{Name: "a", Body: body(t, first)}, {Name: "b", Body: body(t, second)}})
+	require.Same(t, s.Services[1], s.Match(testKey(s.Services[1])))
+	require.Same(t, s.Services[0], s.Match(testKey((&first).Service())))
+}
+
+func TestBuildRefusesTwoRecordsOfOneName(t *testing.T) {
+	first, second := testService("agency", "map-live", 1), testService("agency", "archive", 2)
+	refusals := CheckRecords([]Record{{Name: "a", Body: body(t, first)}, {Name: "a", Body: body(t, second)}})
+	require.Equal(t, []Refusal{{Record: "a", Reason: "another record has the same name"}}, refusals)
+}
+
+// drawRecords draws records that often claim the same things.
+func drawRecords(t *rapid.T) (records []Record) {
+	few := func(label string) byte { return byte(rapid.IntRange(1, 4).Draw(t, label)) }
+	for i := range rapid.IntRange(0, 6).Draw(t, "records") {
+		customer := rapid.SampledFrom([]string{"agency", "braille"}).Draw(t, "customer")
+		v := testService(customer, rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "name"), few("address"))
+		v.Pool[0].Address = testServer("", few("tunnel")).Address
+		v.Rules[0].Port = uint16(few("port"))
+		records = append(records, Record{Name: string(rune('a' + i)), Body: body(t, v)})
+	}
+	return records
+}
+
+func TestBuildIgnoresOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := drawRecords(t)
+		want := Build(1, records)
+		seed := rapid.Uint64().Draw(t, "seed")
+		shuffled := slices.Clone(records)
+		rand.New(rand.NewPCG(seed, 0)).Shuffle(len(shuffled), func(i, j int) {
+			shuffled[i], shuffled[j] = shuffled[j], shuffled[i]
+		})
+		require.Equal(t, want, Build(1, shuffled))
+	})
+}
+
+// TestBuildAgainstNaive compares Match with a search through the records from
+// the lowest name on.
+func TestBuildAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := drawRecords(t)
+		s := Build(1, records)
+		type name struct{ customer, service string }
+		accepted := make(map[name]bool)
+		owner := make(map[bronzeflow.Key]name)
+		keys := make(map[bronzeflow.Key]bool)
+		for _, r := range records {
+			svc, _ := Decode(r.Name, r.Body)
+			n, key := name{svc.Customer, svc.Name}, *testKey(svc)
+			if _, taken := owner[key]; !taken && !accepted[n] {
+				owner[key] = n
+			}
+			accepted[n] = true
+			keys[key] = true
+		}
+		for key := range keys {
+			var got name
+			if svc := s.Match(&key); svc != nil {
+				got = name{svc.Customer, svc.Name}
+			}
+			require.Equal(t, owner[key], got)
+		}
+		tunnels := make(map[netip.AddrPort]string)
+		for _, svc := range s.Services {
+			for _, b := range svc.Pool {
+				customer, taken := tunnels[b.Address]
+				require.True(t, !taken || customer == svc.Customer)
+				tunnels[b.Address] = svc.Customer
+			}
+		}
+	})
+}
--- a/bronzeconf/entry.go
+++ b/bronzeconf/entry.go
@@ -9,7 +9,7 @@
 // entry is what a Store knows of one record.
 type entry struct {
 	name string
-	// published is the newest revision that an index or a body has told of.
+	// published is the newest revision that an index has listed.
 	published uint64
 	// floor is the revision that the name had when it was removed before.
 	floor uint64
@@ -45,7 +45,6 @@
 	if r.Revision == e.refused {
 		return "", false
 	}
-	e.published = max(e.published, r.Revision)
 	f := &faults{record: r.Name}
 	svc := f.decode(r.Body)
 	if len(f.list) > 0 {
