--- /dev/null
+++ b/bronzenode/config.go
@@ -0,0 +1,249 @@
+package bronzenode
+
+import (
+	"fmt"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"runtime"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"bronzeusher.example/bronzeusher/bronzecore"
+)
+
+// The defaults of a Config's zero fields.
+const (
+	DefaultLeaveQuiet    = 2 * time.Second
+	DefaultLeaveLimit    = 30 * time.Second
+	DefaultPollInterval  = time.Second
+	DefaultShareInterval = 250 * time.Millisecond
+	maxDefaultReaders    = 4
+)
+
+// Config is what a Node is told at its start. Zero durations and counts mean
+// the defaults. Ports may be 0; the Node's getters tell what was bound.
+type Config struct {
+	// Name is the node's name, one of a kind in the fleet.
+	Name string
+	// Fleet is the name of the fleet; nodes of other fleets are refused.
+	Fleet            string
+	Region           string
+	AvailabilityZone string
+	// EdgeAddress takes encapsulated packets from the fabric and from
+	// backend servers (UDP).
+	EdgeAddress netip.AddrPort
+	// DataAddress takes relayed packets and flow messages from other nodes
+	// (UDP). It is told to them, so its IP can't be unspecified.
+	DataAddress netip.AddrPort
+	// ControlAddress takes the control links of other nodes (TCP). It is
+	// told to them, so its IP can't be unspecified.
+	ControlAddress netip.AddrPort
+	// HTTPAddress serves metrics, health and status to operators (TCP).
+	HTTPAddress netip.AddrPort
+	// FabricAddress is where packets to callers are sent (UDP).
+	FabricAddress netip.AddrPort
+	// Platform is the base URL of the platform, or empty without one.
+	Platform string
+	// Peers are control addresses of nodes to join through.
+	Peers []string
+	// Certificate, Key and Authority are PEM files for mutual TLS on control
+	// links; they are read again when they change. Without them Plain must
+	// be set, which is accepted on loopback addresses only.
+	Certificate string
+	Key         string
+	Authority   string
+	Plain       bool
+	// Capacity bounds the flow table.
+	Capacity int
+	// Readers is how many goroutines serve each packet socket.
+	Readers int
+	// Timing holds the decisions' durations.
+	Timing bronzecore.Timing
+	// Heartbeat and JoinWait are the fleet's interval and its wait for a
+	// first peer; 0 means the fleet's defaults.
+	Heartbeat time.Duration
+	JoinWait  time.Duration
+	// PollInterval is how often a backend server's report is asked for.
+	PollInterval time.Duration
+	// ShareInterval is how often changed loads are told to other nodes.
+	ShareInterval time.Duration
+	// LeaveQuiet is how long no packet of a caller may have come before a
+	// leaving node ends.
+	LeaveQuiet time.Duration
+	// LeaveLimit bounds the whole time of leaving.
+	LeaveLimit time.Duration
+
+	// Log is where the node logs; nil means the standard logger.
+	Log *logrus.Logger
+	// Client asks the platform and the reports; nil means a client of the
+	// node's own.
+	Client *http.Client
+	// Cut, when set, tells which datagrams and control links from one
+	// address to another are lost. Tests and demos make partitions by it.
+	Cut func(from, to netip.AddrPort) bool
+}
+
+// FieldError says which field of a Config is wrong and why.
+type FieldError struct {
+	Field  string
+	Reason string
+}
+
+// Error describes the fault.
+func (e *FieldError) Error() string {
+	return e.Field + ": " + e.Reason
+}
+
+// Check returns the first fault of c as a *FieldError, or nil.
+func (c *Config) Check() error {
+	checks := []func() *FieldError{
+		c.checkNames,
+		c.checkAddresses,
+		c.checkPlatform,
+		c.checkCredentials,
+		c.checkNumbers,
+	}
+	for _, check := range checks {
+		if fault := check(); fault != nil {
+			return fault
+		}
+	}
+	return nil
+}
+
+func (c *Config) checkNames() *FieldError {
+	names := []struct{ field, value string }{
+		{"Name", c.Name},
+		{"Fleet", c.Fleet},
+		{"AvailabilityZone", c.AvailabilityZone},
+	}
+	for _, n := range names {
+		if n.value == "" {
+			return &FieldError{Field: n.field, Reason: "is required"}
+		}
+	}
+	return nil
+}
+
+func (c *Config) checkAddresses() *FieldError {
+	addresses := []struct {
+		field string
+		value netip.AddrPort
+		told  bool
+	}{
+		{"EdgeAddress", c.EdgeAddress, false},
+		{"DataAddress", c.DataAddress, true},
+		{"ControlAddress", c.ControlAddress, true},
+		{"HTTPAddress", c.HTTPAddress, false},
+		{"FabricAddress", c.FabricAddress, true},
+	}
+	for _, a := range addresses {
+		if !a.value.IsValid() {
+			return &FieldError{Field: a.field, Reason: "must be an IP address and a port"}
+		}
+		if a.told && a.value.Addr().IsUnspecified() {
+			return &FieldError{Field: a.field, Reason: "must be an address that others can reach, not " + a.value.String()}
+		}
+	}
+	if c.FabricAddress.Port() == 0 {
+		return &FieldError{Field: "FabricAddress", Reason: "must have a port"}
+	}
+	return c.checkPeers()
+}
+
+func (c *Config) checkPeers() *FieldError {
+	for _, peer := range c.Peers {
+		address, err := netip.ParseAddrPort(peer)
+		if err != nil || address.Port() == 0 {
+			return &FieldError{Field: "Peers", Reason: fmt.Sprintf("%q is not an IP address and a port", peer)}
+		}
+	}
+	return nil
+}
+
+func (c *Config) checkPlatform() *FieldError {
+	if c.Platform == "" {
+		return nil
+	}
+	u, err := url.Parse(c.Platform)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return &FieldError{Field: "Platform", Reason: fmt.Sprintf("%q is not an HTTP URL", c.Platform)}
+	}
+	return nil
+}
+
+func (c *Config) checkCredentials() *FieldError {
+	if c.Plain {
+		return c.checkPlain()
+	}
+	files := []struct{ field, value string }{
+		{"Certificate", c.Certificate},
+		{"Key", c.Key},
+		{"Authority", c.Authority},
+	}
+	for _, f := range files {
+		if f.value == "" {
+			return &FieldError{Field: f.field, Reason: "is required unless Plain is set"}
+		}
+	}
+	return nil
+}
+
+// checkPlain keeps unauthenticated links on one machine: elsewhere anyone
+// could join the fleet and have callers' packets relayed to them.
+func (c *Config) checkPlain() *FieldError {
+	if !c.ControlAddress.Addr().IsLoopback() {
+		return &FieldError{Field: "Plain", Reason: "is accepted only if ControlAddress is a loopback address"}
+	}
+	if c.Certificate != "" || c.Key != "" || c.Authority != "" {
+		return &FieldError{Field: "Plain", Reason: "excludes Certificate, Key and Authority"}
+	}
+	return nil
+}
+
+func (c *Config) checkNumbers() *FieldError {
+	numbers := []struct {
+		field string
+		value int64
+	}{
+		{"Capacity", int64(c.Capacity)},
+		{"Readers", int64(c.Readers)},
+		{"Heartbeat", int64(c.Heartbeat)},
+		{"JoinWait", int64(c.JoinWait)},
+		{"PollInterval", int64(c.PollInterval)},
+		{"ShareInterval", int64(c.ShareInterval)},
+		{"LeaveQuiet", int64(c.LeaveQuiet)},
+		{"LeaveLimit", int64(c.LeaveLimit)},
+	}
+	for _, n := range numbers {
+		if n.value < 0 {
+			return &FieldError{Field: n.field, Reason: "must not be negative"}
+		}
+	}
+	return nil
+}
+
+// withDefaults returns c with its zero fields filled in.
+func (c Config) withDefaults() Config {
+	setDefault(&c.PollInterval, DefaultPollInterval)
+	setDefault(&c.ShareInterval, DefaultShareInterval)
+	setDefault(&c.LeaveQuiet, DefaultLeaveQuiet)
+	setDefault(&c.LeaveLimit, DefaultLeaveLimit)
+	setDefault(&c.Readers, min(maxDefaultReaders, runtime.GOMAXPROCS(0)))
+	if c.Log == nil {
+		c.Log = logrus.StandardLogger()
+	}
+	if c.Client == nil {
+		c.Client = &http.Client{Transport: http.DefaultTransport.(*http.Transport).Clone()}
+	}
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/bronzenode/counters.go
@@ -0,0 +1,220 @@
+package bronzenode
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+
+	"bronzeusher.example/bronzeusher/bronzecore"
+)
+
+// event is something that the packet path counts without a reason.
+type event uint8
+
+const (
+	callerPacket event = iota
+	serverPacket
+	peerPacket
+	peerReply
+	flowMessage
+	flowBytesSent
+	sendRefused
+	unknownPeer
+	unknownAddress
+	eventCount
+)
+
+var eventNames = [eventCount]string{
+	"CallerPackets", "ServerPackets", "PeerPackets", "PeerReplies", "FlowMessages", "FlowBytesSent",
+	"SendRefused", "UnknownPeer", "UnknownAddress",
+}
+
+// The names of further counters. Those with a reason are named Name.Reason,
+// as in Drop.NoService or Malformed.Truncated.
+const (
+	countControlSent     = "ControlBytesSent"
+	countControlReceived = "ControlBytesReceived"
+	countPolls           = "Polls"
+
+	countRetry      = "Retry"
+	countMalformed  = "Malformed"
+	countControl    = "Control"
+	countConfig     = "Config"
+	countPollFailed = "PollFailed"
+)
+
+// metricsInterval is how often counters are told to the metrics reporter.
+const metricsInterval = time.Second
+
+// counter is one count, and what of it the metrics reporter has been told.
+type counter struct {
+	value atomic.Uint64
+	told  uint64
+	out   tally.Counter
+}
+
+func (c *counter) add(n uint64) {
+	c.value.Add(n)
+}
+
+// counters holds all counts of a node. The count itself is an atomic number,
+// so that it costs the packet path little and can be read at any time; tally
+// is told the difference at intervals.
+type counters struct {
+	// actions are those of the decisions, by kind and reason.
+	actions [bronzecore.Send + 1][]*counter
+	events  [eventCount]*counter
+
+	mu     sync.Mutex
+	byName map[string]*counter
+	scope  tally.Scope
+	gauges map[string]tally.Gauge
+	closer io.Closer
+	report tallyprom.Reporter
+}
+
+func newCounters() *counters {
+	registry := prom.NewRegistry()
+	reporter := tallyprom.NewReporter(tallyprom.Options{
+		Registerer:      registry,
+		Gatherer:        registry,
+		OnRegisterError: func(error) {},
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "bronzeusher",
+		CachedReporter:         reporter,
+		Separator:              tallyprom.DefaultSeparator,
+		SanitizeOptions:        &tallyprom.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, metricsInterval)
+	c := &counters{
+		byName: make(map[string]*counter),
+		gauges: make(map[string]tally.Gauge),
+		scope:  scope,
+		closer: closer,
+		report: reporter,
+	}
+	c.makeActions()
+	for e, name := range eventNames {
+		c.events[e] = c.named(name)
+	}
+	return c
+}
+
+// makeActions makes a counter for each reason of the actions that have one,
+// so that a reason shows as 0 before it first occurs.
+func (c *counters) makeActions() {
+	for kind := bronzecore.Forward; kind <= bronzecore.Send; kind++ {
+		table := make([]*counter, len(bronzecore.Reasons()))
+		for i := range table {
+			table[i] = c.named(kind.String())
+		}
+		for _, r := range reasonsOf(kind) {
+			table[r] = c.reason(reasonedName(kind, r), r.String())
+		}
+		c.actions[kind] = table
+	}
+}
+
+// reasonsOf returns the reasons that actions of kind are told apart by.
+func reasonsOf(kind bronzecore.ActionKind) []bronzecore.Reason {
+	switch kind {
+	case bronzecore.Drop, bronzecore.Refuse, bronzecore.Abort, bronzecore.Cancel:
+		return bronzecore.Reasons()[bronzecore.None+1:]
+	case bronzecore.Forward:
+		return []bronzecore.Reason{
+			bronzecore.ServerRefused, bronzecore.ServerSilent, bronzecore.CallerGone, bronzecore.UnknownFlow,
+		}
+	default:
+		return nil
+	}
+}
+
+// reasonedName returns the name that reasons of kind are counted under. An
+// opening that is forwarded because another server failed is a retry.
+func reasonedName(kind bronzecore.ActionKind, r bronzecore.Reason) string {
+	if kind == bronzecore.Forward && (r == bronzecore.ServerRefused || r == bronzecore.ServerSilent) {
+		return countRetry
+	}
+	return kind.String()
+}
+
+// named returns the counter of that name, which is made at its first use.
+func (c *counters) named(name string) *counter {
+	return c.get(name, func() tally.Counter { return c.scope.Counter(name) })
+}
+
+// reason returns the counter of one reason for what name says.
+func (c *counters) reason(name, reason string) *counter {
+	return c.get(name+"."+reason, func() tally.Counter {
+		return c.scope.Tagged(map[string]string{"Reason": reason}).Counter(name + "Reasons")
+	})
+}
+
+func (c *counters) get(key string, newCounter func() tally.Counter) *counter {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if k, ok := c.byName[key]; ok {
+		return k
+	}
+	k := &counter{out: newCounter()}
+	c.byName[key] = k
+	return k
+}
+
+// reasons returns a function that counts reasons for what name says; it fits
+// the Count seams of other packages.
+func (c *counters) reasons(name string) func(string) {
+	return func(reason string) { c.reason(name, reason).add(1) }
+}
+
+// set sets a gauge.
+func (c *counters) set(name string, value float64) {
+	c.mu.Lock()
+	g, ok := c.gauges[name]
+	if !ok {
+		g = c.scope.Gauge(name)
+		c.gauges[name] = g
+	}
+	c.mu.Unlock()
+	g.Update(value)
+}
+
+// tell hands what was counted since the last call to tally.
+func (c *counters) tell() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, k := range c.byName {
+		v := k.value.Load()
+		k.out.Inc(int64(v - k.told))
+		k.told = v
+	}
+}
+
+// snapshot returns all counts by name.
+func (c *counters) snapshot() map[string]uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := make(map[string]uint64, len(c.byName))
+	for name, k := range c.byName {
+		all[name] = k.value.Load()
+	}
+	return all
+}
+
+// handler serves the counts in the Prometheus text form. They are at most
+// metricsInterval behind.
+func (c *counters) handler() http.Handler {
+	return c.report.HTTPHandler()
+}
+
+func (c *counters) close() (err error) {
+	return errors.Wrap(c.closer.Close(), "close metrics")
+}
--- /dev/null
+++ b/bronzenode/execute.go
@@ -0,0 +1,125 @@
+package bronzenode
+
+import (
+	"bronzeusher.example/bronzeusher/bronzecore"
+	"bronzeusher.example/bronzeusher/bronzelink"
+	"bronzeusher.example/bronzeusher/bronzewire"
+)
+
+// do carries the worker's actions out, in order. What they send leaves with
+// the next flush.
+func (w *worker) do() {
+	for i := range w.actions {
+		a := &w.actions[i]
+		if a.Reason == bronzecore.None {
+			w.done[a.Kind]++
+		} else {
+			w.node.counters.actions[a.Kind][a.Reason].add(1)
+		}
+		w.execute(a)
+	}
+}
+
+func (w *worker) execute(a *bronzecore.Action) {
+	switch a.Kind {
+	case bronzecore.Forward:
+		w.toServer(a, a.Packet.Raw)
+	case bronzecore.Reply:
+		w.edge.put(w.node.cfg.FabricAddress, a.Packet.Raw)
+	case bronzecore.Relay:
+		w.toPeer(a, bronzewire.Frame{Kind: bronzewire.FramePacket, Hops: a.Packet.Hops, Body: a.Packet.Raw})
+	case bronzecore.RelayReply:
+		w.toPeer(a, bronzewire.Frame{Kind: bronzewire.FrameReply, Hops: a.Packet.Hops, Server: a.Server, Body: a.Packet.Raw})
+	case bronzecore.Send:
+		w.message(a)
+	case bronzecore.Refuse, bronzecore.Abort:
+		w.refuse(a)
+	case bronzecore.Cancel:
+		w.cancel(a)
+	case bronzecore.Probe:
+		w.probe(a)
+	}
+}
+
+func (w *worker) toServer(a *bronzecore.Action, b []byte) {
+	address, ok := w.node.tunnels.Load().address(a.Server)
+	if !ok {
+		// The server went out of force after the decision: its address may
+		// be another Customer's by now.
+		w.seen[unknownAddress]++
+		return
+	}
+	w.edge.put(address, b)
+}
+
+func (w *worker) toPeer(a *bronzecore.Action, f bronzewire.Frame) {
+	address, ok := w.node.members.Load().addresses[a.Peer]
+	if !ok {
+		w.seen[unknownAddress]++
+		return
+	}
+	start := len(w.built)
+	w.built = bronzewire.AppendFrame(w.built, &f)
+	w.data.put(address, w.built[start:])
+}
+
+func (w *worker) message(a *bronzecore.Action) {
+	b, err := bronzelink.EncodeFlow(a.Message)
+	if err != nil {
+		w.malformed(err)
+		return
+	}
+	w.seen[flowBytesSent] += uint64(len(b) + bronzewire.FrameHeaderLen)
+	w.toPeer(a, bronzewire.Frame{Kind: bronzewire.FrameFlow, Body: b})
+}
+
+// refuse answers the caller in its service's name.
+func (w *worker) refuse(a *bronzecore.Action) {
+	b, ok := w.build(func(dst []byte) ([]byte, error) {
+		return bronzewire.Refusal(dst, a.Packet.Raw)
+	})
+	if ok {
+		w.edge.put(w.node.cfg.FabricAddress, b)
+	}
+}
+
+func (w *worker) cancel(a *bronzecore.Action) {
+	b, ok := w.build(func(dst []byte) ([]byte, error) {
+		return bronzewire.Cancellation(dst, a.Packet.Raw, fromServer(a))
+	})
+	if ok {
+		w.toServer(a, b)
+	}
+}
+
+// fromServer reports whether a Cancel answers a server's own packet. That is
+// so for a late answer alone: all other packets that are cancelled are the
+// caller's.
+func fromServer(a *bronzecore.Action) bool {
+	return a.Reason == bronzecore.LateAnswer
+}
+
+func (w *worker) probe(a *bronzecore.Action) {
+	b, ok := w.build(func(dst []byte) ([]byte, error) {
+		return bronzewire.Probe(dst, a.Packet.Raw)
+	})
+	if ok {
+		w.toServer(a, b)
+	}
+}
+
+// build appends a packet to the worker's memory; ok is false if there is
+// nothing to send.
+func (w *worker) build(packet func(dst []byte) ([]byte, error)) (b []byte, ok bool) {
+	start := len(w.built)
+	built, err := packet(w.built)
+	if err != nil {
+		w.malformed(err)
+		return nil, false
+	}
+	if built == nil {
+		return nil, false
+	}
+	w.built = built
+	return w.built[start:], true
+}
--- /dev/null
+++ b/bronzenode/leave.go
@@ -0,0 +1,95 @@
+package bronzenode
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"bronzeusher.example/bronzeusher/bronzecore"
+)
+
+// leaveCheck is how often a leaving node looks whether it may end.
+const leaveCheck = 50 * time.Millisecond
+
+// ErrLeaving is returned by a second call of Leave.
+var ErrLeaving = errors.New("node is leaving already")
+
+// Leave takes the node out of the fleet: it is no longer ready, places nothing
+// new, hands over what the other nodes can't work out, and goes on relaying.
+// It ends once all is handed over and no packet has come from the fabric for
+// Config.LeaveQuiet, at the latest after Config.LeaveLimit or when ctx is
+// done. Leave returns when Run has; undone is what no other node is known to
+// hold. Run must have been called.
+func (n *Node) Leave(ctx context.Context) (undone bronzecore.Undone, err error) {
+	defer annotate(&err, "leave")
+	if n.leaving.Swap(true) {
+		return undone, ErrLeaving
+	}
+	n.log.Info("leaving")
+	n.quietSince.Store(time.Now().UnixNano())
+	limit, cancel := context.WithTimeout(ctx, n.cfg.LeaveLimit)
+	defer cancel()
+	n.waitUntilHandedOver(limit, n.announce(limit))
+	undone = n.balancer.Undone()
+	n.end(nil)
+	<-n.done
+	n.logUndone(undone)
+	return undone, ctx.Err()
+}
+
+// announce tells the peers that this node is leaving, and closes told once
+// they know. The decisions hear of it with the view that follows, which has
+// other owners for all flows.
+func (n *Node) announce(ctx context.Context) (told <-chan struct{}) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := n.fleet.Leave(ctx); err != nil {
+			n.log.WithError(err).Warn("not all peers know that this node is leaving")
+		}
+		n.balancer.Leave()
+	}()
+	return done
+}
+
+// waitUntilHandedOver returns when the node may end, or when ctx is done.
+func (n *Node) waitUntilHandedOver(ctx context.Context, told <-chan struct{}) {
+	select {
+	case <-told:
+	case <-n.done:
+		return
+	}
+	ticker := time.NewTicker(leaveCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.done:
+			return
+		case <-ticker.C:
+		}
+		if n.isQuiet() && n.balancer.Undone() == (bronzecore.Undone{}) {
+			return
+		}
+	}
+}
+
+// isQuiet reports whether the fabric has let go of this node: it goes on
+// handing packets over for as long as it hasn't seen that the node isn't
+// ready, and those would be lost.
+func (n *Node) isQuiet() bool {
+	since := time.Unix(0, n.quietSince.Load())
+	return time.Since(since) >= n.cfg.LeaveQuiet
+}
+
+func (n *Node) logUndone(undone bronzecore.Undone) {
+	entry := n.log.WithFields(logrus.Fields{"Copies": undone.Copies, "Attempts": undone.Attempts})
+	if undone == (bronzecore.Undone{}) {
+		entry.Info("left")
+		return
+	}
+	entry.Warn("left with something undone")
+}
--- /dev/null
+++ b/bronzenode/node.go
@@ -0,0 +1,281 @@
+package bronzenode
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"bronzeusher.example/bronzeusher/bronzeconf"
+	"bronzeusher.example/bronzeusher/bronzecore"
+	"bronzeusher.example/bronzeusher/bronzefleet"
+	"bronzeusher.example/bronzeusher/bronzelink"
+	"bronzeusher.example/bronzeusher/bronzewire"
+)
+
+// Node is one balancer: the decisions of a bronzecore.Balancer with sockets,
+// peers, platform and metrics around them. New makes one; Run runs it once.
+type Node struct {
+	cfg      Config
+	log      *logrus.Entry
+	balancer bronzecore.Balancer
+	fleet    bronzefleet.Fleet
+	mesh     bronzelink.Mesh
+	store    bronzeconf.Store
+	platform bronzeconf.Platform
+	counters *counters
+	reports  *reports
+	shares   shares
+	lacking  lacking
+	gate     gate
+	started  time.Time
+
+	edge    *bronzewire.Socket
+	data    *bronzewire.Socket
+	control net.Listener
+	http    net.Listener
+
+	tunnels atomic.Pointer[tunnels]
+	members atomic.Pointer[members]
+	// quietSince is when the last packet came in at the edge, in Unix
+	// nanoseconds.
+	quietSince atomic.Int64
+	leaving    atomic.Bool
+	killed     atomic.Bool
+
+	// stop is closed when the node is to end, done when Run has returned.
+	stop     chan struct{}
+	stopOnce sync.Once
+	done     chan struct{}
+	fault    error // set before stop is closed
+}
+
+// New opens the addresses of cfg and returns the Node that will serve them.
+// If cfg is at fault, the error has a *FieldError.
+func New(cfg Config) (n *Node, err error) {
+	defer annotate(&err, "make a node")
+	if err = cfg.Check(); err != nil {
+		return nil, err
+	}
+	n = &Node{
+		cfg:      cfg.withDefaults(),
+		counters: newCounters(),
+		started:  time.Now(),
+		stop:     make(chan struct{}),
+		done:     make(chan struct{}),
+	}
+	n.log = n.cfg.Log.WithField("Node", cfg.Name)
+	n.tunnels.Store(newTunnels(&bronzeconf.Snapshot{}))
+	if err = n.listen(); err != nil {
+		n.closeAddresses()
+		return nil, err
+	}
+	n.connect()
+	return n, nil
+}
+
+// listen opens all addresses.
+func (n *Node) listen() (err error) {
+	if n.edge, err = bronzewire.Listen(n.cfg.EdgeAddress.String()); err != nil {
+		return errors.Wrap(err, "EdgeAddress")
+	}
+	if n.data, err = bronzewire.Listen(n.cfg.DataAddress.String()); err != nil {
+		return errors.Wrap(err, "DataAddress")
+	}
+	if n.control, err = net.Listen("tcp", n.cfg.ControlAddress.String()); err != nil {
+		return errors.Wrap(err, "ControlAddress")
+	}
+	n.http, err = net.Listen("tcp", n.cfg.HTTPAddress.String())
+	return errors.Wrap(err, "HTTPAddress")
+}
+
+// connect sets the parts up and ties them to each other.
+func (n *Node) connect() {
+	n.balancer.Name = n.cfg.Name
+	n.balancer.Capacity = n.cfg.Capacity
+	n.balancer.Timing = n.cfg.Timing
+	n.balancer.Lease = n.fleet.Lease
+	n.store.OnChange = n.onSnapshot
+	n.store.Count = n.counters.reasons(countConfig)
+	n.reports = newReports(n)
+	if n.cfg.Platform != "" {
+		n.platform = bronzeconf.HTTPPlatform{Base: n.cfg.Platform, Client: n.cfg.Client}.Platform()
+	}
+	n.connectFleet()
+	n.connectMesh()
+	n.fleet.View() // makes the first view, which calls onView
+}
+
+func (n *Node) connectFleet() {
+	f := &n.fleet
+	f.Self = bronzelink.Member{
+		Name:             n.cfg.Name,
+		Incarnation:      newIncarnation(n.started),
+		Status:           bronzelink.Alive,
+		AvailabilityZone: n.cfg.AvailabilityZone,
+		Region:           n.cfg.Region,
+		ControlAddress:   n.ControlAddress().String(),
+		DataAddress:      n.DataAddress().String(),
+	}
+	f.Interval = n.cfg.Heartbeat
+	f.JoinWait = n.cfg.JoinWait
+	f.Send = n.sendControl
+	f.OnView = n.onView
+	f.OnLoad = n.onLoad
+	f.OnBehind = n.onBehind
+	f.OnRecordsRequest = n.onRecordsRequest
+	f.OnRecords = n.onRecords
+	f.Count = n.counters.reasons(countControl)
+}
+
+func (n *Node) connectMesh() {
+	m := &n.mesh
+	m.Self = n.self
+	m.Fleet = n.cfg.Fleet
+	m.CertFile, m.KeyFile, m.CAFile = n.cfg.Certificate, n.cfg.Key, n.cfg.Authority
+	m.OnMessage = n.onMessage
+	m.OnLost = n.onLost
+	m.Accept = n.fleet.Admit
+	m.Count = n.counters.reasons(countControl)
+	m.Dial = n.dial
+}
+
+// incarnationShift leaves room below the start time of a process for the
+// fleet to count in.
+const incarnationShift = 16
+
+func newIncarnation(started time.Time) uint64 {
+	return uint64(started.UnixMilli()) << incarnationShift
+}
+
+// self returns what this node says of itself to its peers.
+func (n *Node) self() bronzelink.Member {
+	if m, ok := n.fleet.View().Members[n.cfg.Name]; ok {
+		return m
+	}
+	m := n.fleet.Self
+	m.Revision = n.store.Revision()
+	return m
+}
+
+// EdgeAddress returns the address that takes encapsulated packets.
+func (n *Node) EdgeAddress() netip.AddrPort { return n.edge.LocalAddrPort() }
+
+// DataAddress returns the address that takes frames of other nodes.
+func (n *Node) DataAddress() netip.AddrPort { return n.data.LocalAddrPort() }
+
+// ControlAddress returns the address that takes control links.
+func (n *Node) ControlAddress() netip.AddrPort { return boundAddress(n.control) }
+
+// HTTPAddress returns the address that serves metrics, health and status.
+func (n *Node) HTTPAddress() netip.AddrPort { return boundAddress(n.http) }
+
+func boundAddress(l net.Listener) netip.AddrPort {
+	a := l.Addr().(*net.TCPAddr).AddrPort()
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
+
+// Pause stops all that the node does for d, as if its process was stopped:
+// what arrives meanwhile waits, and is handled late.
+func (n *Node) Pause(d time.Duration) { n.gate.close(d) }
+
+// Counters returns all counts by name. Those of refusals and drops have the
+// reason in the name, as in "Refuse.RateLimit" and "Drop.NoService".
+func (n *Node) Counters() map[string]uint64 {
+	n.countBytes()
+	return n.counters.snapshot()
+}
+
+// countBytes takes over what the control links count.
+func (n *Node) countBytes() {
+	n.counters.named(countControlSent).value.Store(n.mesh.BytesSent())
+	n.counters.named(countControlReceived).value.Store(n.mesh.BytesReceived())
+}
+
+// Revision returns the revision of the configuration in force.
+func (n *Node) Revision() uint64 { return n.store.Revision() }
+
+// onView puts a new view in force.
+func (n *Node) onView(v *bronzefleet.View) {
+	n.gate.pass()
+	before := n.members.Swap(newMembers(v))
+	n.balancer.SetView(v)
+	if n.leaving.Load() {
+		n.balancer.Leave()
+	}
+	if before == nil {
+		return
+	}
+	for name := range before.view.Members {
+		if _, ok := v.Members[name]; !ok {
+			n.balancer.SetOwned(name, nil)
+			n.shares.forget(name)
+		}
+	}
+}
+
+// onMessage hands over what a peer says.
+func (n *Node) onMessage(from string, m *bronzelink.Message) {
+	n.gate.pass()
+	n.fleet.Handle(from, m)
+}
+
+func (n *Node) onLost(name string, err error) {
+	n.gate.pass()
+	n.log.WithError(err).WithField("Peer", name).Debug("link lost")
+	n.fleet.LinkLost(name, err)
+}
+
+// tellControl sends m to a peer. If that fails, the peer finds itself behind
+// again at a later heartbeat.
+func (n *Node) tellControl(to bronzelink.Member, m *bronzelink.Message) {
+	if err := n.sendControl(to, m); err != nil {
+		n.counters.reason(countControl, bronzefleet.CountSendFailed).add(1)
+	}
+}
+
+// sendControl sends m on the control link to a peer.
+func (n *Node) sendControl(to bronzelink.Member, m *bronzelink.Message) error {
+	n.gate.pass()
+	if n.killed.Load() {
+		return net.ErrClosed
+	}
+	return n.mesh.Send(to, m)
+}
+
+// end makes Run return err. Only the first call counts.
+func (n *Node) end(err error) {
+	n.stopOnce.Do(func() {
+		n.fault = err
+		close(n.stop)
+	})
+}
+
+// Kill ends the node abruptly: its sockets are closed, and nobody is told.
+func (n *Node) Kill() {
+	n.killed.Store(true)
+	n.closeAddresses()
+	n.end(nil)
+	n.gate.open()
+}
+
+// closeAddresses closes whatever is open. What was closed before says so,
+// which is of no interest.
+func (n *Node) closeAddresses() {
+	if n.edge != nil {
+		_ = n.edge.Close()
+	}
+	if n.data != nil {
+		_ = n.data.Close()
+	}
+	if n.control != nil {
+		_ = n.control.Close()
+	}
+	if n.http != nil {
+		_ = n.http.Close()
+	}
+}
--- /dev/null
+++ b/bronzenode/outbox.go
@@ -0,0 +1,47 @@
+package bronzenode
+
+import (
+	"net/netip"
+
+	"github.com/pkg/errors"
+
+	"bronzeusher.example/bronzeusher/bronzewire"
+)
+
+// outbox collects datagrams for one socket, so that a batch of decisions
+// costs one system call. One goroutine at a time may use it.
+type outbox struct {
+	socket  *bronzewire.Socket
+	cut     func(from, to netip.AddrPort) bool
+	refused *uint64
+	batch   []bronzewire.Datagram
+}
+
+// put adds b, which must not change until the next flush.
+func (o *outbox) put(to netip.AddrPort, b []byte) {
+	if o.cut != nil && o.cut(o.socket.LocalAddrPort(), to) {
+		return
+	}
+	o.batch = append(o.batch, bronzewire.Datagram{Addr: to, Buf: b, N: len(b)})
+}
+
+// flush sends what was put. A datagram that the kernel refuses is counted and
+// left out; the network may lose any of them as well.
+func (o *outbox) flush() (err error) {
+	rest := o.batch
+	for len(rest) > 0 {
+		n, sendErr := o.socket.WriteBatch(rest)
+		if sendErr == nil {
+			break
+		}
+		if isClosed(sendErr) {
+			err = errors.Wrap(sendErr, "flush")
+			break
+		}
+		*o.refused++
+		rest = rest[min(n+1, len(rest)):]
+	}
+	clear(o.batch)
+	o.batch = o.batch[:0]
+	return err
+}
--- /dev/null
+++ b/bronzenode/path.go
@@ -0,0 +1,201 @@
+package bronzenode
+
+import (
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bronzeusher.example/bronzeusher/bronzecore"
+	"bronzeusher.example/bronzeusher/bronzeflow"
+	"bronzeusher.example/bronzeusher/bronzelink"
+	"bronzeusher.example/bronzeusher/bronzewire"
+)
+
+// maxPacket is the longest datagram that is taken, in bytes: a jumbo frame.
+// Longer ones are cut off, and then dropped as truncated.
+const maxPacket = 9216
+
+// worker handles the datagrams of one reader. It has its own parser and
+// buffers, so that workers share nothing but the Balancer.
+type worker struct {
+	node   *Node
+	parser bronzewire.Parser
+	packet bronzeflow.Packet
+	frame  bronzewire.Frame
+	// actions are the decisions on one packet.
+	actions []bronzecore.Action
+	// built holds packets and frames made for the present batch.
+	built []byte
+	edge  outbox
+	data  outbox
+	// done counts the actions of the present batch by kind.
+	done [bronzecore.Send + 1]uint64
+	// seen counts the events of the present batch.
+	seen [eventCount]uint64
+}
+
+func (n *Node) newWorker() *worker {
+	w := &worker{node: n}
+	w.edge = outbox{socket: n.edge, cut: n.cfg.Cut, refused: &w.seen[sendRefused]}
+	w.data = outbox{socket: n.data, cut: n.cfg.Cut, refused: &w.seen[sendRefused]}
+	return w
+}
+
+// read serves a socket until it is closed: a batch of datagrams in, the
+// decisions, and a batch of datagrams out.
+func (w *worker) read(s *bronzewire.Socket, handle func(from netip.AddrPort, b []byte)) (err error) {
+	defer annotate(&err, "read "+s.LocalAddrPort().String())
+	batch := make([]bronzewire.Datagram, bronzewire.MaxBatch)
+	for i := range batch {
+		batch[i].Buf = make([]byte, maxPacket)
+	}
+	local := s.LocalAddrPort()
+	for {
+		n, err := s.ReadBatch(batch)
+		switch {
+		case isClosed(err):
+			return nil
+		case err != nil:
+			return err
+		}
+		w.node.gate.pass()
+		for i := range batch[:n] {
+			d := &batch[i]
+			if cut := w.node.cfg.Cut; cut != nil && cut(d.Addr, local) {
+				continue
+			}
+			handle(d.Addr, d.Buf[:d.N])
+		}
+		if err = w.flush(); err != nil {
+			return nil
+		}
+	}
+}
+
+// tick does what is due by time.
+func (w *worker) tick() error {
+	w.actions = w.node.balancer.Tick(w.actions[:0])
+	w.do()
+	return w.flush()
+}
+
+// fromEdge handles an encapsulated packet. Who sent it is known from the
+// tunnel endpoint alone: a caller's packet can't pass for a server's unless
+// its sender forges addresses on the operator's own network.
+func (w *worker) fromEdge(from netip.AddrPort, b []byte) {
+	if ids := w.node.tunnels.Load().ids[from]; ids != nil {
+		if err := w.parser.FromServer(b, &w.packet); err != nil {
+			w.malformed(err)
+			return
+		}
+		w.seen[serverPacket]++
+		w.actions = w.node.balancer.FromServer(&w.packet, ids, w.actions[:0])
+		w.do()
+		return
+	}
+	if err := w.parser.FromCaller(b, &w.packet); err != nil {
+		w.malformed(err)
+		return
+	}
+	w.seen[callerPacket]++
+	w.actions = w.node.balancer.FromCaller(&w.packet, w.actions[:0])
+	w.do()
+}
+
+// fromData handles a frame of another node. One from an address that no
+// member has is dropped: it could be a process of another Customer that got
+// the address of a node that is gone.
+func (w *worker) fromData(from netip.AddrPort, b []byte) {
+	name, ok := w.node.members.Load().names[from]
+	if !ok {
+		w.seen[unknownPeer]++
+		return
+	}
+	if err := w.decideFrame(name, b); err != nil {
+		w.malformed(err)
+		return
+	}
+	w.do()
+}
+
+func (w *worker) decideFrame(peer string, b []byte) error {
+	if err := bronzewire.ParseFrame(b, &w.frame); err != nil {
+		return err
+	}
+	balancer := &w.node.balancer
+	w.actions = w.actions[:0]
+	switch w.frame.Kind {
+	case bronzewire.FramePacket:
+		if err := w.parser.FromCaller(w.frame.Body, &w.packet); err != nil {
+			return err
+		}
+		w.packet.Hops = w.frame.Hops
+		w.seen[peerPacket]++
+		w.actions = balancer.FromPeer(&w.packet, peer, w.actions)
+	case bronzewire.FrameReply:
+		if err := w.parser.FromServer(w.frame.Body, &w.packet); err != nil {
+			return err
+		}
+		w.packet.Hops = w.frame.Hops
+		w.seen[peerReply]++
+		w.actions = balancer.ReplyFromPeer(&w.packet, w.frame.Server, peer, w.actions)
+	default:
+		m, err := bronzelink.DecodeFlow(w.frame.Body)
+		if err != nil {
+			return err
+		}
+		w.seen[flowMessage]++
+		w.actions = balancer.Message(m, peer, w.actions)
+	}
+	return nil
+}
+
+func (w *worker) malformed(err error) {
+	w.node.counters.reason(countMalformed, bronzewire.Reason(err)).add(1)
+}
+
+// flush sends what the batch has led to and adds up its counts.
+func (w *worker) flush() (err error) {
+	err = w.edge.flush()
+	if dataErr := w.data.flush(); err == nil {
+		err = dataErr
+	}
+	w.built = w.built[:0]
+	w.count()
+	return err
+}
+
+// count adds the counts of a batch to the node's: once in a batch, because
+// counters that all workers share would be contended for at each packet.
+func (w *worker) count() {
+	c := w.node.counters
+	for kind := range w.done {
+		if w.done[kind] > 0 {
+			c.actions[kind][0].add(w.done[kind])
+			w.done[kind] = 0
+		}
+	}
+	if w.seen[callerPacket] > 0 {
+		w.node.quietSince.Store(time.Now().UnixNano())
+	}
+	for e := range w.seen {
+		if w.seen[e] > 0 {
+			c.events[e].add(w.seen[e])
+			w.seen[e] = 0
+		}
+	}
+}
+
+// isClosed reports whether err says that a socket was closed.
+func isClosed(err error) bool {
+	return errors.Is(err, net.ErrClosed)
+}
+
+// annotate wraps a function's named error result with what it was doing.
+func annotate(err *error, doing string) {
+	if *err != nil {
+		*err = errors.Wrap(*err, doing)
+	}
+}
--- /dev/null
+++ b/bronzenode/records.go
@@ -0,0 +1,175 @@
+package bronzenode
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bronzeusher.example/bronzeusher/bronzeconf"
+	"bronzeusher.example/bronzeusher/bronzelink"
+)
+
+const (
+	// zoneReaders is how many nodes of a zone read the platform. The others
+	// get records from their peers, so that reads grow with the zones and
+	// not with the nodes.
+	zoneReaders = 2
+	// maxRecordsBytes is how many bytes of bodies one message carries,
+	// unless a single body is longer.
+	maxRecordsBytes = 256 << 10
+)
+
+// readsPlatform reports whether this node is one of those that read the
+// platform. A node that is joining doesn't: a platform that is behind would
+// hand it an old world that its peers have left.
+func (n *Node) readsPlatform() bool {
+	n.gate.pass()
+	v := n.members.Load().view
+	if !v.Ready || v.Fenced {
+		return false
+	}
+	zone := n.cfg.AvailabilityZone
+	var names []string
+	for name := range v.Members {
+		if v.Members[name].AvailabilityZone == zone {
+			names = append(names, name)
+		}
+	}
+	return ranks(names, n.cfg.Name, xxhash.Sum64String(zone), zoneReaders)
+}
+
+// onSnapshot puts a new configuration in force. The packet path knows its
+// tunnels before the decisions can name them.
+func (n *Node) onSnapshot(s *bronzeconf.Snapshot) {
+	n.tunnels.Store(newTunnels(s))
+	n.balancer.SetSnapshot(s)
+	n.fleet.SetRevision(s.Revision)
+}
+
+// onBehind asks a peer for what it has in force and this node hasn't.
+func (n *Node) onBehind(peer bronzelink.Member) {
+	request := &bronzelink.RecordsRequest{Revision: n.store.Revision()}
+	for _, v := range n.store.Have() {
+		request.Have = append(request.Have, bronzelink.RecordVersion{Name: v.Name, Revision: v.Revision})
+	}
+	n.tellControl(peer, &bronzelink.Message{RecordsRequest: request})
+}
+
+// onRecordsRequest sends a peer what it lacks, in parts of a bounded length.
+// Each part is of use alone: it names all records, and has some bodies.
+func (n *Node) onRecordsRequest(from string, r *bronzelink.RecordsRequest) {
+	peer, ok := n.members.Load().view.Members[from]
+	if !ok {
+		peer.Name = from // a link to it is open
+	}
+	have := make([]bronzeconf.RecordVersion, 0, len(r.Have))
+	for _, v := range r.Have {
+		have = append(have, bronzeconf.RecordVersion{Name: v.Name, Revision: v.Revision})
+	}
+	revision, present, bodies := n.store.Diff(have)
+	if revision < r.Revision {
+		return
+	}
+	versions := make([]bronzelink.RecordVersion, 0, len(present))
+	for _, v := range present {
+		versions = append(versions, bronzelink.RecordVersion{Name: v.Name, Revision: v.Revision})
+	}
+	for _, part := range split(bodies) {
+		records := &bronzelink.Records{Revision: revision, Present: versions, Bodies: part}
+		n.tellControl(peer, &bronzelink.Message{Records: records})
+	}
+}
+
+// split divides bodies into parts of about maxRecordsBytes, at least one.
+func split(bodies []bronzeconf.StoredRecord) [][]bronzelink.StoredRecord {
+	parts := [][]bronzelink.StoredRecord{nil}
+	size := 0
+	for _, b := range bodies {
+		last := len(parts) - 1
+		if size > 0 && size+len(b.Body) > maxRecordsBytes {
+			parts = append(parts, nil)
+			size = 0
+			last++
+		}
+		size += len(b.Body)
+		parts[last] = append(parts[last], bronzelink.StoredRecord{Name: b.Name, Revision: b.Revision, Body: b.Body})
+	}
+	return parts
+}
+
+// onRecords takes in what a peer has in force.
+func (n *Node) onRecords(from string, r *bronzelink.Records) {
+	present := make([]bronzeconf.RecordVersion, 0, len(r.Present))
+	for _, v := range r.Present {
+		present = append(present, bronzeconf.RecordVersion{Name: v.Name, Revision: v.Revision})
+	}
+	bodies := make([]bronzeconf.StoredRecord, 0, len(r.Bodies))
+	for _, b := range r.Bodies {
+		bodies = append(bodies, bronzeconf.StoredRecord{Name: b.Name, Revision: b.Revision, Body: b.Body})
+	}
+	if _, err := n.store.Apply(r.Revision, present, bodies); err != nil {
+		n.log.WithError(err).WithField("Peer", from).Debug("records of a peer not applied")
+		return
+	}
+	n.lacking.set(r.Revision, present)
+}
+
+// lackTries is how often a node asks for the bodies that it lacks of one
+// revision. More would be of no use where the peers lack them, too, because
+// the newest version of a record has faults.
+const lackTries = 3
+
+// lacking remembers the records that a peer said are present, so that bodies
+// that didn't arrive can be asked for again. Without that, a link that broke
+// between two parts of an answer would leave an old record in force: the
+// revision is that of the peers by then, and nobody finds this node behind.
+type lacking struct {
+	mu       sync.Mutex
+	revision uint64
+	present  []bronzeconf.RecordVersion
+	tries    int
+}
+
+func (l *lacking) set(revision uint64, present []bronzeconf.RecordVersion) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if revision > l.revision {
+		l.revision, l.present, l.tries = revision, present, 0
+	}
+}
+
+// next reports whether there is something to ask for, and counts it as a try.
+func (l *lacking) next(lacks func([]bronzeconf.RecordVersion) []string) (ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.tries >= lackTries || len(lacks(l.present)) == 0 {
+		return false
+	}
+	l.tries++
+	return true
+}
+
+// askForLacking asks peers for bodies that didn't arrive.
+func (n *Node) askForLacking(ctx context.Context) error {
+	ticker := time.NewTicker(lackInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		n.gate.pass()
+		if !n.lacking.next(n.store.Lacks) {
+			continue
+		}
+		for _, m := range n.members.Load().view.Members {
+			if m.Name != n.cfg.Name && m.Revision >= n.store.Revision() {
+				n.onBehind(m) //nolint:contextcheck // a link that it opens outlives ctx
+				break
+			}
+		}
+	}
+}
--- /dev/null
+++ b/bronzenode/reports.go
@@ -0,0 +1,221 @@
+package bronzenode
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/pkg/errors"
+
+	"bronzeusher.example/bronzeusher/bronzeconf"
+	"bronzeusher.example/bronzeusher/bronzeflow"
+	"bronzeusher.example/bronzeusher/bronzepool"
+)
+
+const (
+	// pollers is how many nodes ask each backend server for its report: one
+	// would leave it unasked for seconds when that node dies.
+	pollers = 2
+	// pollsAtOnce bounds the reports that one node asks for at a time.
+	pollsAtOnce = 32
+	// maxReport is the longest report that is read, in bytes.
+	maxReport = 4096
+	// leavingHold is for how long a server that said that it is leaving gets
+	// no new flows, unless it says so again: several polls and
+	// loads, so that a lost one doesn't bring it back.
+	leavingHold = 10 * time.Second
+)
+
+// The reasons for which a poll gave nothing.
+const (
+	pollRequest = "Request"
+	pollStatus  = "Status"
+	pollBody    = "Body"
+	pollBusy    = "Busy"
+)
+
+// ServerReport is what a backend server's health and load endpoint answers,
+// as a JSON object. Further members are skipped.
+type ServerReport struct {
+	// Connections is how many flows the server holds.
+	Connections *int
+	// Leaving is true when the server is to get no new flows.
+	Leaving bool
+}
+
+// reports asks the backend servers that fall to this node for their reports.
+type reports struct {
+	node *Node
+	pool pond.Pool
+
+	mu sync.Mutex
+	// latest holds what the last polls said.
+	latest map[bronzeflow.ServerID]bronzepool.Report
+	// asking are the servers whose answer is outstanding.
+	asking map[bronzeflow.ServerID]bool
+}
+
+func newReports(n *Node) *reports {
+	return &reports{
+		node:   n,
+		pool:   pond.NewPool(pollsAtOnce, pond.WithQueueSize(maxQueuedPolls), pond.WithNonBlocking(true)),
+		latest: make(map[bronzeflow.ServerID]bronzepool.Report),
+		asking: make(map[bronzeflow.ServerID]bool),
+	}
+}
+
+// maxQueuedPolls bounds the polls that wait; those beyond it are left out.
+const maxQueuedPolls = 4096
+
+// run polls at each interval until ctx is done.
+func (r *reports) run(ctx context.Context) error {
+	defer r.pool.StopAndWait()
+	ticker := time.NewTicker(r.node.cfg.PollInterval)
+	defer ticker.Stop()
+	var due dueServers
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		r.node.gate.pass()
+		for _, b := range due.of(r.node) {
+			r.start(ctx, b)
+		}
+	}
+}
+
+// start asks b, unless the last answer is still outstanding.
+func (r *reports) start(ctx context.Context, b *bronzeconf.BackendServer) {
+	r.mu.Lock()
+	busy := r.asking[b.ID]
+	r.asking[b.ID] = true
+	r.mu.Unlock()
+	if busy {
+		r.failed(pollBusy)
+		return
+	}
+	err := r.pool.Go(func() {
+		defer r.finish(b.ID)
+		r.poll(ctx, b)
+	})
+	if err != nil {
+		r.finish(b.ID)
+		r.failed(pollBusy)
+	}
+}
+
+func (r *reports) finish(id bronzeflow.ServerID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.asking, id)
+}
+
+// poll asks b and takes its answer in. A server that doesn't answer keeps
+// its last report, which counts for less the older it is.
+func (r *reports) poll(ctx context.Context, b *bronzeconf.BackendServer) {
+	ctx, cancel := context.WithTimeout(ctx, r.node.cfg.PollInterval)
+	defer cancel()
+	r.node.counters.named(countPolls).add(1)
+	report, reason, err := fetchReport(ctx, r.node.cfg.Client, b.Report)
+	if err != nil {
+		r.failed(reason)
+		return
+	}
+	r.observe(b.ID, report)
+}
+
+func (r *reports) failed(reason string) {
+	r.node.counters.reason(countPollFailed, reason).add(1)
+}
+
+func (r *reports) observe(id bronzeflow.ServerID, report ServerReport) {
+	r.node.gate.pass()
+	seen := bronzepool.Report{Server: id, Leaving: report.Leaving, At: time.Now()}
+	if report.Connections != nil {
+		seen.Connections = *report.Connections
+		r.node.balancer.Observe(seen)
+	}
+	if report.Leaving {
+		r.node.balancer.SetLeaving(id, leavingHold)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.latest[id] = seen
+}
+
+// recent returns the reports that are young enough to be passed on.
+func (r *reports) recent() map[bronzeflow.ServerID]bronzepool.Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	list := make(map[bronzeflow.ServerID]bronzepool.Report, len(r.latest))
+	for id, report := range r.latest {
+		if now.Sub(report.At) > reportsFor*r.node.cfg.PollInterval {
+			delete(r.latest, id)
+			continue
+		}
+		list[id] = report
+	}
+	return list
+}
+
+// fetchReport asks the endpoint at url; reason tells what failed.
+func fetchReport(ctx context.Context, client *http.Client, url string) (report ServerReport, reason string, err error) {
+	defer annotate(&err, "ask for the report at "+url)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return report, pollRequest, err
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return report, pollRequest, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		return report, pollStatus, errors.Errorf("status %s", res.Status)
+	}
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxReport))
+	if err != nil {
+		return report, pollBody, err
+	}
+	if err = json.Unmarshal(body, &report); err != nil {
+		return report, pollBody, err
+	}
+	if report.Connections != nil && *report.Connections < 0 {
+		return report, pollBody, errors.New("Connections is negative")
+	}
+	return report, "", nil
+}
+
+// dueServers keeps which servers fall to a node, as long as neither the view
+// nor the snapshot changes: to find out costs a score for each pair of node
+// and server.
+type dueServers struct {
+	members *members
+	tunnels *tunnels
+	servers []*bronzeconf.BackendServer
+}
+
+func (d *dueServers) of(n *Node) []*bronzeconf.BackendServer {
+	m, t := n.members.Load(), n.tunnels.Load()
+	if d.members == m && d.tunnels == t {
+		return d.servers
+	}
+	d.members, d.tunnels, d.servers = m, t, nil
+	names := sortedNames(m.view.Members)
+	for _, svc := range t.snapshot.Services {
+		for i := range svc.Pool {
+			b := &svc.Pool[i]
+			if b.Report != "" && ranks(names, n.cfg.Name, uint64(b.ID), pollers) {
+				d.servers = append(d.servers, b)
+			}
+		}
+	}
+	return d.servers
+}
--- /dev/null
+++ b/bronzenode/run.go
@@ -0,0 +1,221 @@
+package bronzenode
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"bronzeusher.example/bronzeusher/bronzeconf"
+	"bronzeusher.example/bronzeusher/bronzecore"
+	"bronzeusher.example/bronzeusher/bronzelink"
+	"bronzeusher.example/bronzeusher/bronzewire"
+)
+
+const (
+	// readHeaderTimeout bounds how long an operator's connection may take to
+	// ask.
+	readHeaderTimeout = 5 * time.Second
+	// vmInterval is how often the list of VMs is read.
+	vmInterval = 5 * time.Second
+	// lackInterval is how often the node looks whether records in force here
+	// lack their bodies.
+	lackInterval = time.Second
+)
+
+// Run serves until ctx is done, Leave or Kill has ended it, or a part of it
+// failed, which is the error. It may be called once.
+func (n *Node) Run(ctx context.Context) (err error) {
+	defer close(n.done)
+	defer annotate(&err, "run node "+n.cfg.Name)
+	detach := context.AfterFunc(ctx, func() { n.end(nil) })
+	defer detach()
+	r := newRunner(ctx, n)
+	r.start()
+	n.log.WithFields(logrus.Fields{
+		"EdgeAddress":    n.EdgeAddress().String(),
+		"ControlAddress": n.ControlAddress().String(),
+		"HTTPAddress":    n.HTTPAddress().String(),
+	}).Info("serving")
+	<-n.stop
+	r.shutDown()
+	return n.fault
+}
+
+// runner holds the goroutines of a Node that runs. They end by their own
+// context and not by Run's, because a node that ends still says farewell.
+type runner struct {
+	node   *Node
+	pool   pond.Pool
+	ctx    context.Context
+	cancel context.CancelFunc
+	// farewell is closed when the fleet has told its peers.
+	farewell chan struct{}
+	server   *http.Server
+}
+
+func newRunner(ctx context.Context, n *Node) *runner {
+	r := &runner{node: n, pool: pond.NewPool(0, pond.WithoutPanicRecovery()), farewell: make(chan struct{})}
+	r.ctx, r.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	r.server = &http.Server{Handler: n.handler(), ReadHeaderTimeout: readHeaderTimeout}
+	return r
+}
+
+// start starts all goroutines.
+func (r *runner) start() {
+	n := r.node
+	for range n.cfg.Readers {
+		r.read(n.edge, (*worker).fromEdge)
+		r.read(n.data, (*worker).fromData)
+	}
+	r.task(n.tick)
+	r.task(n.keepMembership(r.farewell))
+	r.task(func(ctx context.Context) error { return n.mesh.Serve(ctx, n.control) })
+	r.task(n.readPlatform)
+	r.task(n.readVMs)
+	r.task(n.askForLacking)
+	r.task(n.reports.run)
+	r.task(n.share)
+	r.task(n.tellMetrics)
+	r.task(func(context.Context) error { return n.serveHTTP(r.server) })
+}
+
+func (r *runner) read(s *bronzewire.Socket, handle func(w *worker, from netip.AddrPort, b []byte)) {
+	w := r.node.newWorker()
+	r.task(func(context.Context) error {
+		return w.read(s, func(from netip.AddrPort, b []byte) { handle(w, from, b) })
+	})
+}
+
+// task runs f in a goroutine of its own; its error ends the node.
+func (r *runner) task(f func(ctx context.Context) error) {
+	r.pool.Submit(func() {
+		if err := f(r.ctx); err != nil {
+			r.node.end(err)
+		}
+	})
+}
+
+// shutDown ends the parts in an order that lets the fleet say farewell.
+func (r *runner) shutDown() {
+	n := r.node
+	n.gate.open()
+	r.cancel()
+	<-r.farewell
+	_ = n.mesh.Close()
+	_ = r.server.Close()
+	n.closeAddresses()
+	r.pool.StopAndWait()
+	n.countBytes()
+	n.counters.tell()
+	if err := n.counters.close(); err != nil {
+		n.log.WithError(err).Warn("metrics not closed")
+	}
+}
+
+// tick makes the decisions that are due by time.
+func (n *Node) tick(ctx context.Context) error {
+	w := n.newWorker()
+	ticker := time.NewTicker(bronzecore.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		n.gate.pass()
+		if err := w.tick(); err != nil {
+			return nil // the sockets are closed
+		}
+	}
+}
+
+// keepMembership runs the fleet and closes farewell at its end.
+func (n *Node) keepMembership(farewell chan struct{}) func(context.Context) error {
+	return func(ctx context.Context) error {
+		defer close(farewell)
+		n.fleet.Join(n.seeds())
+		return n.fleet.Run(ctx)
+	}
+}
+
+func (n *Node) seeds() []bronzelink.Member {
+	seeds := make([]bronzelink.Member, 0, len(n.cfg.Peers))
+	for _, address := range n.cfg.Peers {
+		if address != n.ControlAddress().String() {
+			seeds = append(seeds, bronzelink.Member{ControlAddress: address})
+		}
+	}
+	return seeds
+}
+
+// readPlatform follows the platform while this node is one of those that do.
+func (n *Node) readPlatform(ctx context.Context) error {
+	if n.cfg.Platform == "" {
+		return nil
+	}
+	reader := bronzeconf.Reader{
+		Platform: n.platform,
+		Store:    &n.store,
+		Active:   n.readsPlatform,
+		Count:    n.counters.reasons(countConfig),
+		Failed:   func(err error) { n.log.WithError(err).Debug("platform not read") },
+	}
+	err := reader.Run(ctx)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// readVMs hands the platform's list of VMs to the fleet. A node that is
+// joining needs it to find peers; afterwards the platform's readers do.
+func (n *Node) readVMs(ctx context.Context) error {
+	if n.cfg.Platform == "" {
+		return nil
+	}
+	ticker := time.NewTicker(vmInterval)
+	defer ticker.Stop()
+	for {
+		n.gate.pass()
+		if !n.members.Load().view.Ready || n.readsPlatform() {
+			n.readVMsOnce(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (n *Node) readVMsOnce(ctx context.Context) {
+	vms, err := n.platform.VMs(ctx)
+	if err != nil {
+		n.counters.reason(countConfig, "VMsFailed").add(1)
+		n.log.WithError(err).Debug("list of VMs not read")
+		return
+	}
+	n.fleet.SetVMs(vms)
+}
+
+// tellMetrics keeps the metrics up to date.
+func (n *Node) tellMetrics(ctx context.Context) error {
+	ticker := time.NewTicker(metricsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		n.countBytes()
+		n.counters.tell()
+		n.setGauges()
+	}
+}
--- /dev/null
+++ b/bronzenode/shares.go
@@ -0,0 +1,155 @@
+package bronzenode
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"bronzeusher.example/bronzeusher/bronzefleet"
+	"bronzeusher.example/bronzeusher/bronzeflow"
+	"bronzeusher.example/bronzeusher/bronzelink"
+	"bronzeusher.example/bronzeusher/bronzepool"
+)
+
+// reportsFor is for how many poll intervals a report is passed on.
+const reportsFor = 2
+
+// spreadMargin is by how much more time than needed a load gets to reach all
+// neighbours before the next one replaces it.
+const spreadMargin = 1.5
+
+// shares tells the other nodes what this one owns and was reported, and takes
+// in what they tell. The zero shares is ready.
+type shares struct {
+	mu sync.Mutex
+	// heard is what each origin last passed on of each server.
+	heard map[string]map[bronzeflow.ServerID]heardReport
+}
+
+// heardReport is a report that another node passed on.
+type heardReport struct {
+	count uint32
+	at    time.Time
+}
+
+// share tells the fleet this node's load, if it changed, until ctx is done.
+func (n *Node) share(ctx context.Context) error {
+	ticker := time.NewTicker(n.cfg.ShareInterval)
+	defer ticker.Stop()
+	var last bronzelink.Load
+	var next time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		n.gate.pass()
+		now := time.Now()
+		if now.Before(next) {
+			continue
+		}
+		load := n.load()
+		if sameLoad(&load, &last) {
+			continue
+		}
+		last = load
+		next = now.Add(n.spreadTime(&load))
+		n.fleet.Share(load)
+	}
+}
+
+// spreadTime returns how long the fleet's byte budget needs to bring a load
+// to all neighbours. A newer load replaces one that is still being spread, so
+// with less time those last in line would never get any.
+func (n *Node) spreadTime(load *bronzelink.Load) time.Duration {
+	b, err := bronzelink.Encode(&bronzelink.Message{Load: load})
+	if err != nil {
+		return 0
+	}
+	neighbours := min(len(n.members.Load().addresses), maxNeighbours)
+	seconds := spreadMargin * float64(len(b)*neighbours) / bronzefleet.DefaultLoadBytesPerSecond
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// maxNeighbours is the most members that a node sends its loads to.
+const maxNeighbours = 8
+
+// load returns this node's present load.
+func (n *Node) load() (load bronzelink.Load) {
+	for id, count := range n.balancer.Owned() {
+		load.Owned = append(load.Owned, bronzelink.LoadItem{Server: id, Count: count})
+	}
+	for id, report := range n.reports.recent() {
+		load.Reported = append(load.Reported, bronzelink.LoadItem{Server: id, Count: uint32(report.Connections)})
+		if report.Leaving {
+			load.Leaving = append(load.Leaving, id)
+		}
+	}
+	slices.SortFunc(load.Owned, compareItems)
+	slices.SortFunc(load.Reported, compareItems)
+	slices.Sort(load.Leaving)
+	return load
+}
+
+func compareItems(a, b bronzelink.LoadItem) int { return cmp.Compare(a.Server, b.Server) }
+
+// sameLoad reports whether nothing changed. A server that is leaving is told
+// of again and again, because the others forget it after leavingHold.
+func sameLoad(a, b *bronzelink.Load) bool {
+	return len(a.Leaving) == 0 && len(b.Leaving) == 0 &&
+		slices.Equal(a.Owned, b.Owned) && slices.Equal(a.Reported, b.Reported)
+}
+
+// onLoad takes in what another node tells.
+func (n *Node) onLoad(l *bronzelink.Load) {
+	counts := make(map[bronzeflow.ServerID]uint32, len(l.Owned))
+	for _, item := range l.Owned {
+		counts[item.Server] = item.Count
+	}
+	n.balancer.SetOwned(l.Origin, counts)
+	for _, report := range n.shares.news(l, n.cfg.PollInterval) {
+		n.balancer.Observe(report)
+	}
+	for _, id := range l.Leaving {
+		n.balancer.SetLeaving(id, leavingHold)
+	}
+}
+
+// news returns the reports of l that its origin has not passed on before. One
+// report may come in several loads; taken for several, it would look as if a
+// server's figures stood still.
+func (s *shares) news(l *bronzelink.Load, interval time.Duration) (list []bronzepool.Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	before := s.heard[l.Origin]
+	heard := make(map[bronzeflow.ServerID]heardReport, len(l.Reported))
+	for _, item := range l.Reported {
+		h, ok := before[item.Server]
+		if !ok || h.count != item.Count || now.Sub(h.at) >= interval {
+			h = heardReport{count: item.Count, at: now}
+			list = append(list, bronzepool.Report{
+				Server:      item.Server,
+				Connections: int(item.Count),
+				Leaving:     slices.Contains(l.Leaving, item.Server),
+				At:          now,
+			})
+		}
+		heard[item.Server] = h
+	}
+	if s.heard == nil {
+		s.heard = make(map[string]map[bronzeflow.ServerID]heardReport)
+	}
+	s.heard[l.Origin] = heard
+	return list
+}
+
+// forget drops what origin told.
+func (s *shares) forget(origin string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.heard, origin)
+}
--- /dev/null
+++ b/bronzenode/status.go
@@ -0,0 +1,157 @@
+package bronzenode
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"bronzeusher.example/bronzeusher/bronzecore"
+	"bronzeusher.example/bronzeusher/bronzelink"
+)
+
+// The paths of the HTTP address.
+const (
+	MetricsPath = "/metrics"
+	HealthPath  = "/healthz"
+	ReadyPath   = "/readyz"
+	StatusPath  = "/Status"
+)
+
+// Status is what an operator sees of a node.
+type Status struct {
+	Name             string
+	Fleet            string
+	Region           string
+	AvailabilityZone string
+	// Ready is what the fabric goes by.
+	Ready   bool
+	Leaving bool
+	// Fenced is true while the node checks its beliefs after a pause, Split
+	// while another part of the fleet may be cut off.
+	Fenced bool
+	Split  bool
+	// ReadsPlatform is true if the node is one of those that read it.
+	ReadsPlatform bool
+	// Balancer has the configuration in force, the services with their
+	// backend servers, and what was refused of the records.
+	Balancer bronzecore.Status
+	Peers    []Peer
+	Counters map[string]uint64
+}
+
+// Peer is another node of the fleet in a Status.
+type Peer struct {
+	Name             string
+	Status           string
+	AvailabilityZone string
+	ControlAddress   string
+	DataAddress      string
+	Revision         uint64
+	// Version is the version of the inner protocol on the open link, 0 if
+	// there is none.
+	Version uint8
+}
+
+// Status returns the node's present state.
+func (n *Node) Status() Status {
+	v := n.members.Load().view
+	return Status{
+		Name:             n.cfg.Name,
+		Fleet:            n.cfg.Fleet,
+		Region:           n.cfg.Region,
+		AvailabilityZone: n.cfg.AvailabilityZone,
+		Ready:            n.Ready(),
+		Leaving:          n.leaving.Load(),
+		Fenced:           v.Fenced,
+		Split:            v.Split,
+		ReadsPlatform:    n.cfg.Platform != "" && n.readsPlatform(),
+		Balancer:         n.balancer.Status(),
+		Peers:            n.peers(),
+		Counters:         n.Counters(),
+	}
+}
+
+// Ready reports whether the fabric should hand packets to this node: it knows
+// its peers and a configuration, and is not leaving.
+func (n *Node) Ready() bool {
+	v := n.members.Load().view
+	return v.Ready && !v.Fenced && n.store.Revision() > 0 && !n.leaving.Load()
+}
+
+func (n *Node) peers() (peers []Peer) {
+	v := n.members.Load().view
+	for _, name := range sortedNames(v.Members) {
+		if name == n.cfg.Name {
+			continue
+		}
+		m := v.Members[name]
+		version, _ := n.mesh.Version(name)
+		peers = append(peers, Peer{
+			Name:             name,
+			Status:           statusName(m.Status),
+			AvailabilityZone: m.AvailabilityZone,
+			ControlAddress:   m.ControlAddress,
+			DataAddress:      m.DataAddress,
+			Revision:         m.Revision,
+			Version:          version,
+		})
+	}
+	return peers
+}
+
+func statusName(s bronzelink.Status) string {
+	names := []string{"Unknown", "Alive", "Suspect", "Leaving", "Dead", "Left"}
+	if int(s) < len(names) {
+		return names[s]
+	}
+	return names[0]
+}
+
+// handler serves the HTTP address. All of it stands still during a Pause.
+func (n *Node) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+MetricsPath, n.counters.handler())
+	mux.HandleFunc("GET "+HealthPath, func(w http.ResponseWriter, _ *http.Request) { answer(w, true) })
+	mux.HandleFunc("GET "+ReadyPath, func(w http.ResponseWriter, _ *http.Request) { answer(w, n.Ready()) })
+	mux.HandleFunc("GET "+StatusPath, n.serveStatus)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.gate.pass()
+		mux.ServeHTTP(w, r)
+	})
+}
+
+func answer(w http.ResponseWriter, ok bool) {
+	if !ok {
+		http.Error(w, "no", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+func (n *Node) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(n.Status()); err != nil {
+		n.log.WithError(err).Debug("status not sent")
+	}
+}
+
+func (n *Node) serveHTTP(s *http.Server) error {
+	err := s.Serve(n.http)
+	if errors.Is(err, http.ErrServerClosed) || isClosed(err) {
+		return nil
+	}
+	return err
+}
+
+// setGauges brings the metrics that go up and down up to date.
+func (n *Node) setGauges() {
+	s := n.balancer.Status()
+	n.counters.set("Flows", float64(s.Flows))
+	n.counters.set("Attempts", float64(s.Attempts))
+	n.counters.set("Copies", float64(s.Copies))
+	n.counters.set("CopiesDue", float64(s.CopiesDue))
+	n.counters.set("Revision", float64(s.Revision))
+	n.counters.set("Peers", float64(len(n.members.Load().addresses)))
+	n.counters.set("Refusals", float64(len(s.Refusals)))
+}
--- /dev/null
+++ b/cmd/bronzeusher/show.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"net/netip"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bronzeusher.example/bronzeusher/bronzenode"
+)
+
+type showCommand struct {
+	Address netip.AddrPort `default:"127.0.0.1:6083" help:"HTTP address of the balancer."`
+	JSON    bool           `name:"json" help:"Print JSON instead of tables."`
+	Timeout time.Duration  `default:"5s" help:"Longest wait for the balancer."`
+}
+
+// Run asks a running balancer for its status and prints it.
+func (c *showCommand) Run(ctx context.Context, p *program) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	status, err := fetchStatus(ctx, "http://"+c.Address.String()+bronzenode.StatusPath)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		encoder := json.NewEncoder(p.Stdout)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(status)
+	}
+	return writeStatus(p.Stdout, status)
+}
+
+func fetchStatus(ctx context.Context, url string) (status *bronzenode.Status, err error) {
+	defer func() { err = errors.Wrap(err, "ask the balancer") }()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("status %s", res.Status)
+	}
+	status = new(bronzenode.Status)
+	err = json.NewDecoder(res.Body).Decode(status)
+	return status, err
+}
+
+// tables writes aligned rows; after an error it writes nothing more.
+type tables struct {
+	w   io.Writer
+	t   *tabwriter.Writer
+	err error
+}
+
+// begin ends the table before and starts one with a header.
+func (t *tables) begin(header ...any) {
+	t.end()
+	if t.t != nil {
+		t.print("\n")
+	}
+	t.t = tabwriter.NewWriter(t.w, 0, 0, 2, ' ', 0)
+	t.row(header...)
+}
+
+func (t *tables) row(cells ...any) {
+	for i, cell := range cells {
+		if i > 0 {
+			t.print("\t")
+		}
+		t.print(fmt.Sprint(cell))
+	}
+	t.print("\n")
+}
+
+func (t *tables) print(s string) {
+	if t.err == nil {
+		_, t.err = io.WriteString(t.t, s)
+	}
+}
+
+func (t *tables) end() {
+	if t.t != nil && t.err == nil {
+		t.err = t.t.Flush()
+	}
+}
+
+func writeStatus(w io.Writer, s *bronzenode.Status) (err error) {
+	t := &tables{w: w}
+	writeNode(t, s)
+	writeServices(t, s)
+	writePeers(t, s)
+	writeRefusals(t, s)
+	writeCounters(t, s)
+	t.end()
+	return t.err
+}
+
+func writeNode(t *tables, s *bronzenode.Status) {
+	t.begin("NODE", s.Name)
+	t.row("Fleet", s.Fleet)
+	t.row("AvailabilityZone", s.AvailabilityZone)
+	t.row("Ready", s.Ready)
+	t.row("Leaving", s.Leaving)
+	t.row("Fenced", s.Fenced)
+	t.row("Split", s.Split)
+	t.row("ReadsPlatform", s.ReadsPlatform)
+	t.row("Revision", s.Balancer.Revision)
+	t.row("Flows", s.Balancer.Flows)
+	t.row("Attempts", s.Balancer.Attempts)
+	t.row("Copies", s.Balancer.Copies)
+	t.row("CopiesDue", s.Balancer.CopiesDue)
+}
+
+func writeServices(t *tables, s *bronzenode.Status) {
+	t.begin("CUSTOMER", "BRAND", "SERVICE", "SCHEMA", "BACKENDSERVER", "OWN", "TOTAL", "REPORTED", "TRUST", "LEAVING")
+	for _, svc := range s.Balancer.Services {
+		for _, b := range svc.Servers {
+			t.row(svc.Customer, svc.Brand, svc.Name, svc.SchemaVersion, b.Instance,
+				b.Own, fmt.Sprintf("%.0f", b.Total), b.Reported, fmt.Sprintf("%.2f", b.Trust), b.Leaving)
+		}
+	}
+}
+
+func writePeers(t *tables, s *bronzenode.Status) {
+	t.begin("PEER", "STATUS", "ZONE", "CONTROL", "REVISION", "PROTOCOL")
+	for _, peer := range s.Peers {
+		t.row(peer.Name, peer.Status, peer.AvailabilityZone, peer.ControlAddress, peer.Revision, peer.Version)
+	}
+}
+
+func writeRefusals(t *tables, s *bronzenode.Status) {
+	t.begin("RECORD", "FIELD", "REFUSED BECAUSE")
+	for _, r := range s.Balancer.Refusals {
+		t.row(r.Record, r.Field, r.Reason)
+	}
+}
+
+func writeCounters(t *tables, s *bronzenode.Status) {
+	t.begin("COUNTER", "COUNT")
+	for _, name := range slices.Sorted(maps.Keys(s.Counters)) {
+		if s.Counters[name] > 0 {
+			t.row(name, s.Counters[name])
+		}
+	}
+}
