--- a/bronzeconf/exchange.go
+++ b/bronzeconf/exchange.go
@@ -29,6 +29,8 @@
 // store's state: its index and the bodies that the peer lacks. Bodies are the
 // last good versions, so that a node that joins has one also of a record
 // whose newest version has faults, and those too new for this build.
+// They are in order of names: where they are applied in parts, in that order,
+// a record never gets for a while what one with a lower name claims as well.
 func (s *Store) Diff(have []RecordVersion) (rev uint64, present []RecordVersion, bodies []StoredRecord) {
 	held := heldRevisions(have)
 	s.mu.Lock()
--- a/bronzeconf/reader.go
+++ b/bronzeconf/reader.go
@@ -124,6 +124,9 @@
 func (r *Reader) next(ctx context.Context) (news, ok bool) {
 	inForce := r.Store.Revision()
 	v, err := r.fetch(ctx)
+	if ctx.Err() != nil {
+		return false, false
+	}
 	if err != nil {
 		r.fail(PlatformFailed, err)
 		return false, false
