Keep the fleet's membership

Nodes need to know who is alive without any shared store. Each monitors four others on rings by hash, asks third parties before it suspects, and lets a suspect refute; lists are compared by digests; a process that wakes up late stops trusting its view until a peer has answered.

--- /dev/null
+++ b/bronzefleet/detect.go
@@ -0,0 +1,353 @@
+package bronzefleet
+
+import (
+	"slices"
+	"time"
+
+	"bronzeusher.example/bronzeusher/bronzelink"
+)
+
+const (
+	// suspectIntervals is the silence of a monitored member after which other
+	// members are asked whether they reach it.
+	suspectIntervals = 3
+	// checkIntervals bounds the wait for their answers.
+	checkIntervals = 1
+	// deadIntervals is how long a suspect has to refute the suspicion.
+	deadIntervals = 4
+	// helperCount is how many members are asked about a silent one.
+	helperCount = 3
+	// loneRounds is how many rounds without any answer of a helper a node
+	// needs to suspect a member by itself: it may be alone in its partition.
+	loneRounds = 2
+)
+
+// watch is the monitoring of one target.
+type watch struct {
+	acked    time.Time // the last answer
+	checking bool
+	sequence uint64
+	until    time.Time
+	denied   int
+	asked    int
+	rounds   int // in a row without an answer of a helper
+}
+
+// help is a check that this node does for another.
+type help struct {
+	asker    string
+	sequence uint64
+	target   string
+	until    time.Time
+}
+
+func (f *Fleet) deadAfter() time.Duration { return deadIntervals * f.interval() }
+
+// setWatches makes the targets those that are monitored.
+func (f *Fleet) setWatches(targets []bronzelink.Member) {
+	now := time.Now()
+	watches := make(map[string]*watch, len(targets))
+	for i := range targets {
+		name := targets[i].Name
+		watches[name] = f.watches[name]
+		if watches[name] == nil {
+			watches[name] = &watch{acked: now}
+		}
+	}
+	f.watches = watches
+}
+
+// beat sends a heartbeat to each of the members.
+func (f *Fleet) beat(to []bronzelink.Member) {
+	for i := range to {
+		f.send(to[i], f.heartbeat())
+	}
+}
+
+func (f *Fleet) heartbeat() *bronzelink.Message {
+	return &bronzelink.Message{Heartbeat: &bronzelink.Heartbeat{
+		Sequence: f.nextSequence(),
+		Member:   brief(f.self),
+		Digest:   f.digests.total,
+	}}
+}
+
+// brief returns m without what doesn't change in the life of a process.
+func brief(m bronzelink.Member) bronzelink.Member {
+	return bronzelink.Member{Name: m.Name, Incarnation: m.Incarnation, Status: m.Status, Revision: m.Revision}
+}
+
+func (f *Fleet) onHeartbeat(from string, h *bronzelink.Heartbeat, now time.Time) {
+	if h.Member.Name != from {
+		return
+	}
+	e := f.entries[from]
+	if e == nil || life(h.Member.Incarnation) != life(e.m.Incarnation) {
+		f.meetStranger(from, e, h)
+		return
+	}
+	if f.apply(h.Member, from, now) {
+		f.sendTo(from, membersMessage(e.m))
+	}
+	f.sendTo(from, &bronzelink.Message{HeartbeatAck: &bronzelink.HeartbeatAck{
+		Sequence: h.Sequence,
+		Digest:   f.digests.total,
+		Revision: f.self.Revision,
+	}})
+	f.observe(e, h.Digest, h.Member.Revision, now)
+}
+
+// meetStranger answers a heartbeat of a process that this node doesn't know: an
+// earlier one under a known name is told of the later, and a new one is asked
+// for the missing facts.
+func (f *Fleet) meetStranger(from string, e *entry, h *bronzelink.Heartbeat) {
+	if e != nil && life(h.Member.Incarnation) < life(e.m.Incarnation) {
+		f.sendTo(from, membersMessage(e.m))
+		return
+	}
+	f.exchange(f.member(from))
+}
+
+func (f *Fleet) onHeartbeatAck(from string, a *bronzelink.HeartbeatAck, now time.Time) {
+	if w := f.watches[from]; w != nil {
+		*w = watch{acked: now}
+	}
+	f.markTold(from)
+	f.answerHelp(from, true)
+	if e := f.entries[from]; e != nil {
+		f.observe(e, a.Digest, a.Revision, now)
+	}
+}
+
+// observe takes what a heartbeat or its answer tells beside its sender's life.
+func (f *Fleet) observe(e *entry, digest, revision uint64, now time.Time) {
+	e.m.Revision = max(e.m.Revision, revision)
+	if revision > f.self.Revision {
+		f.behind(e.m)
+	}
+	if e.m.Status == bronzelink.Suspect {
+		f.sendTo(e.m.Name, membersMessage(e.m)) // it answers, so let it refute
+	}
+	f.compare(e, digest, now)
+}
+
+// behind reports a peer that has a higher revision.
+func (f *Fleet) behind(peer bronzelink.Member) {
+	if f.OnBehind != nil {
+		f.calls = append(f.calls, func() { f.OnBehind(peer) })
+	}
+}
+
+// notice compares the clock with the last round. A round that began late
+// means that this process was slow: messages from others are still waiting to
+// be read, so all deadlines move by as much and nobody is accused. After a
+// pause longer than the lease, others may own this node's flows: it stops
+// trusting its view until a peer has told it what happened. The wall clock is
+// looked at too, because the other one may stand still while a VM is frozen.
+func (f *Fleet) notice(now time.Time) {
+	elapsed := max(now.Sub(f.lastTick), now.Round(0).Sub(f.lastTick.Round(0)))
+	f.lastTick = now
+	tick := orDefault(f.Interval, DefaultInterval) / ticksPerInterval
+	if elapsed <= 2*tick {
+		return
+	}
+	f.count(CountLate)
+	f.extend(elapsed)
+	if elapsed > leaseIntervals*f.interval() && f.present() && f.failure == nil {
+		f.fence(now)
+	}
+}
+
+// checkLease notices a pause before a message that was waiting is handled: its
+// news may be as old as the pause.
+func (f *Fleet) checkLease(now time.Time) {
+	if f.present() && now.Sub(f.lastTick) > leaseIntervals*f.interval() {
+		f.notice(now)
+	}
+}
+
+// extend moves the deadlines on others by d.
+func (f *Fleet) extend(d time.Duration) {
+	for _, w := range f.watches {
+		w.acked = w.acked.Add(d)
+		w.until = w.until.Add(d)
+	}
+	for _, e := range f.entries {
+		e.until = e.until.Add(d)
+	}
+}
+
+// accuse looks for members that died, if this node has joined.
+func (f *Fleet) accuse(now time.Time) {
+	if f.present() {
+		f.monitor(now)
+		f.expireSuspects(now)
+	}
+}
+
+// monitor looks after the targets.
+func (f *Fleet) monitor(now time.Time) {
+	for name, w := range f.watches {
+		switch {
+		case w.checking && !now.Before(w.until):
+			f.concludeCheck(name, w, now)
+		case !w.checking && now.Sub(w.acked) > suspectIntervals*f.interval():
+			f.startCheck(name, w, now)
+		}
+	}
+}
+
+// startCheck asks others whether they reach a silent target, so that a broken
+// path from this node alone kills nobody.
+func (f *Fleet) startCheck(name string, w *watch, now time.Time) {
+	e := f.entries[name]
+	if e == nil || e.m.Status == bronzelink.Suspect || !e.live() {
+		return
+	}
+	w.checking = true
+	w.sequence = f.nextSequence()
+	w.until = now.Add(checkIntervals * f.interval())
+	w.denied, w.asked = 0, 0
+	for _, helper := range f.helpers(e.m) {
+		f.send(helper, &bronzelink.Message{Check: &bronzelink.Check{Sequence: w.sequence, Target: name}})
+		w.asked++
+	}
+}
+
+// helpers returns the members to ask about target: neighbours that are not
+// suspect, those in other zones than this node's first, since a partition
+// between zones then shows as such.
+func (f *Fleet) helpers(target bronzelink.Member) []bronzelink.Member {
+	var near, far []bronzelink.Member
+	for _, m := range f.neighbours() {
+		e := f.entries[m.Name]
+		switch {
+		case e == nil || m.Name == target.Name || e.m.Status != bronzelink.Alive:
+		case m.AvailabilityZone == f.self.AvailabilityZone:
+			near = append(near, m)
+		default:
+			far = append(far, m)
+		}
+	}
+	// One of the target's own zone, if there is one, is likely to reach it.
+	slices.SortStableFunc(far, func(a, b bronzelink.Member) int {
+		return closeness(b, target) - closeness(a, target)
+	})
+	first := min(len(far), helperCount-1)
+	helpers := slices.Concat(far[:first], near, far[first:])
+	return helpers[:min(len(helpers), helperCount)]
+}
+
+func closeness(m, target bronzelink.Member) int {
+	if m.AvailabilityZone == target.AvailabilityZone {
+		return 1
+	}
+	return 0
+}
+
+func (f *Fleet) onCheck(from string, c *bronzelink.Check, now time.Time) {
+	e := f.entries[c.Target]
+	if e == nil || !e.live() {
+		f.sendTo(from, checkAck(c.Sequence, c.Target, false))
+		return
+	}
+	f.helping = append(f.helping, help{
+		asker:    from,
+		sequence: c.Sequence,
+		target:   c.Target,
+		until:    now.Add(checkIntervals * f.interval() * 3 / 4),
+	})
+	f.send(e.m, f.heartbeat())
+}
+
+func checkAck(sequence uint64, target string, reached bool) *bronzelink.Message {
+	return &bronzelink.Message{CheckAck: &bronzelink.CheckAck{Sequence: sequence, Target: target, Reached: reached}}
+}
+
+// answerHelp answers those that asked about target.
+func (f *Fleet) answerHelp(target string, reached bool) {
+	f.helping = slices.DeleteFunc(f.helping, func(h help) bool {
+		if h.target != target {
+			return false
+		}
+		f.sendTo(h.asker, checkAck(h.sequence, target, reached))
+		return true
+	})
+}
+
+// helpFailed answers those that asked about a member whose link failed.
+func (f *Fleet) helpFailed(target string) { f.answerHelp(target, false) }
+
+// expireHelp answers those that asked about members that stay silent.
+func (f *Fleet) expireHelp(now time.Time) {
+	f.helping = slices.DeleteFunc(f.helping, func(h help) bool {
+		if now.Before(h.until) {
+			return false
+		}
+		f.sendTo(h.asker, checkAck(h.sequence, h.target, false))
+		return true
+	})
+}
+
+func (f *Fleet) onCheckAck(_ string, a *bronzelink.CheckAck, now time.Time) {
+	w := f.watches[a.Target]
+	if w == nil || !w.checking || w.sequence != a.Sequence {
+		return
+	}
+	if a.Reached {
+		f.count(CountReached)
+		*w = watch{acked: now}
+		return
+	}
+	w.denied++
+	if w.denied == w.asked {
+		f.concludeCheck(a.Target, w, now)
+	}
+}
+
+// concludeCheck suspects a target that no helper reached. If no helper answered
+// either, this node is alone or its own links are broken, and it waits for
+// another round before it suspects by itself.
+func (f *Fleet) concludeCheck(name string, w *watch, now time.Time) {
+	w.checking = false
+	e := f.entries[name]
+	if e == nil || !e.live() {
+		return
+	}
+	if w.denied == 0 && w.asked > 0 && w.rounds < loneRounds {
+		w.rounds++
+		f.startCheck(name, w, now)
+		return
+	}
+	w.rounds = 0
+	w.acked = now
+	f.count(CountSuspected)
+	claim := e.m
+	claim.Status = bronzelink.Suspect
+	if e.m.Status == bronzelink.Leaving {
+		claim.Status = bronzelink.Dead // it owns nothing, so a mistake moves nothing
+	}
+	f.accept(e, claim, now)
+	e.until = now.Add(f.deadAfter())
+}
+
+// expireSuspects declares those dead that didn't refute in time, or that the
+// platform says are gone.
+func (f *Fleet) expireSuspects(now time.Time) {
+	for _, e := range f.entries {
+		if e.m.Status != bronzelink.Suspect {
+			continue
+		}
+		if now.Before(e.until) && !f.confirmedGone(e) {
+			continue
+		}
+		if now.Sub(e.heard) < f.interval() {
+			e.until = now.Add(f.interval()) // it answers; its refutation is on its way
+			continue
+		}
+		f.count(CountDied)
+		claim := e.m
+		claim.Status = bronzelink.Dead
+		f.accept(e, claim, now)
+	}
+}
--- /dev/null
+++ b/bronzefleet/member.go
@@ -0,0 +1,257 @@
+package bronzefleet
+
+import (
+	"slices"
+	"time"
+
+	"bronzeusher.example/bronzeusher/bronzelink"
+)
+
+// lifeShift separates the two parts of an Incarnation: the upper one is when
+// the process started, the lower one counts its refutations.
+const lifeShift = 16
+
+// life returns the part of an incarnation that is the same for all of one
+// process.
+func life(incarnation uint64) uint64 { return incarnation >> lifeShift }
+
+// The times for which members that are gone are remembered: longer than news
+// of them can be on its way, and for dead ones as long as a partition may last.
+const (
+	forgetLeft = 2 * time.Minute
+	forgetDead = time.Hour
+)
+
+// entry is what this node knows of another member.
+type entry struct {
+	m         bronzelink.Member
+	since     time.Time // when Status became what it is
+	heard     time.Time // the last message from the member itself
+	until     time.Time // when a suspect is declared dead
+	saidLeave bool
+	differs   int       // heartbeats in a row with another digest
+	synced    time.Time // when lists were last compared with it
+}
+
+// live reports whether the member runs as far as this node knows.
+func (e *entry) live() bool { return e.m.Status < bronzelink.Dead }
+
+// takes reports whether peer is another process under the name of the live
+// member e. A process that restarted at the same address is not: the old one
+// can't be there any more.
+func (f *Fleet) takes(e *entry, peer bronzelink.Member) bool {
+	return e.live() && life(peer.Incarnation) != life(e.m.Incarnation) &&
+		peer.ControlAddress != e.m.ControlAddress
+}
+
+// apply takes a claim about a member, which came from the member from. It
+// reports whether this node knows better.
+func (f *Fleet) apply(claim bronzelink.Member, from string, now time.Time) (better bool) {
+	if claim.Name == f.self.Name {
+		f.applySelf(claim, from, now)
+		return false
+	}
+	e := f.entries[claim.Name]
+	if e == nil {
+		f.admit(claim, now)
+		return false
+	}
+	claimed, known := life(claim.Incarnation), life(e.m.Incarnation)
+	switch {
+	case claimed < known:
+		return true
+	case claimed > known:
+		if claim.Name == from && f.takes(e, claim) {
+			f.count(CountNameTaken)
+			return true
+		}
+		f.accept(e, claim, now)
+		return false
+	default:
+		return f.applySameLife(e, claim, now)
+	}
+}
+
+// admit makes an entry for a member that was not known.
+func (f *Fleet) admit(claim bronzelink.Member, now time.Time) {
+	e := &entry{heard: now}
+	f.entries[claim.Name] = e
+	f.accept(e, claim, now)
+}
+
+// applySameLife takes a claim about the process that e knows.
+func (f *Fleet) applySameLife(e *entry, claim bronzelink.Member, now time.Time) (better bool) {
+	if claim.Incarnation < e.m.Incarnation || e.m.Status == bronzelink.Left {
+		return claim.Status < e.m.Status || claim.Incarnation < e.m.Incarnation
+	}
+	if claim.Incarnation == e.m.Incarnation && claim.Status <= e.m.Status {
+		e.m.Revision = max(e.m.Revision, claim.Revision)
+		return claim.Status < e.m.Status
+	}
+	switch claim.Status {
+	case bronzelink.Suspect:
+		if now.Sub(e.heard) < 2*f.interval() {
+			return f.tellSubject(claim)
+		}
+	case bronzelink.Dead:
+		if owns(e.m.Status) && !f.confirms(e, now) {
+			claim.Status = bronzelink.Suspect
+			f.count(CountHearsay)
+			if e.m.Status == bronzelink.Suspect && claim.Incarnation == e.m.Incarnation {
+				return false
+			}
+		}
+	}
+	f.accept(e, claim, now)
+	return false
+}
+
+// confirms reports whether e has been suspect here for long enough to believe
+// that it is dead. The other side of a partition that heals holds each member
+// of this side dead; believing it would move every flow twice. As a suspicion
+// it is refuted by the member within a round trip.
+func (f *Fleet) confirms(e *entry, now time.Time) bool {
+	return e.m.Status == bronzelink.Suspect && now.Sub(e.since) >= f.deadAfter()/2
+}
+
+// tellSubject passes a claim on to the member that it is about, so that it can
+// refute it. This node has just heard from it, and doesn't believe the claim.
+func (f *Fleet) tellSubject(claim bronzelink.Member) bool {
+	f.sendTo(claim.Name, membersMessage(claim))
+	return true
+}
+
+// accept makes claim what this node knows, and spreads it.
+func (f *Fleet) accept(e *entry, claim bronzelink.Member, now time.Time) {
+	if claim.ControlAddress == "" {
+		claim.AvailabilityZone, claim.Region = e.m.AvailabilityZone, e.m.Region
+		claim.ControlAddress, claim.DataAddress = e.m.ControlAddress, e.m.DataAddress
+	}
+	if claim.Status != e.m.Status {
+		e.since = now
+	}
+	if life(claim.Incarnation) != life(e.m.Incarnation) {
+		e.saidLeave = false
+		e.heard = now
+	}
+	switch claim.Status {
+	case bronzelink.Suspect:
+		e.until = now.Add(2 * f.deadAfter()) // the accuser speaks first
+	case bronzelink.Leaving, bronzelink.Left:
+		e.saidLeave = true
+	}
+	e.m = claim
+	f.dirty = true
+	f.spread(claim.Name)
+}
+
+// applySelf takes a claim about this node.
+func (f *Fleet) applySelf(claim bronzelink.Member, from string, now time.Time) {
+	f.noteDeath(claim)
+	alive := claim.Status < bronzelink.Dead
+	if life(claim.Incarnation) != life(f.self.Incarnation) && alive {
+		f.applyNamesake(claim, now)
+		return
+	}
+	if claim.Incarnation < f.self.Incarnation || claim.Status <= f.self.Status && claim.Incarnation == f.self.Incarnation {
+		return
+	}
+	if life(claim.Incarnation) != life(f.self.Incarnation) {
+		// An earlier process of this name had a clock that ran ahead.
+		f.self.Incarnation = claim.Incarnation
+	}
+	if f.phase == left {
+		return
+	}
+	f.self.Incarnation = claim.Incarnation + 1
+	f.dirty = true
+	if f.phase == joining {
+		return
+	}
+	f.count(CountRefuted)
+	f.spread(f.self.Name)
+	f.sendTo(from, membersMessage(f.self))
+}
+
+// noteDeath notes that others held this process dead, and so owned its slots,
+// once for each incarnation: the claim may come after the refutation of a
+// suspicion that led to it.
+func (f *Fleet) noteDeath(claim bronzelink.Member) {
+	same := life(claim.Incarnation) == life(f.self.Incarnation)
+	if claim.Status == bronzelink.Dead && same && claim.Incarnation > f.diedAt {
+		f.diedAt = claim.Incarnation
+		f.buried = true
+		f.dirty = true
+	}
+}
+
+// applyNamesake takes a claim that another process of this name is alive. The
+// newcomer gives way while it joins. Once it has joined, which it can only
+// where the old one was held dead, the old one gives way: two owners under one
+// name would place a flow twice.
+func (f *Fleet) applyNamesake(claim bronzelink.Member, now time.Time) {
+	if claim.ControlAddress == f.self.ControlAddress && life(claim.Incarnation) < life(f.self.Incarnation) {
+		return // this address's earlier process
+	}
+	switch {
+	case f.phase == joining:
+		f.nameTaken(now)
+	case life(claim.Incarnation) > life(f.self.Incarnation):
+		f.count(CountNameTaken)
+		f.fenced = true
+		f.dirty = true
+		f.lease.Store(0)
+		f.failure = ErrReplaced
+	}
+}
+
+// nameTaken notes that another process of this name is alive.
+func (f *Fleet) nameTaken(now time.Time) {
+	if f.phase != joining {
+		return
+	}
+	f.count(CountNameTaken)
+	f.takenAt = now
+	if now.Sub(f.joinBegan) >= orDefault(f.NameWait, DefaultNameWait) {
+		f.failure = ErrNameTaken
+	}
+}
+
+// spread makes a member's state news for all neighbours.
+func (f *Fleet) spread(name string) { f.news[name] = struct{}{} }
+
+// flush sends the news to the neighbours, once to each: news that is lost on
+// the way is found by the digests in the heartbeats. A member that is
+// suspected or held dead is told itself.
+func (f *Fleet) flush() {
+	if len(f.news) == 0 {
+		return
+	}
+	if f.phase == joining {
+		clear(f.news)
+		return
+	}
+	if f.dirty {
+		f.setPeers()
+	}
+	var list []bronzelink.Member
+	for name := range f.news {
+		m := f.self
+		if e := f.entries[name]; e != nil {
+			m = e.m
+		}
+		list = append(list, m)
+		if m.Status == bronzelink.Suspect {
+			f.sendTo(name, membersMessage(m))
+		}
+	}
+	clear(f.news)
+	slices.SortFunc(list, compareNames)
+	for _, to := range f.neighbours() {
+		f.send(to, membersMessage(list...))
+	}
+}
+
+func membersMessage(list ...bronzelink.Member) *bronzelink.Message {
+	return &bronzelink.Message{Members: &bronzelink.Members{Members: list}}
+}
--- /dev/null
+++ b/bronzefleet/peers.go
@@ -0,0 +1,141 @@
+package bronzefleet
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bronzeusher.example/bronzeusher/bronzeflow"
+	"bronzeusher.example/bronzeusher/bronzelink"
+)
+
+const (
+	// targetCount is how many members a node monitors; as many monitor it.
+	targetCount = 4
+	// smallFleet is the number of members up to which all are neighbours.
+	smallFleet = 2*targetCount + 1
+)
+
+// peers are the members that a node exchanges messages with all the time.
+type peers struct {
+	targets    []bronzelink.Member // monitored by this node
+	neighbours []bronzelink.Member // targets, and those that monitor this node
+}
+
+// ring is an order of members around a circle by hash.
+type ring struct {
+	salt uint64
+	zone bool // of the own zone's members only
+}
+
+// rings are two circles of the whole fleet and two of each zone. A node is
+// linked with the next and the previous member of each. One circle is enough
+// to connect the fleet, also across zones, and gives each member one monitor;
+// several with different orders make the ways between any two short (4 or 5
+// links at 490 members), and those of the zone keep a zone connected that is
+// cut off.
+var rings = [targetCount]ring{{salt: 1}, {salt: 2, zone: true}, {salt: 3}, {salt: 4, zone: true}}
+
+func compareNames(a, b bronzelink.Member) int { return strings.Compare(a.Name, b.Name) }
+
+// choosePeers returns the peers of self among the other members.
+func choosePeers(self bronzelink.Member, others []bronzelink.Member) *peers {
+	var targets, monitors chosen
+	for _, r := range rings {
+		targets.add(r.walk(self, others, 1), 1)
+		monitors.add(r.walk(self, others, -1), 1)
+	}
+	// Members that are neighbours on several rings, or a zone of one, leave
+	// places that the first ring fills.
+	targets.add(rings[0].walk(self, others, 1), targetCount)
+	monitors.add(rings[0].walk(self, others, -1), targetCount)
+	p := &peers{targets: targets.members}
+	if len(others) < smallFleet {
+		p.neighbours = slices.Clone(others)
+	} else {
+		p.neighbours = append(slices.Clone(targets.members), monitors.members...)
+	}
+	slices.SortFunc(p.neighbours, compareNames)
+	p.neighbours = slices.CompactFunc(p.neighbours, func(a, b bronzelink.Member) bool { return a.Name == b.Name })
+	return p
+}
+
+// chosen collects up to targetCount members.
+type chosen struct{ members []bronzelink.Member }
+
+// add takes the first n members of walk that are not chosen yet.
+func (c *chosen) add(walk []bronzelink.Member, n int) {
+	for _, m := range walk {
+		if n == 0 || len(c.members) == targetCount {
+			return
+		}
+		if !slices.ContainsFunc(c.members, func(o bronzelink.Member) bool { return o.Name == m.Name }) {
+			c.members = append(c.members, m)
+			n--
+		}
+	}
+}
+
+// place is a member's place on a ring.
+type place struct {
+	hash  uint64
+	index int
+}
+
+// walk returns the first targetCount members after self on the ring, or before
+// it if step is negative, the nearest first.
+func (r ring) walk(self bronzelink.Member, others []bronzelink.Member, step int) []bronzelink.Member {
+	origin := r.hash(self.Name)
+	var places []place
+	for i := range others {
+		if r.zone && others[i].AvailabilityZone != self.AvailabilityZone {
+			continue
+		}
+		distance := r.hash(others[i].Name) - origin
+		if step < 0 {
+			distance = -distance
+		}
+		places = append(places, place{hash: distance, index: i})
+	}
+	n := min(len(places), targetCount)
+	walk := make([]bronzelink.Member, n)
+	for k := range n {
+		nearest := slices.MinFunc(places, func(a, b place) int { return cmp.Compare(a.hash, b.hash) })
+		walk[k] = others[nearest.index]
+		places = slices.DeleteFunc(places, func(p place) bool { return p == nearest })
+	}
+	return walk
+}
+
+func (r ring) hash(name string) uint64 { return bronzeflow.Mix(xxhash.Sum64String(name), r.salt) }
+
+// setPeers chooses the peers from the live members.
+func (f *Fleet) setPeers() {
+	others := make([]bronzelink.Member, 0, len(f.entries))
+	for _, e := range f.entries {
+		if e.live() {
+			others = append(others, e.m)
+		}
+	}
+	slices.SortFunc(others, compareNames)
+	p := choosePeers(f.self, others)
+	f.peers.Store(p)
+	f.load.setNeighbours(p.neighbours, len(others))
+	f.setWatches(p.targets)
+}
+
+func (f *Fleet) targets() []bronzelink.Member {
+	if p := f.peers.Load(); p != nil {
+		return p.targets
+	}
+	return nil
+}
+
+func (f *Fleet) neighbours() []bronzelink.Member {
+	if p := f.peers.Load(); p != nil {
+		return p.neighbours
+	}
+	return nil
+}
--- /dev/null
+++ b/bronzefleet/sync.go
@@ -0,0 +1,410 @@
+package bronzefleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bronzeusher.example/bronzeusher/bronzeconf"
+	"bronzeusher.example/bronzeusher/bronzeflow"
+	"bronzeusher.example/bronzeusher/bronzelink"
+)
+
+const (
+	// parts is how many parts a list of members is compared in.
+	parts     = 64
+	partShift = 64 - 6
+	// differBeats is how many heartbeats in a row must show another digest
+	// before lists are compared: news on its way settles by itself.
+	differBeats = 3
+	// syncIntervals is the least time between two comparisons with one peer.
+	syncIntervals = 4
+	// recontactIntervals is the time between two attempts to reach a dead
+	// member, which is how the sides of a partition find each other again.
+	recontactIntervals = 10
+)
+
+// digests are hashes over the members that are alive here.
+type digests struct {
+	total uint64
+	parts []uint32
+}
+
+func part(name string) int { return int(xxhash.Sum64String(name) >> partShift) }
+
+func (f *Fleet) computeDigests() digests {
+	d := digests{parts: make([]uint32, parts)}
+	for _, e := range f.entries {
+		d.add(e.m)
+	}
+	if f.present() {
+		d.add(f.self)
+	}
+	return d
+}
+
+// add adds a member. Suspicions are left out, since they pass.
+func (d *digests) add(m bronzelink.Member) {
+	if m.Status >= bronzelink.Dead {
+		return
+	}
+	state := m.Incarnation << 1
+	if m.Status == bronzelink.Leaving {
+		state |= 1
+	}
+	h := bronzeflow.Mix(xxhash.Sum64String(m.Name), state)
+	d.total ^= h
+	d.parts[part(m.Name)] ^= uint32(h)
+}
+
+// compare starts an exchange with a peer whose digest differs for long.
+func (f *Fleet) compare(e *entry, digest uint64, now time.Time) {
+	if digest == f.digests.total {
+		e.differs = 0
+		return
+	}
+	e.differs++
+	if e.differs < differBeats || now.Sub(e.synced) < syncIntervals*f.interval() {
+		return
+	}
+	e.differs = 0
+	e.synced = now
+	f.count(CountSynced)
+	f.exchange(e.m)
+}
+
+// exchange asks a peer for the parts of its list that differ.
+func (f *Fleet) exchange(to bronzelink.Member) {
+	f.send(to, &bronzelink.Message{Members: &bronzelink.Members{
+		Members:  f.announcement(),
+		Sequence: f.nextSequence(),
+		Digests:  slices.Clone(f.digests.parts),
+	}})
+}
+
+// announcement returns this node, if the others may know of it.
+func (f *Fleet) announcement() []bronzelink.Member {
+	if !f.present() {
+		return nil
+	}
+	return []bronzelink.Member{f.self}
+}
+
+func (f *Fleet) onMembers(from string, l *bronzelink.Members, now time.Time) {
+	mine := f.digests.parts
+	var better []bronzelink.Member
+	for _, claim := range l.Members {
+		if claim.Name != "" && f.apply(claim, from, now) {
+			better = append(better, f.entries[claim.Name].m)
+		}
+	}
+	if l.Answer != 0 {
+		f.onAnswer(from, l, now)
+		better = append(better, f.unmentioned(mine, l)...)
+	}
+	if l.Sequence != 0 {
+		f.answer(from, l)
+	}
+	if len(better) > 0 {
+		f.sendTo(from, membersMessage(better...))
+	}
+}
+
+// answer sends the members that the asker wants.
+func (f *Fleet) answer(from string, l *bronzelink.Members) {
+	a := &bronzelink.Members{
+		Answer:   l.Sequence,
+		Digests:  f.digests.parts,
+		Joined:   f.present() && !f.fenced,
+		Revision: f.self.Revision,
+	}
+	if l.Full {
+		a.Digests = nil
+	}
+	for _, m := range f.list() {
+		if l.Full || differ(f.digests.parts, l.Digests, m.Name) {
+			a.Members = append(a.Members, m)
+		}
+	}
+	f.sendTo(from, &bronzelink.Message{Members: a})
+}
+
+// list returns all members, this node too if it is present, by name.
+func (f *Fleet) list() []bronzelink.Member {
+	list := f.announcement()
+	for _, e := range f.entries {
+		list = append(list, e.m)
+	}
+	slices.SortFunc(list, compareNames)
+	return list
+}
+
+// differ reports whether two lists differ in the part that name falls into.
+func differ(a, b []uint32, name string) bool {
+	p := part(name)
+	return len(a) != parts || len(b) != parts || a[p] != b[p]
+}
+
+// unmentioned returns the live members that an answer should have held.
+func (f *Fleet) unmentioned(mine []uint32, l *bronzelink.Members) []bronzelink.Member {
+	if len(l.Digests) != parts {
+		return nil
+	}
+	mentioned := map[string]struct{}{}
+	for _, m := range l.Members {
+		mentioned[m.Name] = struct{}{}
+	}
+	var list []bronzelink.Member
+	for _, m := range f.list() {
+		if _, ok := mentioned[m.Name]; !ok && m.Status < bronzelink.Dead && differ(mine, l.Digests, m.Name) {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// catchUp is the wait for a peer's answer while joining or after a pause.
+type catchUp struct {
+	active   bool
+	first    uint64 // the first Sequence that counts as an answer
+	answered bool   // by a member that is in step with the fleet
+	heard    time.Time
+	revision uint64
+	until    time.Time
+}
+
+// onAnswer notes an answer to what this node asked while catching up.
+func (f *Fleet) onAnswer(from string, l *bronzelink.Members, now time.Time) {
+	c := &f.catchUp
+	if !c.active || l.Answer < c.first {
+		return
+	}
+	if c.heard.IsZero() {
+		c.heard = now
+	}
+	c.revision = max(c.revision, l.Revision)
+	if l.Revision > f.self.Revision {
+		f.behind(f.member(from))
+	}
+	c.answered = c.answered || l.Joined
+	f.finishCatchUp(now)
+}
+
+func (f *Fleet) member(name string) bronzelink.Member {
+	if e := f.entries[name]; e != nil {
+		return e.m
+	}
+	return bronzelink.Member{Name: name}
+}
+
+// finishCatchUp goes on when a peer has told this node what it missed and the
+// configuration that it has is in force here too, or when none did in time. A
+// node that owned flows before that could place them by an old list or by an
+// old configuration.
+func (f *Fleet) finishCatchUp(now time.Time) {
+	c := &f.catchUp
+	if !c.active || f.failure != nil {
+		return
+	}
+	late := !now.Before(c.until)
+	if !late && (!c.answered || c.revision > f.self.Revision) {
+		return
+	}
+	if f.phase == joining && now.Sub(f.takenAt) < orDefault(f.JoinWait, DefaultJoinWait) {
+		return // the name is taken
+	}
+	if late && !c.answered && c.heard.IsZero() {
+		f.countUnanswered()
+	}
+	*c = catchUp{}
+	f.dirty = true
+	f.buried = f.buried || f.fenced // a peer may have forgotten that it held this node dead
+	f.fenced = false
+	if f.phase == joining {
+		f.enter(now)
+	}
+}
+
+// enter makes this node a member that owns flows.
+func (f *Fleet) enter(now time.Time) {
+	f.phase = joined
+	f.spread(f.self.Name)
+	for _, w := range f.watches {
+		*w = watch{acked: now}
+	}
+	// Nodes that start at the same moment don't hear of each other from
+	// those that were there before.
+	unknown := f.unknown()
+	for _, to := range unknown[:min(len(unknown), smallFleet)] {
+		f.exchange(to)
+	}
+}
+
+func (f *Fleet) countUnanswered() {
+	if f.phase == joining {
+		f.count(CountJoinUnanswered)
+		return
+	}
+	f.count(CountFenceUnanswered)
+}
+
+// join asks the members that are known for their lists, once an interval.
+func (f *Fleet) join(now time.Time) {
+	if !f.catchUp.active {
+		f.catchUp = catchUp{active: true, first: f.sequence + 1, until: now.Add(orDefault(f.JoinWait, DefaultJoinWait))}
+	}
+	if now.Before(f.nextBeat) {
+		return
+	}
+	f.nextBeat = now.Add(f.interval())
+	for _, to := range f.contacts() {
+		f.send(to, &bronzelink.Message{Members: &bronzelink.Members{Full: true, Sequence: f.nextSequence()}})
+	}
+}
+
+// joinContacts is how many members a joining node asks at once.
+const joinContacts = 3
+
+// contacts returns some members that may answer a joining node, others each
+// time: seeds, members it has heard of, and the platform's list.
+func (f *Fleet) contacts() []bronzelink.Member {
+	all := f.unknown()
+	for _, e := range f.entries {
+		if e.live() {
+			all = append(all, e.m)
+		}
+	}
+	slices.SortFunc(all, compareContacts)
+	n := min(len(all), joinContacts)
+	var some []bronzelink.Member
+	for i := range n {
+		some = append(some, all[(f.nextDead+i)%len(all)])
+	}
+	f.nextDead += n
+	return some
+}
+
+// compareContacts orders members of which the name may not be known.
+func compareContacts(a, b bronzelink.Member) int {
+	return cmp.Or(compareNames(a, b), cmp.Compare(a.ControlAddress, b.ControlAddress))
+}
+
+func vmMember(vm bronzeconf.VM) bronzelink.Member {
+	return bronzelink.Member{
+		Name:             vm.Name,
+		AvailabilityZone: vm.AvailabilityZone,
+		Region:           vm.Region,
+		ControlAddress:   vm.ControlAddress,
+	}
+}
+
+// fence stops trusting the view and asks the neighbours what happened.
+func (f *Fleet) fence(now time.Time) {
+	f.count(CountFenced)
+	f.fenced = true
+	f.dirty = true
+	f.catchUp = catchUp{active: true, first: f.sequence + 1, until: now.Add(fenceIntervals * f.interval())}
+	for _, to := range f.neighbours() {
+		f.exchange(to)
+	}
+}
+
+// recontactDead tries to reach a member that is held dead, or that only the
+// platform knows, and forgets those that are gone for long.
+func (f *Fleet) recontactDead(now time.Time) {
+	if now.Before(f.recontact) || !f.present() {
+		return
+	}
+	f.recontact = now.Add(recontactIntervals * f.interval())
+	var lost []bronzelink.Member
+	for name, e := range f.entries {
+		switch {
+		case f.forgotten(e, now):
+			delete(f.entries, name)
+			f.dirty = true
+		case e.m.Status == bronzelink.Dead && !e.saidLeave && !f.confirmedGone(e):
+			lost = append(lost, e.m)
+		}
+	}
+	f.load.forget(f.entries, f.self.Name)
+	lost = append(lost, f.unknown()...)
+	if len(lost) == 0 {
+		return
+	}
+	slices.SortFunc(lost, compareContacts)
+	f.nextDead++
+	f.exchange(lost[f.nextDead%len(lost)])
+}
+
+// unknown returns the seeds, and the VMs that the platform lists, at whose
+// address no member is known: this node may have started while it was cut off
+// from them.
+func (f *Fleet) unknown() []bronzelink.Member {
+	known := map[string]struct{}{f.self.ControlAddress: {}}
+	for _, e := range f.entries {
+		known[e.m.ControlAddress] = struct{}{}
+	}
+	all := slices.Clone(f.seeds)
+	for _, vm := range f.vms {
+		if !vm.Leaving {
+			all = append(all, vmMember(vm))
+		}
+	}
+	all = slices.DeleteFunc(all, func(m bronzelink.Member) bool {
+		_, ok := known[m.ControlAddress]
+		return ok
+	})
+	slices.SortFunc(all, compareContacts)
+	return all
+}
+
+// forgotten reports whether a member is gone for long enough to forget it.
+func (f *Fleet) forgotten(e *entry, now time.Time) bool {
+	gone := now.Sub(e.since)
+	switch e.m.Status {
+	case bronzelink.Left:
+		return gone > forgetLeft
+	case bronzelink.Dead:
+		return gone > forgetDead || gone > forgetLeft && (e.saidLeave || f.confirmedGone(e))
+	default:
+		return false
+	}
+}
+
+// confirmedGone reports whether the platform's list, received after the member
+// got its status, is without it.
+func (f *Fleet) confirmedGone(e *entry) bool {
+	if f.vms == nil || !f.vmsAt.After(e.since) {
+		return false
+	}
+	_, listed := f.vms[e.m.Name]
+	return !listed
+}
+
+// checkSplit finds out whether the fleet may be split.
+func (f *Fleet) checkSplit(now time.Time) {
+	split := false
+	for _, e := range f.entries {
+		split = split || f.mayLive(e, now)
+	}
+	if split != f.split {
+		f.split = split
+		f.dirty = true
+	}
+}
+
+// mayLive reports whether a member that died here may be alive elsewhere. A
+// process that died looks just like one that was cut off, so this is limited
+// in time: longer if the platform still lists its VM.
+func (f *Fleet) mayLive(e *entry, now time.Time) bool {
+	if e.m.Status != bronzelink.Dead || e.saidLeave || f.confirmedGone(e) {
+		return false
+	}
+	limit := orDefault(f.SplitFor, DefaultSplitFor)
+	if _, listed := f.vms[e.m.Name]; listed {
+		limit = max(limit, orDefault(f.SplitListedFor, DefaultSplitListedFor))
+	}
+	return now.Sub(e.since) < limit
+}
--- a/bronzefleet/table.go
+++ b/bronzefleet/table.go
@@ -85,11 +85,11 @@
 	next.orders = slices.Clone(t.orders)
 	next.former = slices.Clone(t.former)
 	next.changed = slices.Clone(t.changed)
-	next.leave(gone)
 	slices.Sort(joined)
 	for _, name := range joined {
 		next.join(name)
 	}
+	next.leave(gone) // after join, so that no index that prev's orders name is used again
 	next.record(t, back, now)
 	return next
 }
@@ -210,40 +210,38 @@
 func (t *table) record(prev *table, back []string, now time.Time) {
 	at := now.UnixNano()
 	for slot := range t.orders {
-		was := prev.orders[slot]
-		if was[0] == t.orders[slot][0] && len(back) == 0 {
+		was, is := prev.orders[slot][0], t.orders[slot][0]
+		if was == is && len(back) == 0 {
 			continue
 		}
-		if was[0] == none && len(back) == 0 {
+		if was == none && len(back) == 0 {
 			continue // nobody owned it before
 		}
 		if at-t.changed[slot] >= int64(formerWindow) || t.changed[slot] == 0 {
 			t.former[slot] = emptyOrder
 		}
-		t.former[slot] = t.formerOrder(slot, was[0], back)
+		t.former[slot] = t.formerOrder(slot, was, is, back)
 		t.changed[slot] = at
 	}
 }
 
-// formerOrder returns the former owners of a slot: the earliest on record
-// stays first, then the best of the later ones and of those that came back.
-func (t *table) formerOrder(slot int, owner uint16, back []string) order {
-	o := t.former[slot]
-	first := o[0]
-	if first == none {
-		first = owner
-	}
-	rest := order{o[1], o[2], none}
-	if owner != first && owner != none {
-		t.insert(slot, &rest, owner)
+// formerOrder returns the former owners of a slot: the last one first, then the
+// best of the earlier ones and of those that came back. The owner of now isn't
+// among them.
+func (t *table) formerOrder(slot int, was, is uint16, back []string) order {
+	rest := emptyOrder
+	for _, i := range t.former[slot] {
+		if i != none && i != was && i != is {
+			t.insert(slot, &rest, i)
+		}
 	}
 	for _, name := range back {
-		if i := t.live[name]; i != first {
+		if i := t.live[name]; i != was && i != is {
 			t.insert(slot, &rest, i)
 		}
 	}
-	if first == none {
+	if was == none || was == is {
 		return rest
 	}
-	return order{first, rest[0], rest[1]}
+	return order{was, rest[0], rest[1]}
 }
