Test the exchange below a version that is too new

Two faults put into a scratch copy went through the tests: a peer that held a version too new for it got no older good one, and an older refusal replaced a newer one. Both are tested now.

--- a/bronzeconf/store_test.go
+++ b/bronzeconf/store_test.go
@@ -164,6 +164,27 @@
 	require.Equal(t, a.Digest(), b.Digest())
 }
 
+func TestStorePeersExchangeBelowTooNew(t *testing.T) {
+	// Both balancers hold a version that is too new for them, and one of them
+	// is behind in the version that it knows. It gets that one alone.
+	tooNew := StoredRecord{Name: "live", Revision: 7, Body: []byte(tooNewRecord)}
+	a, b := &Store{}, &Store{}
+	apply(t, a, 5, liveRecord(t, 5))
+	apply(t, b, 1, liveRecord(t, 1))
+	apply(t, a, 7, tooNew)
+	apply(t, b, 7, tooNew)
+	require.Equal(t, []StoredRecord{liveRecord(t, 5)}, pull(t, b, a))
+	require.Equal(t, a.Snapshot(), b.Snapshot())
+}
+
+func TestStoreKeepsNewestRefusal(t *testing.T) {
+	s := &Store{}
+	apply(t, s, 3, StoredRecord{Name: "live", Revision: 3, Body: edited(t, `"Port":443`, `"Port":0`)})
+	apply(t, s, 3, StoredRecord{Name: "live", Revision: 2, Body: []byte("{}")})
+	require.Equal(t, "Rules[0].Port", s.Snapshot().Refusals[0].Field)
+	require.Empty(t, s.Lacks([]RecordVersion{{Name: "live", Revision: 3}}))
+}
+
 func TestStoreCallsOnChange(t *testing.T) {
 	var seen []uint64
 	s := &Store{OnChange: func(s *Snapshot) { seen = append(seen, s.Revision) }}
