--- /dev/null
+++ b/bronzetest/balancer.go
@@ -0,0 +1,223 @@
+package bronzetest
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"bronzeusher.example/bronzeusher/bronzeconf"
+	"bronzeusher.example/bronzeusher/bronzecore"
+	"bronzeusher.example/bronzeusher/bronzenode"
+)
+
+// balancer is a real balancer of a Demo.
+type balancer struct {
+	name, zone string
+	edge       netip.AddrPort
+	node       *bronzenode.Node
+	// ended is closed when the node's Run has returned.
+	ended chan struct{}
+}
+
+// counters takes the balancer's counts apart by their names' prefixes.
+func (b *balancer) counters() (c counters) {
+	c.Refusals, c.Retries = make(map[string]int64), make(map[string]int64)
+	for name, n := range b.node.Counters() {
+		kind, reason, _ := strings.Cut(name, ".")
+		switch {
+		case n == 0:
+		case kind == "ControlBytesSent":
+			c.Control += int64(n)
+		case kind == "FlowBytesSent":
+			c.FlowMessages += int64(n)
+		case reason == "":
+		case kind == bronzecore.Refuse.String(), kind == bronzecore.Abort.String():
+			c.Refusals[reason] += int64(n)
+		case kind == "Retry":
+			c.Retries[reason] += int64(n)
+		}
+	}
+	return c
+}
+
+func (b *balancer) kill() {
+	b.node.Kill()
+	<-b.ended
+}
+
+// counters are the balancers' own counts.
+type counters struct {
+	Control, FlowMessages int64
+	Refusals, Retries     map[string]int64
+}
+
+func (c *counters) add(o counters) {
+	c.Control += o.Control
+	c.FlowMessages += o.FlowMessages
+	c.Refusals = addCounts(c.Refusals, o.Refusals)
+	c.Retries = addCounts(c.Retries, o.Retries)
+}
+
+func addCounts(dst, src map[string]int64) map[string]int64 {
+	sum := make(map[string]int64)
+	for _, m := range []map[string]int64{dst, src} {
+		for name, n := range m {
+			sum[name] += n
+		}
+	}
+	return sum
+}
+
+// zoneTransport loses the requests of one balancer that a partition would
+// lose.
+type zoneTransport struct {
+	next http.RoundTripper
+	// cut reports whether the server of the request can't be reached.
+	cut func(*http.Request) bool
+}
+
+// RoundTrip waits in silence for as long as the request may take where a
+// partition lies between, as a network does that drops packets.
+func (t *zoneTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	if t.cut(req) {
+		<-req.Context().Done()
+		return nil, req.Context().Err()
+	}
+	return t.next.RoundTrip(req)
+}
+
+// startBalancer starts a balancer that joins the others. It is not ready yet.
+func (r *run) startBalancer(ctx context.Context, zone string) (err error) {
+	defer annotate(&err, "start balancer")
+	r.mu.Lock()
+	r.started++
+	b := &balancer{name: fmt.Sprintf("%s-%d", zone, r.started), zone: zone}
+	r.mu.Unlock()
+	if b.node, err = bronzenode.New(r.config(b)); err != nil {
+		return err
+	}
+	b.edge = b.node.EdgeAddress()
+	b.ended = make(chan struct{})
+	go r.runNode(context.WithoutCancel(ctx), b)
+	r.mu.Lock()
+	r.balancers = append(r.balancers, b)
+	r.places[b.node.ControlAddress()], r.places[b.node.DataAddress()] = zone, zone
+	r.mu.Unlock()
+	r.publishVMs()
+	r.fabric.Add(ctx, b.name, zone, b.edge, "http://"+b.node.HTTPAddress().String())
+	return nil
+}
+
+// runNode runs the balancer to its end. A balancer that ends by a fault shows
+// in the run's counts as one that was killed.
+func (r *run) runNode(ctx context.Context, b *balancer) {
+	defer close(b.ended)
+	if err := b.node.Run(ctx); err != nil {
+		r.Log.WithError(err).Error("balancer ended")
+	}
+}
+
+func (r *run) config(b *balancer) bronzenode.Config {
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	cfg := bronzenode.Config{
+		Name: b.name, Fleet: r.Deployment, Region: r.Deployment, AvailabilityZone: b.zone,
+		EdgeAddress: loopback, DataAddress: loopback, ControlAddress: loopback, HTTPAddress: loopback,
+		FabricAddress: r.fabric.Egress(), Platform: r.platformURL, Plain: true,
+		LeaveQuiet: leaveQuiet, LeaveLimit: leaveLimit, Log: r.Log, Cut: r.cut,
+	}
+	for _, peer := range r.live() {
+		cfg.Peers = append(cfg.Peers, peer.node.ControlAddress().String())
+	}
+	transport := &zoneTransport{next: http.DefaultTransport.(*http.Transport).Clone(), cut: r.cutRequest(b.zone)}
+	cfg.Client = &http.Client{Transport: transport}
+	return cfg
+}
+
+// cut reports whether a partition lies between two balancers' addresses.
+func (r *run) cut(from, to netip.AddrPort) bool {
+	r.mu.Lock()
+	a, b := r.places[from], r.places[to]
+	r.mu.Unlock()
+	return a != "" && b != "" && !r.fabric.Joined(a, b)
+}
+
+// cutRequest reports whether a partition cuts zone off from the platform,
+// which is in the first zone, or from a server's report.
+func (r *run) cutRequest(zone string) func(*http.Request) bool {
+	return func(req *http.Request) bool {
+		place := r.deployment.Zones[0]
+		if strings.HasPrefix(req.URL.String(), r.reportsURL) {
+			place = r.reportZones[strings.TrimPrefix(req.URL.Path, "/")]
+		}
+		return !r.fabric.Joined(zone, place)
+	}
+}
+
+// publishVMs publishes the list of the balancers that are live.
+func (r *run) publishVMs() {
+	var vms []bronzeconf.VM
+	for _, b := range r.live() {
+		vms = append(vms, bronzeconf.VM{
+			Name: b.name, AvailabilityZone: b.zone, Region: r.Deployment,
+			ControlAddress: b.node.ControlAddress().String(),
+		})
+	}
+	r.platform.SetVMs(vms)
+}
+
+// awaitReady waits until all balancers are ready.
+func (r *run) awaitReady(ctx context.Context) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, settle)
+	defer cancel()
+	for _, b := range r.live() {
+		for !b.node.Ready() {
+			if !sleep(ctx, pollInterval) {
+				return errors.Errorf("balancer %s is not ready", b.name)
+			}
+		}
+	}
+	return nil
+}
+
+// live returns the balancers that were neither killed nor told to leave.
+func (r *run) live() []*balancer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.balancers)
+}
+
+// drop takes b out of the live ones and keeps what it counted.
+func (r *run) drop(b *balancer) {
+	last := b.counters()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gone.add(last)
+	r.balancers = slices.DeleteFunc(r.balancers, func(o *balancer) bool { return o == b })
+}
+
+// counters returns the sum over all balancers, also those that have gone.
+func (r *run) counters() (sum counters) {
+	r.mu.Lock()
+	sum.add(r.gone)
+	r.mu.Unlock()
+	for _, b := range r.live() {
+		sum.add(b.counters())
+	}
+	return sum
+}
+
+// leave makes b leave; the fabric finds that out by itself.
+func (r *run) leave(ctx context.Context, b *balancer) error {
+	limit, cancel := context.WithTimeout(ctx, leaveLimit)
+	defer cancel()
+	r.drop(b)
+	r.publishVMs()
+	_, err := b.node.Leave(limit)
+	r.fabric.Remove(b.name)
+	return err
+}
--- a/bronzetest/doc.go
+++ b/bronzetest/doc.go
@@ -31,7 +31,7 @@
 //	ledger := &bronzetest.Ledger{}
 //	fabric, err := bronzetest.NewFabric(ledger, seed)
 //	...
-//	fabric.Add("balancer-1", "riga-a", edgeAddress, "http://"+httpAddress)
+//	fabric.Add(ctx, "balancer-1", "riga-a", edgeAddress, "http://"+httpAddress)
 //	caller := &bronzetest.Caller{Fabric: fabric, Address: own, Endpoint: service}
 //	outcome := caller.Flow(ctx, requests)
 package bronzetest
--- a/bronzetest/fabric.go
+++ b/bronzetest/fabric.go
@@ -104,9 +104,10 @@
 }
 
 // Add lets the fabric choose the balancer at edge as long as the HTTP server
-// at url answers /readyz. With an empty url it is always chosen.
-func (f *Fabric) Add(name, zone string, edge netip.AddrPort, url string) {
-	ctx, stop := context.WithCancel(context.Background())
+// at url answers /readyz. With an empty url it is always chosen. When ctx is
+// done the fabric no longer asks.
+func (f *Fabric) Add(ctx context.Context, name, zone string, edge netip.AddrPort, url string) {
+	ctx, stop := context.WithCancel(ctx)
 	f.mu.Lock()
 	f.used++
 	t := &target{name: name, zone: zone, url: url, edge: edge, mark: f.used, stop: stop}
--- a/bronzetest/standin_test.go
+++ b/bronzetest/standin_test.go
@@ -43,7 +43,7 @@
 	sock, err := listen()
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = sock.Close() })
-	b.fabric.Add("only", "", addrPort(sock), "")
+	b.fabric.Add(t.Context(), "only", "", addrPort(sock), "")
 	go b.forward(sock, choose)
 	return b
 }
