Test the pool against a naive one and under misleading servers

The tests found faults, mended here: - Reports of a server that is hardly tried any more earned its trust back (0.56 after a minute of refusals). - A server that says it is full was never tried, so a wrong figure shut it for ever. - A stale report of an idle server drew 180 of 700 new flows (fair: 50) when no owner heard the others, as each took the others to place only half as much as itself. Owners that aren't heard count in full now. - A server that lost its flows got 64 of 70 new ones. The window of recent placements let it (49 of 70); a debt per server, paid back at twice the fair pace, holds it under 28. - Equal back-offs were resolved by the order of the record.

--- a/bronzepool/choose.go
+++ b/bronzepool/choose.go
@@ -101,7 +101,7 @@
 	if s := p.first(hash, ready); s != nil {
 		return s
 	}
-	return p.soonest(allowed)
+	return p.soonest(hash, allowed)
 }
 
 // first returns the first server in the order for hash that is accepted.
@@ -148,10 +148,13 @@
 
 // soonest returns the allowed server whose back-off ends first. The back-off
 // is a guess of ours, no reason to refuse a flow that some server might take.
-func (p *Pool) soonest(allowed func(*server) bool) *server {
+func (p *Pool) soonest(hash uint64, allowed func(*server) bool) *server {
 	var best *server
 	for _, s := range p.servers {
-		if allowed(s) && (best == nil || s.retryAt < best.retryAt) {
+		if !allowed(s) {
+			continue
+		}
+		if best == nil || s.retryAt < best.retryAt || s.retryAt == best.retryAt && before(hash, s.id, best.id) {
 			best = s
 		}
 	}
@@ -200,33 +203,32 @@
 }
 
 const (
-	// recentWindow is how many placements for each server are remembered.
-	recentWindow = 8
-	// crowdedFactor times its fair part of the recent placements, a server
-	// gets no exceptions; crowdedMost bounds it in a small pool.
-	crowdedFactor = 2.5
+	// crowdedFactor times its fair part of new flows is what a server may
+	// have for long, exceptions included; crowdedMost bounds the part in a
+	// small pool. crowdedBurst is how many it may have ahead of that.
+	crowdedFactor = 2
 	crowdedMost   = 0.75
+	crowdedBurst  = 3
 )
 
 // crowded reports whether s had too much of what this node placed of late.
 func (p *Pool) crowded(s *server) bool {
-	if p.weight == 0 || int(p.recent) < 2*len(p.servers) {
-		return false
+	return p.debt(s)+1 > crowdedBurst
+}
+
+// debt returns how many flows s had more than its part, forgetting at the
+// pace at which this node places flows.
+func (p *Pool) debt(s *server) float64 {
+	part := crowdedMost
+	if p.weight > 0 {
+		part = min(crowdedFactor*s.weight/p.weight, crowdedMost)
 	}
-	part := min(crowdedFactor*s.weight/p.weight, crowdedMost)
-	return float64(s.recent+1) > part*float64(p.recent+1)
+	return max(s.debt-part*float64(p.placed-s.debtAt), 0)
 }
 
-// notePlaced keeps the decayed counts of recent placements.
+// notePlaced counts a new flow on s.
 func (p *Pool) notePlaced(s *server) {
-	s.recent++
-	p.recent++
-	if int(p.recent) < recentWindow*len(p.servers) {
-		return
-	}
-	p.recent = 0
-	for _, s := range p.servers {
-		s.recent /= 2
-		p.recent += s.recent
-	}
+	s.debt = min(p.debt(s)+1, 2*crowdedBurst)
+	p.placed++
+	s.debtAt = p.placed
 }
--- a/bronzepool/load.go
+++ b/bronzepool/load.go
@@ -85,7 +85,11 @@
 	total := s.counted() + othersWeight*float64(since)
 	unheard := float64(others-heard) / float64(others+1)
 	if w := s.believed(now, unheard); w > 0 {
-		grown := float64(s.own-s.report.own) * (1 + othersWeight*float64(others))
+		// Owners that aren't heard act on the same report as this one: taking
+		// each for one that does as this one does keeps them from all filling
+		// the server that it says is idle.
+		alike := othersWeight + (1-othersWeight)*unheard
+		grown := float64(s.own-s.report.own) * (1 + alike*float64(others))
 		total += w * (float64(s.report.connections) + grown - total)
 	}
 	return max(total, float64(s.own))
--- /dev/null
+++ b/bronzepool/naive_test.go
@@ -0,0 +1,220 @@
+package bronzepool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"bronzeusher.example/bronzeusher/bronzeconf"
+	"bronzeusher.example/bronzeusher/bronzeflow"
+)
+
+// naiveOrder sorts the whole pool by score.
+func naiveOrder(hash uint64, ids []bronzeflow.ServerID) []bronzeflow.ServerID {
+	order := slices.Clone(ids)
+	slices.SortFunc(order, func(a, b bronzeflow.ServerID) int {
+		if c := cmp.Compare(bronzeflow.Mix(hash, uint64(b)), bronzeflow.Mix(hash, uint64(a))); c != 0 {
+			return c
+		}
+		return cmp.Compare(a, b)
+	})
+	return order
+}
+
+// counts is a number of flows by server.
+type counts map[bronzeflow.ServerID]float64
+
+// word is what another owner said, and what this node had then.
+type word struct{ theirs, mine counts }
+
+// naive keeps the history of a Pool in maps and computes each choice anew.
+type naive struct {
+	pool    Pool
+	svc     *bronzeconf.Service
+	now     time.Time
+	owners  int
+	own     counts
+	words   map[string]word
+	leaving map[bronzeflow.ServerID]time.Time
+	placed  []placement
+}
+
+// placement is a flow placed, and the part of all weight that its server had.
+type placement struct {
+	id   bronzeflow.ServerID
+	part float64
+}
+
+func newNaive(svc *bronzeconf.Service) *naive {
+	n := &naive{svc: svc, now: time.Unix(1000, 0), owners: 1}
+	n.own = counts{}
+	n.words = make(map[string]word)
+	n.leaving = make(map[bronzeflow.ServerID]time.Time)
+	n.pool.Now = func() time.Time { return n.now }
+	n.pool.SetService(svc)
+	return n
+}
+
+func (n *naive) end(id bronzeflow.ServerID) {
+	n.pool.Ended(id)
+	n.own[id] = max(n.own[id]-1, 0)
+}
+
+func (n *naive) share(t *rapid.T, ids []bronzeflow.ServerID) {
+	name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "Origin")
+	if rapid.IntRange(0, 4).Draw(t, "Forget") == 0 {
+		n.pool.SetOwned(name, nil)
+		delete(n.words, name)
+		return
+	}
+	said := make(map[bronzeflow.ServerID]uint32)
+	w := word{counts{}, counts{}}
+	for _, id := range ids {
+		said[id] = rapid.Uint32Range(0, 4).Draw(t, "Count")
+		w.theirs[id] = float64(said[id])
+		w.mine[id] = n.own[id]
+	}
+	n.pool.SetOwned(name, said)
+	n.words[name] = w
+}
+
+func (n *naive) leave(id bronzeflow.ServerID) {
+	n.pool.SetLeaving(id, 2*time.Second)
+	n.leaving[id] = n.now.Add(2 * time.Second)
+}
+
+func (n *naive) advance(ms int) {
+	n.now = n.now.Add(time.Duration(ms) * time.Millisecond)
+}
+
+// open compares a choice and checks what no choice may break.
+func (n *naive) open(t *rapid.T, hash uint64, tried []bronzeflow.ServerID, plain bool) {
+	want, wantOK := n.choose(hash, tried, plain)
+	id, first, ok := n.pool.Choose(hash, tried, plain)
+	require.Equal(t, wantOK, ok)
+	if !ok {
+		return
+	}
+	require.Equal(t, want, id)
+	require.Equal(t, naiveOrder(hash, serverIDs(n.svc))[0] == id, first)
+	require.NotContains(t, tried, id)
+	require.False(t, n.now.Before(n.leaving[id]), "leaving")
+	require.True(t, n.pool.Available(id))
+	n.pool.Opened(id)
+	n.own[id]++
+	n.placed = append(n.placed, placement{id, n.part(id)})
+}
+
+// part returns the part of the weight of the serving servers that id has.
+func (n *naive) part(id bronzeflow.ServerID) float64 {
+	var own, all float64
+	for _, b := range n.svc.Pool {
+		if b.ID == id {
+			own = float64(b.Connections)
+		}
+		if !n.now.Before(n.leaving[b.ID]) {
+			all += float64(b.Connections)
+		}
+	}
+	return own / all
+}
+
+// debt replays all placements; part is what the server has now.
+func (n *naive) debt(id bronzeflow.ServerID, part float64) float64 {
+	debt, last := 0.0, 0
+	for i, pl := range n.placed {
+		if pl.id != id {
+			continue
+		}
+		debt = max(debt-min(crowdedFactor*pl.part, crowdedMost)*float64(i-last), 0)
+		debt = min(debt+1, 2*crowdedBurst)
+		last = i + 1
+	}
+	return max(debt-min(crowdedFactor*part, crowdedMost)*float64(len(n.placed)-last), 0)
+}
+
+func (c counts) sum() float64 {
+	total := 0.0
+	for _, v := range c {
+		total += v
+	}
+	return total
+}
+
+func (n *naive) total(id bronzeflow.ServerID) float64 {
+	total := n.own[id]
+	unheard := max(n.owners-1-len(n.words), 0)
+	change := float64(unheard) * n.own[id]
+	for _, w := range n.words {
+		total += w.theirs[id]
+		change += n.own[id] - w.mine[id]
+	}
+	return max(total+change/2, n.own[id])
+}
+
+// choose is the rule as the documentation has it.
+func (n *naive) choose(hash uint64, tried []bronzeflow.ServerID, plain bool) (id bronzeflow.ServerID, ok bool) {
+	loads, weights := counts{}, counts{}
+	for _, b := range n.svc.Pool {
+		if !n.now.Before(n.leaving[b.ID]) {
+			loads[b.ID] = n.total(b.ID)
+			weights[b.ID] = float64(b.Connections)
+		}
+	}
+	all, weight := loads.sum()+1, weights.sum()
+	var allowed, ready, fit, uncrowded []bronzeflow.ServerID
+	for _, id := range naiveOrder(hash, serverIDs(n.svc)) {
+		if _, serving := loads[id]; !serving || loads[id]+1 > weights[id] || slices.Contains(tried, id) {
+			continue
+		}
+		allowed = append(allowed, id)
+		if n.now.UnixNano() < n.pool.index[id].retryAt {
+			continue
+		}
+		ready = append(ready, id)
+		share := all * weights[id] / weight
+		if loads[id]+1 > n.limit(share)+tolerance {
+			continue
+		}
+		fit = append(fit, id)
+		if n.debt(id, weights[id]/weight)+1 <= crowdedBurst {
+			uncrowded = append(uncrowded, id)
+		}
+	}
+	top := naiveOrder(hash, serverIDs(n.svc))[0]
+	switch {
+	case len(allowed) == 0:
+		return 0, false
+	case plain:
+		return allowed[0], true
+	case slices.Contains(fit, top):
+		return top, true
+	case len(uncrowded) > 0:
+		few := uncrowded[:min(len(uncrowded), overflowChoices)]
+		return slices.MinFunc(few, func(a, b bronzeflow.ServerID) int {
+			return cmp.Compare(loads[a]*weights[b], loads[b]*weights[a])
+		}), true
+	case len(ready) > 0:
+		return ready[0], true
+	default:
+		return n.soonest(allowed), true
+	}
+}
+
+func (n *naive) limit(share float64) float64 {
+	const slots = 2
+	limit := max(share*n.svc.Policy.ImbalanceBound, share+1)
+	if share <= slots {
+		return min(limit, slots)
+	}
+	return limit
+}
+
+func (n *naive) soonest(allowed []bronzeflow.ServerID) bronzeflow.ServerID {
+	return slices.MinFunc(allowed, func(a, b bronzeflow.ServerID) int {
+		return cmp.Compare(n.pool.index[a].retryAt, n.pool.index[b].retryAt)
+	})
+}
--- a/bronzepool/pool.go
+++ b/bronzepool/pool.go
@@ -26,7 +26,7 @@
 	servers []*server
 	index   map[bronzeflow.ServerID]*server
 	origins map[string]origin
-	recent  uint32
+	placed  uint64
 	weight  float64
 }
 
--- a/bronzepool/report.go
+++ b/bronzepool/report.go
@@ -101,7 +101,11 @@
 		s.report.contradictions++
 		return
 	}
-	s.report.distrust *= 1 - trustStep
+	// A server that fails openings is tried rarely. Its reports in between
+	// were checked against nothing, so they earn no trust.
+	if s.fails == 0 {
+		s.report.distrust *= 1 - trustStep
+	}
 }
 
 // understated: the server reports fewer flows than this node alone has had
@@ -137,20 +141,25 @@
 }
 
 // believed returns the weight of the last report against the counts, when
-// unheard is the part of the owners that don't share theirs.
+// unheard is the part of the owners that don't share theirs. One that says
+// it is full is left to shut.
 func (s *server) believed(now int64, unheard float64) float64 {
 	age := time.Duration(now - s.report.at)
-	if s.report.at == 0 || age >= reportLife {
+	if s.report.at == 0 || age >= reportLife || s.saysFull() {
 		return 0
 	}
 	fresh := math.Exp2(-float64(age) / float64(reportHalfLife))
 	return (1 - s.report.distrust) * fresh * max(reportWeight, unheard)
 }
 
+func (s *server) saysFull() bool {
+	return s.connections > 0 && s.report.connections >= s.connections
+}
+
 // shut reports whether the server's own word, as far as it is trusted, is
 // that it is full, and it isn't time to try it all the same.
 func (s *server) shut(now int64) bool {
-	if s.connections == 0 || s.report.connections < s.connections || now >= s.tryShutAt {
+	if !s.saysFull() || now >= s.tryShutAt {
 		return false
 	}
 	return now-s.report.at < int64(reportLife) && 1-s.report.distrust >= trusted
--- a/bronzepool/server.go
+++ b/bronzepool/server.go
@@ -33,10 +33,14 @@
 	own    int
 	shared int64
 	base   int64
-	recent uint32
 
 	report report
 
+	// debt is how many flows it had more than its part when this node had
+	// placed debtAt flows.
+	debt   float64
+	debtAt uint64
+
 	fails   int
 	retryAt int64
 	// tryShutAt is when a server that says it is full is tried again.
--- /dev/null
+++ b/bronzepool/storm_test.go
@@ -0,0 +1,320 @@
+package bronzepool
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bronzeusher.example/bronzeusher/bronzeconf"
+	"bronzeusher.example/bronzeusher/bronzeflow"
+)
+
+// newPools returns the pools of several owners of one service.
+func newPools(svc *bronzeconf.Service, owners int) []*Pool {
+	pools := make([]*Pool, owners)
+	for i := range pools {
+		pools[i] = &Pool{}
+		pools[i].SetService(svc)
+		pools[i].SetOwners(owners)
+	}
+	return pools
+}
+
+// place opens n flows, each at an owner of its own, and counts them by server.
+func place(t *testing.T, pools []*Pool, rnd *rand.Rand, n int) map[bronzeflow.ServerID]int {
+	placed := make(map[bronzeflow.ServerID]int)
+	for range n {
+		p := pools[rnd.IntN(len(pools))]
+		id, _, ok := p.Choose(rnd.Uint64(), nil, false)
+		require.True(t, ok)
+		p.Opened(id)
+		placed[id]++
+	}
+	return placed
+}
+
+// shareAll tells each owner what the others have.
+func shareAll(pools []*Pool) {
+	for i, from := range pools {
+		owned := make(map[bronzeflow.ServerID]uint32)
+		from.Owned(owned)
+		for j, to := range pools {
+			if i != j {
+				to.SetOwned(fmt.Sprint(i), owned)
+			}
+		}
+	}
+}
+
+func observeAll(pools []*Pool, r Report) {
+	for _, p := range pools {
+		p.Observe(r)
+	}
+}
+
+// One server's report says that it is idle, and it is old: the server has as
+// many flows as the others. Seven owners read it at the same moment, and no
+// news comes while 700 callers arrive. If each owner sent its callers to the
+// idle server, it would end with eight times its load.
+func TestOwnersDoNotHerdOnStaleReport(t *testing.T) {
+	for _, shared := range []bool{true, false} {
+		t.Run(fmt.Sprint("Shared", shared), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				svc := newService(14)
+				pools := newPools(svc, 7)
+				rnd := rand.New(rand.NewPCG(1, 2))
+				place(t, pools, rnd, 1400)
+				if shared {
+					shareAll(pools)
+				}
+				for i, b := range svc.Pool {
+					connections := 100
+					if i == 5 {
+						connections = 0
+					}
+					observeAll(pools, Report{Server: b.ID, Connections: connections, At: time.Now()})
+				}
+				placed := place(t, pools, rnd, 700)
+				fair := 700 / len(svc.Pool)
+				require.LessOrEqual(t, placed[svc.Pool[5].ID], 3*fair)
+				for _, b := range svc.Pool {
+					require.Greater(t, placed[b.ID], fair/4)
+				}
+			})
+		})
+	}
+}
+
+// A broken server reports no load at all and refuses every opening at once,
+// faster than a healthy one serves. Callers must not lose more than a few
+// attempts to it, however long it goes on, and its reports must lose trust.
+func TestServerThatReportsIdleAndRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		svc := newService(4)
+		broken := svc.Pool[1].ID
+		var p Pool
+		p.SetService(svc)
+		rnd := rand.New(rand.NewPCG(3, 4))
+		refused := 0
+		for range 60_000 {
+			time.Sleep(time.Millisecond)
+			if time.Now().UnixMilli()%1000 == 0 {
+				p.Observe(Report{Server: broken, At: time.Now()})
+			}
+			id, _, ok := p.Choose(rnd.Uint64(), nil, false)
+			require.True(t, ok)
+			if id == broken {
+				refused++
+				p.Refused(id, false)
+				continue
+			}
+			p.Opened(id)
+			p.Accepted(id, time.Millisecond)
+			p.Ended(id)
+		}
+		require.LessOrEqual(t, refused, 20)
+		load := p.Loads()[1]
+		require.Less(t, load.Trust, trusted)
+		require.NotZero(t, load.Contradictions)
+
+		// Mended, it is back with its first accepted trial.
+		time.Sleep(2 * backoffMax)
+		p.Accepted(broken, time.Millisecond)
+		require.True(t, chooses(&p, rnd, broken))
+	})
+}
+
+// chooses reports whether p chooses the server id now for some flow.
+func chooses(p *Pool, rnd *rand.Rand, id bronzeflow.ServerID) bool {
+	for range 1000 {
+		if got, _, _ := p.Choose(rnd.Uint64(), nil, false); got == id {
+			return true
+		}
+	}
+	return false
+}
+
+// A server's endpoint says for ever that all its connections are in use, but
+// it accepts whatever comes. At first it is spared; the trials that it
+// accepts show that the figure is wrong, and it gets its share again.
+func TestServerThatReportsFullAndAccepts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		svc := newService(4)
+		full := svc.Pool[2].ID
+		var p Pool
+		p.SetService(svc)
+		rnd := rand.New(rand.NewPCG(5, 6))
+		p.Observe(Report{Server: full, Connections: 2000, At: time.Now()})
+		require.True(t, chooses(&p, rnd, full), "one trial")
+		require.False(t, chooses(&p, rnd, full), "spared until the next trial")
+		for range 10 {
+			time.Sleep(shutTrial)
+			if chooses(&p, rnd, full) {
+				p.Accepted(full, time.Millisecond)
+			}
+			p.Observe(Report{Server: full, Connections: 2000, At: time.Now()})
+		}
+		require.Less(t, p.Loads()[2].Trust, trusted)
+		placed := place(t, []*Pool{&p}, rnd, 400)
+		require.Greater(t, placed[full], 80)
+	})
+}
+
+// All servers report but one, whose endpoint never answers. Its callers must
+// see no difference: the owners' own counts are enough to spread fairly.
+func TestServerThatReportsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		svc := newService(4)
+		pools := newPools(svc, 7)
+		rnd := rand.New(rand.NewPCG(7, 8))
+		totals := make(map[bronzeflow.ServerID]int)
+		for range 100 {
+			for id, n := range place(t, pools, rnd, 4) {
+				totals[id] += n
+			}
+			shareAll(pools)
+			for _, b := range svc.Pool[1:] {
+				observeAll(pools, Report{Server: b.ID, Connections: totals[b.ID], At: time.Now()})
+			}
+			time.Sleep(time.Second)
+		}
+		for _, b := range svc.Pool {
+			require.InDelta(t, 100, totals[b.ID], 6)
+		}
+	})
+}
+
+// A bad roll-out tells every server of a pool to leave at once, while the
+// record still lists them as serving. New callers are refused early, since a
+// server that leaves gets no new work; when nobody repeats the claim they
+// are served again without anybody's help.
+func TestWholePoolLeavesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		svc := newService(4)
+		var p Pool
+		p.SetService(svc)
+		for i, b := range svc.Pool {
+			if i%2 == 0 {
+				p.Observe(Report{Server: b.ID, Leaving: true, At: time.Now()})
+			} else {
+				p.SetLeaving(b.ID, ReportedLeavingHold)
+			}
+		}
+		for _, plain := range []bool{true, false} {
+			_, _, ok := p.Choose(42, nil, plain)
+			require.False(t, ok)
+		}
+		require.Len(t, p.Candidates(42, 4, nil), 4, "running flows are still found")
+
+		// A report to the contrary doesn't bring new work back.
+		time.Sleep(time.Second)
+		p.Observe(Report{Server: svc.Pool[0].ID, At: time.Now()})
+		p.SetLeaving(svc.Pool[1].ID, time.Second)
+		_, _, ok := p.Choose(42, nil, false)
+		require.False(t, ok)
+
+		time.Sleep(ReportedLeavingHold)
+		_, _, ok = p.Choose(42, nil, false)
+		require.True(t, ok)
+	})
+}
+
+// A third of the pool sheds load: it refuses until it has recovered. Every
+// caller must find a server with few attempts, the servers that shed must
+// be left alone but for trials, and come back when they accept.
+func TestThirdOfPoolSheds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		svc := newService(6)
+		sheds := map[bronzeflow.ServerID]bool{svc.Pool[0].ID: true, svc.Pool[3].ID: true}
+		var p Pool
+		p.SetService(svc)
+		b := Budget{Share: 0.1}
+		rnd := rand.New(rand.NewPCG(9, 10))
+		given := 0
+		for range 10_000 {
+			time.Sleep(time.Millisecond)
+			b.Open()
+			var tried []bronzeflow.ServerID
+			id, _, ok := p.Choose(rnd.Uint64(), tried, false)
+			for ok && sheds[id] {
+				p.Refused(id, false)
+				if !b.TryRetry() {
+					given++
+					break
+				}
+				tried = append(tried, id)
+				id, _, ok = p.Choose(rnd.Uint64(), tried, false)
+			}
+			require.True(t, ok)
+		}
+		require.Zero(t, given, "callers refused for the budget")
+		for id := range sheds {
+			time.Sleep(2 * backoffMax)
+			require.True(t, chooses(&p, rnd, id), "a trial")
+			p.Accepted(id, time.Millisecond)
+			require.True(t, chooses(&p, rnd, id))
+		}
+	})
+}
+
+// A server joins a pool whose others hold long flows, so it alone is under
+// the bound. Its caches are cold: given all new callers at once it would
+// refuse them. It must get a growing share, and never most of them.
+func TestColdStartRamp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		svc := newService(5)
+		svc.Policy.ColdStart = 10 * time.Second
+		before := *svc
+		before.Pool = svc.Pool[:4]
+		pools := newPools(&before, 1)
+		rnd := rand.New(rand.NewPCG(11, 12))
+		place(t, pools, rnd, 400)
+		pools[0].SetService(svc)
+		cold := svc.Pool[4].ID
+		held := 0
+		fair := 0.0
+		for second := range 40 {
+			got := place(t, pools, rnd, 40)[cold]
+			held += got
+			require.LessOrEqual(t, got, 20)
+			fair = float64(400+40*(second+1)) / 5
+			ramp := min(float64(second+1)/10, 1)
+			require.LessOrEqual(t, float64(held), max(ramp*fair*1.06, ramp*fair+2))
+			time.Sleep(time.Second)
+		}
+		require.InEpsilon(t, fair, held, 0.06)
+	})
+}
+
+// A server restarts: its flows end at once, and it comes back as the same
+// instance. All others hold long flows and are over the bound now, as the
+// mean has fallen. It must not get all new callers: what ended its flows may
+// not be over, and every one of them would be an exception.
+func TestEmptiedServerIsFilledSlowly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		svc := newService(14)
+		pools := newPools(svc, 7)
+		rnd := rand.New(rand.NewPCG(13, 14))
+		place(t, pools, rnd, 1400)
+		empty := svc.Pool[3].ID
+		for _, p := range pools {
+			owned := make(map[bronzeflow.ServerID]uint32)
+			p.Owned(owned)
+			for range owned[empty] {
+				p.Ended(empty)
+			}
+		}
+		held := 0
+		for range 14 {
+			shareAll(pools)
+			got := place(t, pools, rnd, 70)[empty]
+			require.LessOrEqual(t, got, 28)
+			held += got
+		}
+		require.Greater(t, held, 70*3/2)
+	})
+}
