Make no claim while the fleet is split, and prove the checks of old entries

Cause: a property run found a caller told that nothing ran although the other side of a split had opened its flow and run a request. Ruled out: a payload forwarded here. Now such an opening ends without a claim. Two tests show that an owner after a pause and a node with an old learned entry ask first; both fail when every entry is trusted.

--- a/bronzecore/attempt.go
+++ b/bronzecore/attempt.go
@@ -40,7 +40,9 @@
 	belief bronzeflow.Entry
 	// committed is set once payload was forwarded.
 	committed bool
-	started   time.Time
+	// disputed is set if the fleet was split when the flow was placed.
+	disputed bool
+	started  time.Time
 	// due is when the phase times out; deadline when the attempt gives up.
 	due      time.Time
 	deadline time.Time
--- a/bronzecore/caller.go
+++ b/bronzecore/caller.go
@@ -105,7 +105,7 @@
 	if p.Kind == bronzeflow.Reset {
 		return append(out, Action{Kind: Drop, Packet: *p, Reason: ServerGone})
 	}
-	return append(out, Action{Kind: Abort, Packet: *p, Reason: ServerGone})
+	return append(out, b.abortion(p, ServerGone))
 }
 
 // unpinned decides on a caller's packet whose flow is not known here, or
@@ -205,11 +205,20 @@
 }
 
 // refusal is the final answer to a caller none of whose payload was
-// forwarded.
+// forwarded. While the fleet is split, the other side may have opened the
+// same flow and run requests of it, so no such claim is made.
 func (b *Balancer) refusal(p *bronzeflow.Packet, r Reason) Action {
+	if b.split() {
+		return b.abortion(p, r)
+	}
 	return Action{Kind: Refuse, Packet: *p, Reason: r, RetryAfter: b.Timing.RetryAfter}
 }
 
+// abortion is the final answer without a claim about what ran.
+func (b *Balancer) abortion(p *bronzeflow.Packet, r Reason) Action {
+	return Action{Kind: Abort, Packet: *p, Reason: r, RetryAfter: b.Timing.RetryAfter}
+}
+
 // inForce reports whether server id is in the pool of the service that claims
 // the flow's destination. An instance that moved to another service's pool,
 // or whose address another Customer uses by now, is not: packets of the flow
--- a/bronzecore/outcome_test.go
+++ b/bronzecore/outcome_test.go
@@ -1,6 +1,7 @@
 package bronzecore_test
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -133,6 +134,79 @@
 	})
 }
 
+// The owner of a flow sleeps. Meanwhile its flow is taken over and closed, its
+// server starts to leave, and the same caller opens a new flow under the same
+// key, at another server. The sleeper wakes with its old entry and gets the
+// caller's packets. It asks before it forwards; the old server gets nothing.
+func TestOwnerWakesAfterKeyMoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, 3, 4)
+		f := w.open()
+		w.settle(time.Second)
+		owner := w.ownerOf(f)
+		w.nodes[owner].asleep = true
+		others := slices.DeleteFunc(w.names(), func(n string) bool { return n == owner })
+		f.via = others
+		w.setViews(others)
+		w.settle(time.Second)
+		old := w.drainServerOf(f)
+		w.reopen(f)
+		w.settle(3 * time.Second)
+		require.Len(t, f.payloadAt, 1)
+		require.NotContains(t, f.payloadAt, old)
+		mark := w.mark()
+		n := w.nodes[owner]
+		n.asleep = false
+		f.via = []string{owner}
+		n.view.Fenced = true
+		n.SetView(n.view)
+		w.settle(300 * time.Millisecond)
+		w.setViews(w.names(), func(v *bronzefleet.View) { v.Fenced = false })
+		w.settle(2 * time.Second)
+		w.checkSafe()
+		w.checkGoingOn(mark)
+	})
+}
+
+// A node has learned a flow and then gets no packet of it for a minute. In
+// that time the flow is closed and its key opened at another server. The
+// node's entry is too old to act on: it asks the owner again.
+func TestLearnedEntryIsCheckedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, 3, 4)
+		f := w.open()
+		w.settle(time.Second)
+		f.via = slices.DeleteFunc(w.names(), func(n string) bool { return n == w.ownerOf(f) })[:1]
+		w.settle(time.Second)
+		stale := f.via
+		f.via = []string{w.ownerOf(f)}
+		old := w.drainServerOf(f)
+		cutOff := func(_, to string) bool { return to == stale[0] }
+		w.cut = cutOff // what it is told meanwhile is lost
+		w.reopen(f)
+		w.settle(40 * time.Second)
+		require.NotContains(t, f.payloadAt, old)
+		w.cut = func(string, string) bool { return false }
+		mark := w.mark()
+		f.via = stale
+		w.settle(2 * time.Second)
+		w.checkSafe()
+		w.checkGoingOn(mark)
+	})
+}
+
+// drainServerOf makes the server of a flow leave.
+func (w *world) drainServerOf(f *flow) (id bronzeflow.ServerID) {
+	for i := range w.record.Pool {
+		id = bronzeflow.NewServerID(customer, w.record.Pool[i]["Instance"].(string))
+		if f.payloadAt[id] {
+			w.drain(i)
+			return id
+		}
+	}
+	return 0
+}
+
 // Random sequences of openings, kills, joins, pauses, splits, heals, drains,
 // refusing and silent servers. Whatever the order: no request runs twice, no
 // flow's payload reaches two servers, and nobody whose payload was forwarded
--- a/bronzecore/owner.go
+++ b/bronzecore/owner.go
@@ -140,6 +140,7 @@
 		return append(out, b.refusal(&a.held, r))
 	}
 	st.budget.Open()
+	a.disputed = a.disputed || b.split()
 	a.deadline = a.started.Add(openDeadline(st))
 	return b.attempt(s, st, a, prefer, None, now, out)
 }
@@ -255,9 +256,9 @@
 func (b *Balancer) giveUp(s *attemptShard, st *service, a *attempt, r Reason, out []Action) []Action {
 	s.remove(a)
 	st.account.Ended(false)
-	if a.committed {
+	if a.committed || a.disputed {
 		// Something may have run: no claim is made.
-		return append(out, Action{Kind: Abort, Packet: a.held, Reason: r, RetryAfter: b.Timing.RetryAfter})
+		return append(out, b.abortion(&a.held, r))
 	}
 	return append(out, b.refusal(&a.held, r))
 }
--- a/bronzecore/recover.go
+++ b/bronzecore/recover.go
@@ -90,7 +90,7 @@
 func (b *Balancer) adopt(p *bronzeflow.Packet, hash uint64, m bronzelink.Mapping, now time.Time, out []Action) []Action {
 	st := b.services.Load().of(b.snapshot.Load().Match(&p.Key))
 	if st == nil || !b.inForce(m.Server, &p.Key) {
-		return append(out, Action{Kind: Abort, Packet: *p, Reason: ServerGone})
+		return append(out, b.abortion(p, ServerGone))
 	}
 	e := bronzeflow.Entry{
 		Server: m.Server,
@@ -229,7 +229,7 @@
 // unknown ends the flow of an attempt that nobody knows.
 func (b *Balancer) unknown(s *attemptShard, a *attempt, out []Action) []Action {
 	s.remove(a)
-	return append(out, Action{Kind: Abort, Packet: a.held, Reason: UnknownFlow, RetryAfter: b.Timing.RetryAfter})
+	return append(out, b.abortion(&a.held, UnknownFlow))
 }
 
 // probed takes in a server's packet while its flow is being looked for.
