--- /dev/null
+++ b/cmd/bronzefrontier/plot.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"fmt"
+	"image/color"
+	"os"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+// The size of one panel.
+const (
+	panelWidth  = 11 * vg.Centimeter
+	panelHeight = 8 * vg.Centimeter
+	panelGap    = 6 * vg.Millimeter
+)
+
+// axis is a figure of a Result that a panel draws against the exceptions.
+type axis struct {
+	label string
+	value func(*Result) float64
+}
+
+var axes = []axis{
+	{label: "imbalance (max over mean)", value: func(r *Result) float64 { return r.Imbalance }},
+	{label: "flows broken by a kill", value: func(r *Result) float64 { return r.BrokenByKill }},
+}
+
+// writePlot draws a row of panels for each service.
+func writePlot(name string, results []Result) (err error) {
+	defer func() {
+		if err != nil {
+			err = errors.Wrap(err, "plot")
+		}
+	}()
+	var rows [][]*plot.Plot
+	for _, w := range workloads {
+		row, err := panels(w, results)
+		if err != nil {
+			return err
+		}
+		if row != nil {
+			rows = append(rows, row)
+		}
+	}
+	width := vg.Length(len(axes)) * panelWidth
+	canvas := vgsvg.New(width, vg.Length(len(rows))*panelHeight)
+	tiles := draw.Tiles{Rows: len(rows), Cols: len(axes), PadX: panelGap, PadY: panelGap, PadRight: panelGap, PadTop: panelGap}
+	for i, dcs := range plot.Align(rows, tiles, draw.New(canvas)) {
+		for j, dc := range dcs {
+			rows[i][j].Draw(dc)
+		}
+	}
+	return writeCanvas(name, canvas)
+}
+
+func writeCanvas(name string, canvas *vgsvg.Canvas) (err error) {
+	f, err := os.Create(name)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if e := f.Close(); err == nil {
+			err = e
+		}
+	}()
+	_, err = canvas.WriteTo(f)
+	return err
+}
+
+// panels returns the row of a service, nil if it has no results.
+func panels(w Workload, results []Result) (row []*plot.Plot, err error) {
+	var own []*Result
+	for i := range results {
+		if results[i].Deployment == w.Deployment && results[i].Service == w.Service {
+			own = append(own, &results[i])
+		}
+	}
+	if len(own) == 0 {
+		return nil, nil
+	}
+	for _, a := range axes {
+		p := plot.New()
+		p.Title.Text = fmt.Sprintf("%s %s, %d servers", w.Deployment, w.Service, w.Servers)
+		p.X.Label.Text = "exceptions (% of new flows)"
+		p.Y.Label.Text = a.label
+		p.Legend.Top = a.label == axes[0].label
+		p.Add(plotter.NewGrid())
+		for i, flows := range flowsPerServer {
+			if err := addCurve(p, own, a, flows, i); err != nil {
+				return nil, err
+			}
+		}
+		row = append(row, p)
+	}
+	return row, nil
+}
+
+// addCurve draws the bounds as a line and the baselines as single points.
+func addCurve(p *plot.Plot, results []*Result, a axis, flows, index int) error {
+	var bounded plotter.XYs
+	points := make(map[Placement]plotter.XYs)
+	for _, r := range results {
+		xy := plotter.XY{X: 100 * r.Exceptions, Y: a.value(r)}
+		switch {
+		case r.FlowsPerServer != flows:
+		case r.Placement == Bounded:
+			bounded = append(bounded, xy)
+		default:
+			points[r.Placement] = append(points[r.Placement], xy)
+		}
+	}
+	line, marks, err := plotter.NewLinePoints(bounded)
+	if err != nil {
+		return err
+	}
+	line.Color = plotutil.Color(index)
+	marks.Color = line.Color
+	marks.Shape = draw.CircleGlyph{}
+	p.Add(line, marks)
+	p.Legend.Add(fmt.Sprintf("%d flows a server", flows), line, marks)
+	if err := addPoint(p, points[HashAlone], line.Color, draw.CrossGlyph{}, "hash alone", index); err != nil {
+		return err
+	}
+	return addPoint(p, points[TwoChoices], line.Color, draw.TriangleGlyph{}, "two choices", index)
+}
+
+// addPoint draws a baseline, named in the legend once.
+func addPoint(p *plot.Plot, xys plotter.XYs, c color.Color, shape draw.GlyphDrawer, name string, index int) error {
+	s, err := plotter.NewScatter(xys)
+	if err != nil {
+		return err
+	}
+	s.Color = c
+	s.Shape = shape
+	s.Radius = vg.Points(4)
+	p.Add(s)
+	if index == 0 {
+		p.Legend.Add(name, s)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/bronzefrontier/write.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+)
+
+// Frontier is the content of frontier.json.
+type Frontier struct {
+	Seed   uint64
+	Owners int
+	// ShareSeconds is how often owners share their counts, CopiesPerSecond
+	// how many exceptions each copies.
+	ShareSeconds    float64
+	CopiesPerSecond int
+	Results         []Result
+}
+
+// writeAll writes the data and the plot below the directory Out.
+func writeAll(opts *options, results []Result) (err error) {
+	defer func() {
+		if err != nil {
+			err = errors.Wrap(err, "write frontier")
+		}
+	}()
+	f := Frontier{
+		Seed:            opts.Seed,
+		Owners:          Owners,
+		ShareSeconds:    shareEvery.Seconds(),
+		CopiesPerSecond: copyPace,
+		Results:         results,
+	}
+	b, err := json.MarshalIndent(&f, "", "  ")
+	if err != nil {
+		return err
+	}
+	dir := filepath.Join(opts.Out, "data")
+	if err = os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	if err = os.WriteFile(filepath.Join(dir, "frontier.json"), append(b, '\n'), 0o644); err != nil {
+		return err
+	}
+	return writePlot(filepath.Join(opts.Out, "frontier.svg"), results)
+}
