--- a/bronzenode/execute.go
+++ b/bronzenode/execute.go
@@ -2,6 +2,7 @@
 
 import (
 	"bronzeusher.example/bronzeusher/bronzecore"
+	"bronzeusher.example/bronzeusher/bronzeflow"
 	"bronzeusher.example/bronzeusher/bronzelink"
 	"bronzeusher.example/bronzeusher/bronzewire"
 )
@@ -32,8 +33,10 @@
 		w.toPeer(a, bronzewire.Frame{Kind: bronzewire.FrameReply, Hops: a.Packet.Hops, Server: a.Server, Body: a.Packet.Raw})
 	case bronzecore.Send:
 		w.message(a)
-	case bronzecore.Refuse, bronzecore.Abort:
+	case bronzecore.Refuse:
 		w.refuse(a)
+	case bronzecore.Abort:
+		w.abort(a)
 	case bronzecore.Cancel:
 		w.cancel(a)
 	case bronzecore.Probe:
@@ -83,6 +86,20 @@
 	}
 }
 
+// abort ends the caller's flow without saying that nothing ran. A reset in
+// answer to an opening, or an ICMP error in answer to a datagram, would say
+// just that, and the caller would send a request again that may have run. If
+// what is answered carries a request, the caller is left to its own timeout,
+// which makes no claim; a reset of an established connection makes none
+// either.
+func (w *worker) abort(a *bronzecore.Action) {
+	opens := a.Packet.Kind == bronzeflow.Open || a.Packet.Kind == bronzeflow.Datagram
+	if opens && a.Packet.Payload > 0 {
+		return
+	}
+	w.refuse(a)
+}
+
 func (w *worker) cancel(a *bronzecore.Action) {
 	b, ok := w.build(func(dst []byte) ([]byte, error) {
 		return bronzewire.Cancellation(dst, a.Packet.Raw, fromServer(a))
--- a/bronzenode/path.go
+++ b/bronzenode/path.go
@@ -140,7 +140,7 @@
 		}
 		w.packet.Hops = w.frame.Hops
 		w.seen[peerReply]++
-		w.actions = balancer.ReplyFromPeer(&w.packet, w.frame.Server, peer, w.actions)
+		w.actions = balancer.ReplyFromPeer(&w.packet, w.frame.Server, w.actions)
 	default:
 		m, err := bronzelink.DecodeFlow(w.frame.Body)
 		if err != nil {
