Pass over silent servers across a partition, prefer the own zone

While owners choose whatever the load, every opening for a server behind the cut cost its caller a timeout, although the end was the same as if the server had been left out. Exceptions go to the own zone when its servers are loaded no more than others; the order of candidates stays blind to zones, since every node derives it.

--- a/bronzepool/choose.go
+++ b/bronzepool/choose.go
@@ -61,8 +61,8 @@
 // Choose picks the server for a new flow, never one of tried. first is true
 // when it is the flow's first candidate in the order of Candidates, so that
 // other nodes can derive it. With plain set it takes the first candidate that
-// may have work whatever its load (but for hard limits), so that both sides
-// of a partition choose alike. ok is false if no server may take it.
+// may have work whatever its load (but for hard limits and servers that are
+// silent), so that both sides of a partition choose alike. ok is false if no server may take it.
 func (p *Pool) Choose(hash uint64, tried []bronzeflow.ServerID, plain bool) (id bronzeflow.ServerID, first, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -77,9 +77,7 @@
 	if s == nil {
 		return 0, false, false
 	}
-	if !plain {
-		s.noteTrial(now)
-	}
+	s.noteTrial(now)
 	return s.id, s == top, true
 }
 
@@ -87,7 +85,7 @@
 // candidate.
 func (p *Pool) pick(hash uint64, top *server, allowed func(*server) bool, plain bool, now int64) *server {
 	if plain {
-		return p.first(hash, allowed)
+		return p.pickPlain(hash, allowed, now)
 	}
 	ready := func(s *server) bool { return now >= s.retryAt && !s.shut(now) && allowed(s) }
 	if top.fits && ready(top) {
@@ -104,6 +102,17 @@
 	return p.soonest(hash, allowed)
 }
 
+// pickPlain returns the first server in the order that isn't known to be
+// silent. Trying a silent one first would end at the same server, but only
+// after its caller has waited, and across a partition most are silent.
+func (p *Pool) pickPlain(hash uint64, allowed func(*server) bool, now int64) *server {
+	answers := func(s *server) bool { return (!s.silent || now >= s.retryAt) && allowed(s) }
+	if s := p.first(hash, answers); s != nil {
+		return s
+	}
+	return p.first(hash, allowed)
+}
+
 // first returns the first server in the order for hash that is accepted.
 func (p *Pool) first(hash uint64, accept func(*server) bool) *server {
 	var best *server
@@ -139,13 +148,24 @@
 	}
 	var best *server
 	for _, s := range order[:n] {
-		if best == nil || s.load*best.weight < best.load*s.weight {
+		if best == nil || p.pressure(s)*best.weight < p.pressure(best)*s.weight {
 			best = s
 		}
 	}
 	return best
 }
 
+// pressure returns the load of s as exceptions see it: in the own zone one
+// flow less, so that of servers that are loaded alike the near one is taken.
+// The bound holds all the same, so nearness costs no fairness, and a zone
+// whose servers are full is left one flow at a time, and come back to so.
+func (p *Pool) pressure(s *server) float64 {
+	if p.AvailabilityZone != "" && s.zone == p.AvailabilityZone {
+		return s.load - 1
+	}
+	return s.load
+}
+
 // soonest returns the allowed server whose back-off ends first. The back-off
 // is a guess of ours, no reason to refuse a flow that some server might take.
 func (p *Pool) soonest(hash uint64, allowed func(*server) bool) *server {
--- a/bronzepool/naive_test.go
+++ b/bronzepool/naive_test.go
@@ -189,7 +189,7 @@
 	case len(allowed) == 0:
 		return 0, false
 	case plain:
-		return allowed[0], true
+		return n.plain(allowed), true
 	case slices.Contains(fit, top):
 		return top, true
 	case len(uncrowded) > 0:
@@ -204,6 +204,16 @@
 	}
 }
 
+func (n *naive) plain(allowed []bronzeflow.ServerID) bronzeflow.ServerID {
+	for _, id := range allowed {
+		s := n.pool.index[id]
+		if !s.silent || n.now.UnixNano() >= s.retryAt {
+			return id
+		}
+	}
+	return allowed[0]
+}
+
 func (n *naive) limit(share float64) float64 {
 	const slots = 2
 	limit := max(share*n.svc.Policy.ImbalanceBound, share+1)
--- a/bronzepool/pool.go
+++ b/bronzepool/pool.go
@@ -15,6 +15,10 @@
 type Pool struct {
 	// Now is the clock, nil means time.Now. It is set before the first call.
 	Now func() time.Time
+	// AvailabilityZone is this node's, whose servers are preferred where
+	// that costs no fairness. It is set before the first call; empty means
+	// no preference.
+	AvailabilityZone string
 
 	// ids is read without the lock, so that a search for existing flows
 	// never waits for placements.
--- a/bronzepool/server.go
+++ b/bronzepool/server.go
@@ -42,6 +42,7 @@
 	debtAt uint64
 
 	fails   int
+	silent  bool
 	retryAt int64
 	// tryShutAt is when a server that says it is full is tried again.
 	tryShutAt int64
@@ -88,6 +89,7 @@
 	}
 	step = min(step<<min(s.fails, backoffSteps), backoffMax)
 	s.fails++
+	s.silent = silent
 	s.report.seen.refused++
 	// Owners that met the same refusal must not come back together.
 	s.retryAt = now + int64(float64(step)*(0.5+jitter))
--- a/bronzepool/storm_test.go
+++ b/bronzepool/storm_test.go
@@ -318,3 +318,61 @@
 		require.Greater(t, held, 70*3/2)
 	})
 }
+
+// A partition cuts a zone's balancers off from most of the pool. The servers
+// behind the cut don't answer, and every opening that goes there costs its
+// caller a timeout. After one timeout for each, callers must go to servers
+// that answer, also while owners choose whatever the load; when the
+// partition heals, a trial brings each server back.
+func TestSilentServersArePassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		svc := newService(8)
+		var p Pool
+		p.SetService(svc)
+		rnd := rand.New(rand.NewPCG(15, 16))
+		cut := make(map[bronzeflow.ServerID]bool)
+		for _, b := range svc.Pool[2:] {
+			cut[b.ID] = true
+		}
+		timeouts := 0
+		for range 1000 {
+			time.Sleep(10 * time.Millisecond)
+			if id, _, _ := p.Choose(rnd.Uint64(), nil, true); cut[id] {
+				timeouts++
+				p.Refused(id, true)
+			}
+		}
+		require.LessOrEqual(t, timeouts, 6*6, "at most six in ten seconds for each server")
+		time.Sleep(2 * backoffMax)
+		for id := range cut {
+			p.Accepted(id, time.Millisecond)
+			require.True(t, chooses(&p, rnd, id))
+		}
+	})
+}
+
+// A flow's first candidate is over its bound and the others are loaded alike:
+// its owner takes one in its own zone. When those have two flows more than
+// the rest, the caller gets the better served one in the other zone.
+func TestOwnZoneFirstAmongEquals(t *testing.T) {
+	svc := newService(4)
+	for i := range svc.Pool {
+		svc.Pool[i].AvailabilityZone = fmt.Sprint("zone-", i%2)
+	}
+	full, other := svc.Pool[0].ID, svc.Pool[2].ID
+	p := Pool{AvailabilityZone: "zone-1"}
+	p.SetService(svc)
+	hash := uint64(0)
+	for p.Candidates(hash, 1, nil)[0] != full {
+		hash++
+	}
+	loads := map[bronzeflow.ServerID]uint32{full: 150, svc.Pool[1].ID: 100, other: 100, svc.Pool[3].ID: 100}
+	p.SetOwned("peer", loads)
+	id, _, _ := p.Choose(hash, nil, false)
+	require.Contains(t, []bronzeflow.ServerID{svc.Pool[1].ID, svc.Pool[3].ID}, id)
+
+	loads[svc.Pool[1].ID], loads[svc.Pool[3].ID] = 102, 102
+	p.SetOwned("peer", loads)
+	id, _, _ = p.Choose(hash, nil, false)
+	require.Equal(t, other, id)
+}
