Let no ICMP error end or open an established flow

Cause: an ICMP "unreachable" for a TCP connection past its opening was Refuse, which ends the flow, though routers send it while a route flaps and anyone who guesses the ports can forge it. "Packet too big" was Data, and a router's report taken for a server's data can pin an unknown flow. Now only a quoted opening or datagram is refused; the others are dropped and counted as Unreachable and TooBig. The package comment says what MTU operators set.

--- a/bronzewire/doc.go
+++ b/bronzewire/doc.go
@@ -9,6 +9,13 @@
 // could reach another Customer's service. Transport checksums are left to the
 // two ends of the flow, which verify them anyway.
 //
+// Nothing is ever fragmented or put together again, so the operator sets the
+// MTU: a caller's packet must fit, with 28 bytes of IPv4 and UDP header or 48
+// of IPv6 around it, into the MTU towards backend servers, and with
+// FrameHeaderLen more into that between balancers. Backend servers announce a
+// maximum segment size to match. The counters of ErrFragment and ErrTooBig
+// show where that isn't so.
+//
 // Refusal, Cancellation and Probe build the only packets that a balancer
 // sends on its own account, each from a packet of the flow that it concerns.
 // All builders append to the slice that they are given.
--- a/bronzewire/errors.go
+++ b/bronzewire/errors.go
@@ -14,7 +14,7 @@
 	ErrHeader = errors.New("malformed header")
 	// ErrFragment: a fragment, whose ports may be in another packet.
 	ErrFragment = errors.New("packet is a fragment")
-	// ErrProtocol: not TCP, not UDP, and no ICMP error that matters to a flow.
+	// ErrProtocol: not TCP, not UDP, and not one of the ICMP errors named below.
 	ErrProtocol = errors.New("unsupported protocol")
 	// ErrChecksum: the IPv4 header's or the ICMP message's checksum is wrong.
 	ErrChecksum = errors.New("wrong checksum")
@@ -28,6 +28,12 @@
 	// ErrQuote: an ICMP error for another receiver than the sender of the
 	// packet that it quotes.
 	ErrQuote = errors.New("quoted packet is not the receiver's")
+	// ErrUnreachable: an ICMP "unreachable" that ends no flow, from a caller's
+	// side or about a TCP connection that is past its opening.
+	ErrUnreachable = errors.New("unreachable ends no flow")
+	// ErrTooBig: an ICMP report that a packet was too big for its path. The
+	// MTU that hosts are configured with is too large there.
+	ErrTooBig = errors.New("packet too big for its path")
 	// ErrSize: a packet to build is longer than an IP packet can be.
 	ErrSize = errors.New("packet too long")
 	// ErrFrame: not a relay frame.
@@ -53,6 +59,8 @@
 	{ErrPorts, "Ports"},
 	{ErrAddress, "Address"},
 	{ErrQuote, "Quote"},
+	{ErrUnreachable, "Unreachable"},
+	{ErrTooBig, "TooBig"},
 	{ErrSize, "Size"},
 	{ErrFrame, "Frame"},
 	{ErrFrameVersion, "FrameVersion"},
--- a/bronzewire/icmp.go
+++ b/bronzewire/icmp.go
@@ -13,109 +13,121 @@
 	icmp4HeaderLen = 8
 	icmp6HeaderLen = 8
 	// portsLen is as much of a quoted transport header as names the flow.
-	portsLen = 4
+	portsLen       = 4
+	tcpFlagsOffset = 13
 )
 
-// parseICMP finds the flow whose packet an ICMP error quotes. Unreachable
-// from the server's side is Refuse. "Packet too big" is Data without payload
-// in both directions: it must reach the sender of the packet that it quotes,
-// or path MTU discovery fails and its connection hangs on large packets.
+// parseICMP takes an "unreachable" from the server's side for a refusal of
+// the packet that it quotes, if that is a datagram or opens a connection.
+//
+// Past the opening it is refused: routers send it while a route changes, and
+// a connection must survive that (RFC 5461). Anyone who guesses its ports can
+// forge it, and taking it for the connection's end would break a live flow.
 func (r *Parser) parseICMP(d *datagram, p *bronzeflow.Packet, fromServer bool) error {
 	var quote datagram
-	var kind bronzeflow.Kind
 	var err error
 	if d.next == layers.IPProtocolICMPv4 {
-		kind, err = r.quoted4(d, &quote)
+		err = r.quoted4(d, &quote)
 	} else {
-		kind, err = r.quoted6(d, &quote)
+		err = r.quoted6(d, &quote)
 	}
 	if err != nil {
 		return err
 	}
-	if kind == bronzeflow.Refuse && !fromServer {
-		return ErrProtocol
+	if !fromServer {
+		return ErrUnreachable
 	}
 	if quote.src != d.dst {
 		return ErrQuote
 	}
 	protocol := bronzeflow.Protocol(quote.next)
-	if protocol != bronzeflow.TCP && protocol != bronzeflow.UDP {
+	switch {
+	case protocol != bronzeflow.TCP && protocol != bronzeflow.UDP:
 		return ErrProtocol
-	}
-	if len(quote.payload) < portsLen {
+	case len(quote.payload) < portsLen:
 		return ErrTruncated
+	case protocol == bronzeflow.TCP && !opens(quote.payload):
+		return ErrUnreachable
 	}
 	src := binary.BigEndian.Uint16(quote.payload[0:2])
 	dst := binary.BigEndian.Uint16(quote.payload[2:4])
-	p.Kind = kind
-	// The quoted packet went the other way.
-	return setKey(&p.Key, protocol, &quote, src, dst, !fromServer)
+	p.Kind = bronzeflow.Refuse
+	// The quoted packet is the caller's.
+	return setKey(&p.Key, protocol, &quote, src, dst, false)
+}
+
+// opens reports whether a quoted TCP header, which may be cut off, is seen to
+// be an opening's.
+func opens(header []byte) bool {
+	return len(header) > tcpFlagsOffset && TCPFlags(header[tcpFlagsOffset])&SYN != 0
 }
 
-func (r *Parser) quoted4(d, quote *datagram) (kind bronzeflow.Kind, err error) {
+// quoted4 decodes the packet that an "unreachable" in d quotes.
+func (r *Parser) quoted4(d, quote *datagram) error {
 	if len(d.payload) < icmp4HeaderLen+ipv4HeaderLen {
-		return kind, ErrTruncated
+		return ErrTruncated
 	}
 	if r.icmp4.DecodeFromBytes(d.payload, gopacket.NilDecodeFeedback) != nil {
-		return kind, ErrHeader
+		return ErrHeader
 	}
 	if gopacket.FoldChecksum(gopacket.ComputeChecksum(d.payload, 0)) != 0 {
-		return kind, ErrChecksum
+		return ErrChecksum
 	}
 	if r.icmp4.TypeCode.Type() != layers.ICMPv4TypeDestinationUnreachable {
-		return kind, ErrProtocol
+		return ErrProtocol
+	}
+	if r.icmp4.TypeCode.Code() == layers.ICMPv4CodeFragmentationNeeded {
+		return ErrTooBig
 	}
 	b := r.icmp4.Payload
 	if b[0]>>4 != 4 || r.quote4.DecodeFromBytes(b, gopacket.NilDecodeFeedback) != nil {
-		return kind, ErrHeader
+		return ErrHeader
 	}
 	if r.quote4.FragOffset != 0 {
-		return kind, ErrFragment
+		return ErrFragment
 	}
 	quote.src = mapped(r.quote4.SrcIP)
 	quote.dst = mapped(r.quote4.DstIP)
 	quote.next = r.quote4.Protocol
 	quote.payload = r.quote4.Payload
-	if r.icmp4.TypeCode.Code() == layers.ICMPv4CodeFragmentationNeeded {
-		return bronzeflow.Data, nil
-	}
-	return bronzeflow.Refuse, nil
+	return nil
 }
 
-func (r *Parser) quoted6(d, quote *datagram) (kind bronzeflow.Kind, err error) {
+// quoted6 is quoted4 for IPv6.
+func (r *Parser) quoted6(d, quote *datagram) error {
 	if len(d.payload) < icmp6HeaderLen+ipv6HeaderLen {
-		return kind, ErrTruncated
+		return ErrTruncated
 	}
 	if r.icmp6.DecodeFromBytes(d.payload, gopacket.NilDecodeFeedback) != nil {
-		return kind, ErrHeader
+		return ErrHeader
 	}
 	if !r.icmp6ChecksumValid() {
-		return kind, ErrChecksum
+		return ErrChecksum
 	}
 	switch r.icmp6.TypeCode.Type() {
 	case layers.ICMPv6TypeDestinationUnreachable:
-		kind = bronzeflow.Refuse
 	case layers.ICMPv6TypePacketTooBig:
-		kind = bronzeflow.Data
+		return ErrTooBig
 	default:
-		return kind, ErrProtocol
+		return ErrProtocol
 	}
-	// Four bytes, unused or the MTU, stand between the header and the quote.
+	// Four unused bytes stand between the header and the quote.
 	b := r.icmp6.Payload[icmp6HeaderLen-len(r.icmp6.Contents):]
 	if b[0]>>4 != 6 || r.quote6.DecodeFromBytes(b, gopacket.NilDecodeFeedback) != nil {
-		return kind, ErrHeader
+		return ErrHeader
 	}
 	quote.src = [16]byte(r.quote6.SrcIP)
 	quote.dst = [16]byte(r.quote6.DstIP)
 	if isMapped(quote.src) || isMapped(quote.dst) {
-		return kind, ErrAddress
+		return ErrAddress
 	}
 	quote.next = r.quote6.NextHeader
 	if r.quote6.HopByHop != nil {
 		quote.next = r.quote6.HopByHop.NextHeader
 	}
+	var err error
 	quote.next, quote.payload, err = r.skipExtensions(quote.next, r.quote6.Payload)
-	return kind, err
+	return err
 }
 
 func (r *Parser) icmp6ChecksumValid() bool {
--- a/bronzewire/parser.go
+++ b/bronzewire/parser.go
@@ -52,9 +52,9 @@
 }
 
 // FromServer parses a packet on its way from a backend server to a caller:
-// the service's address is the source. An ICMP or ICMPv6 message counts as
-// part of the flow whose packet it quotes, whichever router sent it. The
-// contract is otherwise that of FromCaller.
+// the service's address is the source. An ICMP or ICMPv6 "unreachable" is the
+// refusal of the opening or the datagram that it quotes, whichever router sent
+// it. The contract is otherwise that of FromCaller.
 func (r *Parser) FromServer(raw []byte, p *bronzeflow.Packet) error {
 	return r.parse(raw, p, true)
 }
