--- a/bronzepool/limits.go
+++ b/bronzepool/limits.go
@@ -90,6 +90,8 @@
 // Set returns the account of a service, with the limits of svc in force. The
 // account of an earlier version of the service is kept.
 func (a *Admission) Set(svc *bronzeconf.Service) *Account {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	c := a.customer(svc.Customer)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -107,15 +109,21 @@
 
 // Remove forgets the account of a service that is no longer in force.
 func (a *Admission) Remove(svc *bronzeconf.Service) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	c := a.customer(svc.Customer)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.accounts, svc.Name)
+	// While flows are open the Customer is kept, so that they still count
+	// against its part if it comes back.
+	if len(c.accounts) == 0 && c.open == 0 {
+		delete(a.customers, svc.Customer)
+	}
 }
 
+// customer returns what the Customer uses; the caller holds the lock.
 func (a *Admission) customer(name string) *customerUse {
-	a.mu.Lock()
-	defer a.mu.Unlock()
 	c := a.customers[name]
 	if c != nil {
 		return c
--- a/bronzepool/limits_test.go
+++ b/bronzepool/limits_test.go
@@ -29,6 +29,21 @@
 	require.Equal(t, Admitted, acc.Admit())
 }
 
+func TestRemoveKeepsOpenFlowsCounted(t *testing.T) {
+	svc := &bronzeconf.Service{Customer: "Acme", Name: "web", Limits: bronzeconf.Limits{Open: 1}}
+	a := Admission{Open: 9}
+	old := a.Set(svc)
+	require.Equal(t, Admitted, old.Admit())
+	a.Remove(svc)
+	require.Equal(t, Admitted, a.Set(svc).Admit())
+	require.EqualValues(t, 2, a.customers["Acme"].open)
+	old.Ended(false)
+	require.EqualValues(t, 1, a.open.Load())
+	a.Set(svc).Ended(false)
+	a.Remove(svc)
+	require.Empty(t, a.customers)
+}
+
 func TestRateLimitRefills(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var a Admission
--- a/cmd/bronzefrontier/plot.go
+++ b/cmd/bronzefrontier/plot.go
@@ -17,8 +17,10 @@
 // The size of one panel.
 const (
 	panelWidth  = 11 * vg.Centimeter
-	panelHeight = 8 * vg.Centimeter
+	panelHeight = 9 * vg.Centimeter
 	panelGap    = 6 * vg.Millimeter
+	// legendRoom is the part of the curves' height that is added above them.
+	legendRoom = 0.6
 )
 
 // axis is a figure of a Result that a panel draws against the exceptions.
@@ -74,6 +76,19 @@
 	return err
 }
 
+// ticks returns the usual ticks with labels in the given format.
+func ticks(format string) plot.TickerFunc {
+	return func(low, high float64) []plot.Tick {
+		marks := plot.DefaultTicks{}.Ticks(low, high)
+		for i := range marks {
+			if !marks[i].IsMinor() {
+				marks[i].Label = fmt.Sprintf(format, marks[i].Value)
+			}
+		}
+		return marks
+	}
+}
+
 // panels returns the row of a service, nil if it has no results.
 func panels(w Workload, results []Result) (row []*plot.Plot, err error) {
 	var own []*Result
@@ -90,13 +105,17 @@
 		p.Title.Text = fmt.Sprintf("%s %s, %d servers", w.Deployment, w.Service, w.Servers)
 		p.X.Label.Text = "exceptions (% of new flows)"
 		p.Y.Label.Text = a.label
-		p.Legend.Top = a.label == axes[0].label
+		p.X.Tick.Marker = ticks("%.0f")
+		p.Y.Tick.Marker = ticks("%.2f")
+		p.Legend.Top = true
 		p.Add(plotter.NewGrid())
 		for i, flows := range flowsPerServer {
 			if err := addCurve(p, own, a, flows, i); err != nil {
 				return nil, err
 			}
 		}
+		// The legend stands above the curves.
+		p.Y.Max += legendRoom * (p.Y.Max - p.Y.Min)
 		row = append(row, p)
 	}
 	return row, nil
