--- /dev/null
+++ b/bronzefleet/bench_test.go
@@ -0,0 +1,150 @@
+package bronzefleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bronzeusher.example/bronzeusher/bronzelink"
+)
+
+var benchSizes = []int{7, 40, 82, 490}
+
+func benchMembers(size int) []bronzelink.Member {
+	var members []bronzelink.Member
+	for i := range size {
+		m := testMember(i)
+		m.Status = bronzelink.Alive
+		members = append(members, m)
+	}
+	return members
+}
+
+// BenchmarkNewView measures a view from nothing, one that a member joins, and
+// one that a member leaves.
+func BenchmarkNewView(b *testing.B) {
+	for _, size := range benchSizes {
+		members := benchMembers(size + 1)
+		now := time.Now()
+		base := NewView(members[0].Name, members[:size], nil, now)
+		more := NewView(members[0].Name, members, base, now)
+		b.Run(fmt.Sprintf("scratch/%d", size), func(b *testing.B) {
+			for b.Loop() {
+				NewView(members[0].Name, members[:size], nil, now)
+			}
+		})
+		b.Run(fmt.Sprintf("join/%d", size), func(b *testing.B) {
+			for b.Loop() {
+				NewView(members[0].Name, members, base, now)
+			}
+		})
+		b.Run(fmt.Sprintf("leave/%d", size), func(b *testing.B) {
+			for b.Loop() {
+				NewView(members[0].Name, members[:size], more, now)
+			}
+		})
+	}
+}
+
+func BenchmarkOrder(b *testing.B) {
+	members := benchMembers(490)
+	v := NewView(members[0].Name, members, nil, time.Now())
+	hash := uint64(1)
+	for b.Loop() {
+		hash = hash*6364136223846793005 + 1
+		_, _ = v.Order(hash)
+	}
+}
+
+// benchFleet returns a node that has joined a fleet of that size and encodes
+// what it sends, and counts the messages in sent.
+func benchFleet(size int, sent *int) *Fleet {
+	members := benchMembers(size)
+	f := &Fleet{Self: members[0]}
+	f.Send = func(_ bronzelink.Member, m *bronzelink.Message) error {
+		*sent++
+		_, err := bronzelink.Encode(m)
+		return err
+	}
+	f.do(func(now time.Time) {
+		for _, m := range members[1:] {
+			f.entries[m.Name] = &entry{m: m, since: now, heard: now}
+		}
+		f.phase = joined
+		f.dirty = true
+	})
+	return f
+}
+
+// BenchmarkSecond measures one second of a member's steady work: its rounds,
+// the heartbeats that it gets and the answers to its own, with their codec.
+// The time of one operation over a second is the share of a core.
+func BenchmarkSecond(b *testing.B) {
+	for _, size := range benchSizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			sent := 0
+			f := benchFleet(size, &sent)
+			p := f.peers.Load()
+			beats := int(time.Second / f.interval())
+			ticks := int(time.Second * ticksPerInterval / DefaultInterval)
+			now := f.lastTick
+			b.ReportAllocs()
+			for b.Loop() {
+				for range ticks {
+					now = now.Add(DefaultInterval / ticksPerInterval)
+					f.do(func(time.Time) { f.tick(now) })
+				}
+				for range beats {
+					answerAll(b, f, p)
+				}
+			}
+			b.ReportMetric(float64(sent)/float64(b.N), "messages/op")
+		})
+	}
+}
+
+// answerAll hands f one round of its peers' messages.
+func answerAll(b *testing.B, f *Fleet, p *peers) {
+	for _, from := range p.targets {
+		receive(b, f, from.Name, &bronzelink.Message{HeartbeatAck: &bronzelink.HeartbeatAck{Digest: f.digests.total}})
+	}
+	for _, from := range p.neighbours[:min(len(p.neighbours), targetCount)] {
+		receive(b, f, from.Name, &bronzelink.Message{Heartbeat: &bronzelink.Heartbeat{
+			Member: brief(from), Digest: f.digests.total,
+		}})
+	}
+}
+
+// receive hands f a message as it comes from the wire.
+func receive(b *testing.B, f *Fleet, from string, m *bronzelink.Message) {
+	encoded, err := bronzelink.Encode(m)
+	if err != nil {
+		b.Fatal(err)
+	}
+	decoded, err := bronzelink.Decode(encoded)
+	if err != nil {
+		b.Fatal(err)
+	}
+	f.Handle(from, decoded)
+}
+
+// BenchmarkReplace measures what a member does about the replacement of
+// another: news of a death and of a join, with the views that they make.
+func BenchmarkReplace(b *testing.B) {
+	for _, size := range benchSizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			sent := 0
+			f := benchFleet(size, &sent)
+			from := f.neighbours()[0].Name
+			other := f.neighbours()[1]
+			for b.Loop() {
+				other.Status = bronzelink.Left
+				f.Handle(from, membersMessage(other))
+				other.Status = bronzelink.Alive
+				other.Incarnation += 1 << lifeShift
+				f.Handle(from, membersMessage(other))
+			}
+			b.ReportMetric(float64(sent)/float64(b.N), "messages/op")
+		})
+	}
+}
--- /dev/null
+++ b/bronzefleet/bytes_test.go
@@ -0,0 +1,176 @@
+package bronzefleet
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bronzeusher.example/bronzeusher/bronzeflow"
+	"bronzeusher.example/bronzeusher/bronzelink"
+)
+
+const (
+	// frameBytes is what TLS and WebSocket add to one message: a record's
+	// header, type and tag, and a frame's header and mask.
+	frameBytes = 22 + 8
+	// sharedServers is how many servers' loads each node shares.
+	sharedServers = 18
+)
+
+// membersOnly is NewView without the orders, which at 490 nodes in one process
+// take more memory than the membership.
+func membersOnly(self string, members []bronzelink.Member, prev *View, _ time.Time) *View {
+	v := &View{Version: 1, Self: self, Members: map[string]bronzelink.Member{}}
+	if prev != nil {
+		v.Version = prev.Version + 1
+	}
+	for _, m := range members {
+		if m.Status < bronzelink.Dead {
+			v.Members[m.Name] = m
+		}
+	}
+	return v
+}
+
+// prime makes size nodes that know each other already, and starts them.
+func (n *network) prime(size int) []*testNode {
+	var nodes []*testNode
+	for i := range size {
+		nodes = append(nodes, n.add(testMember(i)))
+	}
+	for _, p := range nodes {
+		p.newView = membersOnly
+		p.do(func(now time.Time) {
+			for _, o := range nodes {
+				if o != p {
+					m := o.Self
+					m.Status = bronzelink.Alive
+					p.entries[m.Name] = &entry{m: m, since: now, heard: now}
+				}
+			}
+			p.phase = joined
+		})
+		p.start()
+	}
+	return nodes
+}
+
+// shareLoads lets each node share its load once a second for d.
+func shareLoads(nodes []*testNode, d time.Duration) {
+	for round := range int(d / time.Second) {
+		for i, p := range nodes {
+			p.Share(testLoad(i, round))
+		}
+		time.Sleep(time.Second)
+	}
+	synctest.Wait()
+}
+
+// testLoad is a load of which each count changes with each round.
+func testLoad(node, round int) (l bronzelink.Load) {
+	for s := range sharedServers {
+		l.Owned = append(l.Owned, bronzelink.LoadItem{
+			Server: bronzeflow.ServerID(1<<63 + uint64(s)),
+			Count:  uint32(100 + (node+round+s)%50),
+		})
+	}
+	l.Reported = []bronzelink.LoadItem{{Server: 1, Count: uint32(round)}}
+	return l
+}
+
+// traffic is what one node sends and receives in a second on average, with the
+// highest node's beside it.
+type traffic struct{ sent, received, highest int }
+
+// measure returns the traffic of the nodes while run runs for d.
+func (n *network) measure(nodes []*testNode, d time.Duration, run func()) (t traffic) {
+	n.mu.Lock()
+	for _, p := range nodes {
+		p.sent, p.got = 0, 0
+	}
+	n.mu.Unlock()
+	run()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	seconds := int(d / time.Second)
+	for _, p := range nodes {
+		t.sent += p.sent / seconds
+		t.received += p.got / seconds
+		t.highest = max(t.highest, p.sent/seconds)
+	}
+	t.sent /= len(nodes)
+	t.received /= len(nodes)
+	return t
+}
+
+// known returns the share of pairs of nodes in which one has the other's load,
+// and its age on average in rounds of one second, after the last of rounds.
+func known(nodes []*testNode, rounds int) (share, age float64) {
+	pairs := 0
+	for _, p := range nodes {
+		for _, o := range nodes {
+			if o == p {
+				continue
+			}
+			pairs++
+			if round, ok := p.loads[o.Self.Name]; ok {
+				share++
+				age += float64(rounds - round)
+			}
+		}
+	}
+	return share / float64(pairs), age / share
+}
+
+// replaceOne kills a node and starts a new one that joins.
+func (n *network) replaceOne(nodes []*testNode, i int) {
+	nodes[i].kill()
+	p := n.add(testMember(len(n.nodes)))
+	p.newView = membersOnly
+	p.Join([]bronzelink.Member{nodes[(i+1)%len(nodes)].Self})
+	nodes[i] = p.start()
+}
+
+func TestBytesPerNode(t *testing.T) {
+	for _, c := range []struct {
+		size     int
+		duration time.Duration
+		steady   int // bounds in bytes sent a second by the highest node
+		replaced int
+		share    float64 // of pairs that know the other's load
+		age      float64 // bound on its mean age in seconds
+	}{
+		{7, 48 * time.Second, 4 << 10, 4 << 10, 1, 2},
+		{40, 48 * time.Second, 4 << 10, 4 << 10, 1, 8},
+		{82, 48 * time.Second, 4 << 10, 4 << 10, 1, 16},
+		// 107 s from one Load of an origin to its next are more than the test.
+		{490, 48 * time.Second, 4 << 10, 4 << 10, 0.7, 48},
+	} {
+		if testing.Short() && c.size > 82 {
+			continue
+		}
+		bubble(t, func(t *testing.T, n *network) {
+			nodes := n.prime(c.size)
+			shareLoads(nodes, 4*time.Second)
+			steady := n.measure(nodes, c.duration, func() { shareLoads(nodes, c.duration) })
+			share, age := known(nodes, int(c.duration/time.Second))
+			require.Zero(t, n.counted(CountSuspected))
+			rest := nodes[1:]
+			replaced := n.measure(rest, c.duration, func() {
+				n.replaceOne(nodes, 0)
+				shareLoads(nodes, c.duration)
+			})
+			t.Logf("%d nodes: steady %+v, with one replaced %+v, loads known %.2f, %.1f s old, lists exchanged %d",
+				c.size, steady, replaced, share, age, n.counted(CountSynced))
+			require.LessOrEqual(t, steady.highest, c.steady)
+			require.LessOrEqual(t, replaced.highest, c.replaced)
+			require.GreaterOrEqual(t, share, c.share)
+			require.LessOrEqual(t, age, c.age)
+			for _, p := range nodes {
+				require.Len(t, p.View().Members, c.size)
+			}
+		})
+	}
+}
--- a/bronzefleet/fleet.go
+++ b/bronzefleet/fleet.go
@@ -22,22 +22,6 @@
 	ErrReplaced = errors.New("a newer process has replaced this one")
 )
 
-// Reasons that Fleet.Count is called with.
-const (
-	CountSuspected       = "MemberSuspected"       // this node suspects a member
-	CountReached         = "MemberReachedByOthers" // a silent member that others reach
-	CountDied            = "MemberDied"            // this node declared a member dead
-	CountRefuted         = "SuspicionRefuted"      // this node answered a claim about itself
-	CountHearsay         = "DeathUnconfirmed"      // a claim of death taken as a suspicion
-	CountNameTaken       = "MemberNameTaken"       // a second process under one name
-	CountFenced          = "Fenced"                // this process woke up late
-	CountFenceUnanswered = "FenceUnanswered"       // no peer answered after a pause
-	CountJoinUnanswered  = "JoinUnanswered"        // no peer answered while joining
-	CountLate            = "RoundLate"             // a round began late, deadlines were extended
-	CountSynced          = "ListsExchanged"        // member lists differed for long
-	CountSendFailed      = "MemberSendFailed"      // Send returned an error
-)
-
 // The defaults of Fleet's fields.
 const (
 	DefaultInterval           = 500 * time.Millisecond
@@ -134,13 +118,13 @@
 	told    chan struct{}
 	failure error
 
-	sequence  uint64
-	lastTick  time.Time
-	nextBeat  time.Time
-	recontact time.Time
-	nextDead  int
-	takenAt   time.Time
-	joinBegan time.Time
+	sequence    uint64
+	lastTick    time.Time
+	nextBeat    time.Time
+	recontact   time.Time
+	nextContact int
+	takenAt     time.Time
+	joinBegan   time.Time
 
 	out   []outgoing
 	calls []func()
@@ -302,8 +286,6 @@
 	switch {
 	case m.Load != nil:
 		f.load.receive(f, from, m.Load)
-	case len(m.Prune) > 0:
-		f.load.prune(from, m.Prune)
 	case m.RecordsRequest != nil && f.OnRecordsRequest != nil:
 		f.OnRecordsRequest(from, m.RecordsRequest)
 	case m.Records != nil && f.OnRecords != nil:
@@ -423,77 +405,6 @@
 	f.calls = append(f.calls, func() { f.load.pace(f, now) })
 }
 
-// show calls OnView with the newest view if it hasn't seen it.
-func (f *Fleet) show() {
-	f.viewMu.Lock()
-	defer f.viewMu.Unlock()
-	v := f.view.Load()
-	if v.Version == f.shown {
-		return
-	}
-	f.shown = v.Version
-	if f.OnView != nil {
-		f.OnView(v)
-	}
-}
-
-// rebuild makes a new view if something changed.
-func (f *Fleet) rebuild(now time.Time) {
-	if !f.dirty {
-		return
-	}
-	f.dirty = false
-	members := make([]bronzelink.Member, 0, len(f.entries)+1)
-	for _, e := range f.entries {
-		members = append(members, e.m)
-	}
-	prev := f.view.Load()
-	if f.buried && prev != nil {
-		// Others owned this node's slots meanwhile: they changed for it too.
-		prev = f.newView(f.self.Name, members, prev, now)
-	}
-	f.buried = false
-	if f.present() {
-		members = append(members, f.self)
-	}
-	v := f.newView(f.self.Name, members, prev, now)
-	v.Ready = f.present()
-	v.Fenced = f.fenced
-	v.Split = f.split
-	f.view.Store(v)
-	f.digests = f.computeDigests()
-	f.setPeers()
-}
-
-// transmit sends m and counts its bytes.
-func (f *Fleet) transmit(to bronzelink.Member, m *bronzelink.Message) {
-	if f.Send == nil {
-		return
-	}
-	if f.Sent != nil {
-		if b, err := bronzelink.Encode(m); err == nil {
-			f.Sent(len(b))
-		}
-	}
-	if err := f.Send(to, m); err != nil {
-		f.count(CountSendFailed)
-	}
-}
-
-// send queues m for the time when the lock is released.
-func (f *Fleet) send(to bronzelink.Member, m *bronzelink.Message) {
-	f.out = append(f.out, outgoing{to: to, m: m})
-}
-
-// sendTo queues m for the member of that name.
-func (f *Fleet) sendTo(name string, m *bronzelink.Message) {
-	to := bronzelink.Member{Name: name}
-	if e := f.entries[name]; e != nil {
-		to = e.m
-	}
-	f.send(to, m)
-}
-
 func (f *Fleet) failed() error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/bronzefleet/load.go
+++ b/bronzefleet/load.go
@@ -12,25 +12,32 @@
 const (
 	// loadBurst is how much of the byte budget may be saved up.
 	loadBurst = 2 * time.Second
-	// unpruneSequences is how often, in Loads of one origin, the tree that
-	// they travel on is built anew.
-	unpruneSequences = 64
+	// loadShare is the part of the byte budget that the regular sendings take;
+	// the rest is for catching up.
+	loadShare = 0.7
+	// unchangedLoad is by how much later a load is sent that didn't change.
+	unchangedLoad = 8
 )
 
-// loads spreads the Load of each node to all others. The first one that
-// arrives is passed on to the other neighbours; a neighbour that had it already
-// answers with a Prune and gets no more of that origin's from here, so that
-// what remains is a tree for each origin, and each Load crosses few links
-// twice. Loads wait for the byte budget, and only the newest of an origin does.
+// loads spreads the Load of each node to all others. In a small fleet the
+// origin sends it to all. In a larger one a Load travels around the first ring
+// both ways, passed on at once by each node that didn't have it; so each node
+// sends each Load about once, which no other way undercuts, one broken place in
+// the ring keeps it from nobody, and a way of half the ring takes less than a
+// second. An origin sends its own as often as the byte budget allows at this
+// size. Where that is too much, the loads wait that changed least, and only the
+// newest of an origin does.
 type loads struct {
 	mu         sync.Mutex
 	origins    map[string]*origin
-	neighbours []bronzelink.Member
-	direct     bool // all members are neighbours: nothing is passed on
+	neighbours []bronzelink.Member // that loads are sent to
+	direct     bool                // all members are: nothing is passed on
+	others     int                 // members beside this node
+	own        *bronzelink.Load
+	ownSent    time.Time
 	sequence   uint64
 	tokens     float64
 	paced      time.Time
-	prunes     map[string][]string // origins by neighbour
 }
 
 // origin is the newest Load of one node.
@@ -41,11 +48,11 @@
 	arrived time.Time
 	change  int // how much of it changed since it was last passed on
 	pending map[string]struct{}
-	pruned  map[string]struct{}
 }
 
-// Share spreads this node's own load; Origin and Sequence are set here. The
-// caller must not change the slices afterwards.
+// Share makes load this node's own, which is sent when the byte budget allows;
+// Origin and Sequence are set here. The caller must not change the slices
+// afterwards.
 func (f *Fleet) Share(load bronzelink.Load) {
 	load.Origin = f.Self.Name
 	f.load.share(&load)
@@ -54,13 +61,33 @@
 func (s *loads) share(l *bronzelink.Load) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.own = l
+}
+
+// storeOwn makes this node's own load one to be sent if it is time.
+func (s *loads) storeOwn(now time.Time, rate float64) {
+	if s.own == nil {
+		return
+	}
+	o := s.origins[s.own.Origin]
+	if o != nil {
+		wait := float64(s.others+1) * float64(o.size) / (rate * loadShare)
+		if difference(o.load, s.own) == 0 {
+			wait *= unchangedLoad
+		}
+		if now.Sub(s.ownSent).Seconds() < wait {
+			return
+		}
+	}
 	if s.sequence == 0 {
 		// Later than any Sequence of an earlier process of this name.
-		s.sequence = uint64(time.Now().UnixMilli())
+		s.sequence = uint64(now.UnixMilli())
 	}
 	s.sequence++
+	l := *s.own
 	l.Sequence = s.sequence
-	s.store(l, "")
+	s.ownSent = now
+	s.store(&l, "")
 }
 
 // receive takes a Load that the neighbour from passed on.
@@ -68,6 +95,7 @@
 	if l.Origin == f.Self.Name || !s.keep(from, l) {
 		return
 	}
+	s.pace(f, time.Now())
 	if f.OnLoad != nil {
 		f.OnLoad(l)
 	}
@@ -83,12 +111,6 @@
 		return true
 	}
 	delete(o.pending, from)
-	if l.Sequence == o.load.Sequence && from != o.from {
-		if s.prunes == nil {
-			s.prunes = map[string][]string{}
-		}
-		s.prunes[from] = append(s.prunes[from], l.Origin)
-	}
 	return false
 }
 
@@ -99,14 +121,10 @@
 	}
 	o := s.origins[l.Origin]
 	if o == nil {
-		o = &origin{load: &bronzelink.Load{}, pruned: map[string]struct{}{}}
+		o = &origin{load: &bronzelink.Load{}}
 		s.origins[l.Origin] = o
 	}
 	o.change += difference(o.load, l)
-	if l.Sequence%unpruneSequences == 0 {
-		clear(o.pruned)
-	}
-	delete(o.pruned, from)
 	o.load, o.from, o.arrived, o.size = l, from, time.Now(), 0
 	s.mark(o)
 }
@@ -119,8 +137,7 @@
 	}
 	for i := range s.neighbours {
 		name := s.neighbours[i].Name
-		_, pruned := o.pruned[name]
-		if !pruned && name != o.from && name != o.load.Origin {
+		if name != o.from && name != o.load.Origin {
 			o.pending[name] = struct{}{}
 		}
 	}
@@ -154,34 +171,26 @@
 	return n
 }
 
-// prune notes that the neighbour from gets the origins' loads elsewhere.
-func (s *loads) prune(from string, origins []string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, name := range origins {
-		if o := s.origins[name]; o != nil && o.from != from {
-			o.pruned[from] = struct{}{}
-			delete(o.pending, from)
-		}
-	}
-}
-
-// setNeighbours makes the trees grow anew when the neighbours changed.
+// setNeighbours sets whom loads are sent to.
 func (s *loads) setNeighbours(neighbours []bronzelink.Member, others int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.direct = len(neighbours) == others
+	s.others = others
 	same := slices.EqualFunc(s.neighbours, neighbours, func(a, b bronzelink.Member) bool { return a.Name == b.Name })
 	s.neighbours = neighbours
-	if same {
-		return
-	}
-	for _, o := range s.origins {
-		clear(o.pruned)
+	if o := s.origins[s.ownName()]; o != nil && !same {
 		s.mark(o)
 	}
 }
 
+func (s *loads) ownName() string {
+	if s.own == nil {
+		return ""
+	}
+	return s.own.Origin
+}
+
 // forget drops the origins that are not in names.
 func (s *loads) forget(members map[string]*entry, self string) {
 	s.mu.Lock()
@@ -193,8 +202,8 @@
 	}
 }
 
-// pace sends what the byte budget allows: this node's own load first, then
-// those that changed most or wait longest.
+// pace sends what the byte budget allows: the loads first that changed most or
+// wait longest.
 func (s *loads) pace(f *Fleet, now time.Time) {
 	for _, o := range s.due(now, float64(orDefault(f.LoadBytesPerSecond, DefaultLoadBytesPerSecond))) {
 		f.transmit(o.to, o.m)
@@ -210,7 +219,7 @@
 	}
 	s.tokens = min(s.tokens+rate*now.Sub(s.paced).Seconds(), rate*loadBurst.Seconds())
 	s.paced = now
-	out = s.duePrunes()
+	s.storeOwn(now, rate)
 	waiting := make([]*origin, 0, len(s.origins))
 	for _, o := range s.origins {
 		if len(o.pending) > 0 {
@@ -241,24 +250,8 @@
 	return out
 }
 
-// duePrunes returns the prunes, which cost little and save much.
-func (s *loads) duePrunes() (out []outgoing) {
-	for i := range s.neighbours {
-		if origins := s.prunes[s.neighbours[i].Name]; len(origins) > 0 {
-			m := &bronzelink.Message{Prune: origins}
-			s.tokens -= float64(encodedSize(m))
-			out = append(out, outgoing{to: s.neighbours[i], m: m})
-		}
-	}
-	s.prunes = nil
-	return out
-}
-
 // urgency orders the loads that wait.
 func (o *origin) urgency(now time.Time) int {
-	if o.from == "" {
-		return int(^uint(0) >> 1) // this node's own
-	}
 	return o.change + int(now.Sub(o.arrived).Seconds())
 }
 
--- a/bronzefleet/network_test.go
+++ b/bronzefleet/network_test.go
@@ -36,7 +36,7 @@
 	counts  map[string]int
 	sent    int
 	got     int
-	loads   map[string]uint64
+	loads   map[string]int // the last round of each origin
 	views   []*View
 }
 
@@ -59,7 +59,7 @@
 
 // add makes a node; start runs it.
 func (n *network) add(m bronzelink.Member) *testNode {
-	p := &testNode{net: n, counts: map[string]int{}, loads: map[string]uint64{}, result: make(chan error, 1)}
+	p := &testNode{net: n, counts: map[string]int{}, loads: map[string]int{}, result: make(chan error, 1)}
 	p.Fleet = &Fleet{
 		Self: m,
 		Send: p.send,
@@ -71,7 +71,7 @@
 		OnLoad: func(l *bronzelink.Load) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
-			p.loads[l.Origin] = l.Sequence
+			p.loads[l.Origin] = int(l.Reported[0].Count)
 		},
 		Count: func(reason string) {
 			n.mu.Lock()
@@ -81,7 +81,7 @@
 		Sent: func(b int) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
-			p.sent += b
+			p.sent += b + frameBytes
 		},
 	}
 	n.mu.Lock()
@@ -167,7 +167,7 @@
 	p.await()
 	p.net.mu.Lock()
 	lost := p.stopped || p.net.blocked != nil && p.net.blocked(from, p.Self)
-	p.got += len(b)
+	p.got += len(b) + frameBytes
 	p.net.mu.Unlock()
 	if lost {
 		return
--- /dev/null
+++ b/bronzefleet/output.go
@@ -0,0 +1,78 @@
+package bronzefleet
+
+import (
+	"time"
+
+	"bronzeusher.example/bronzeusher/bronzelink"
+)
+
+// show calls OnView with the newest view if it hasn't seen it.
+func (f *Fleet) show() {
+	f.viewMu.Lock()
+	defer f.viewMu.Unlock()
+	v := f.view.Load()
+	if v.Version == f.shown {
+		return
+	}
+	f.shown = v.Version
+	if f.OnView != nil {
+		f.OnView(v)
+	}
+}
+
+// rebuild makes a new view if something changed.
+func (f *Fleet) rebuild(now time.Time) {
+	if !f.dirty {
+		return
+	}
+	f.dirty = false
+	members := make([]bronzelink.Member, 0, len(f.entries)+1)
+	for _, e := range f.entries {
+		members = append(members, e.m)
+	}
+	prev := f.view.Load()
+	if f.buried && prev != nil {
+		// Others owned this node's slots meanwhile: they changed for it too.
+		prev = f.newView(f.self.Name, members, prev, now)
+	}
+	f.buried = false
+	if f.present() {
+		members = append(members, f.self)
+	}
+	v := f.newView(f.self.Name, members, prev, now)
+	v.Ready = f.present()
+	v.Fenced = f.fenced
+	v.Split = f.split
+	f.view.Store(v)
+	f.digests = f.computeDigests()
+	f.setPeers()
+}
+
+// transmit sends m and counts its bytes.
+func (f *Fleet) transmit(to bronzelink.Member, m *bronzelink.Message) {
+	if f.Send == nil {
+		return
+	}
+	if f.Sent != nil {
+		if b, err := bronzelink.Encode(m); err == nil {
+			f.Sent(len(b))
+		}
+	}
+	if err := f.Send(to, m); err != nil {
+		f.count(CountSendFailed)
+	}
+}
+
+// send queues m for the time when the lock is released.
+func (f *Fleet) send(to bronzelink.Member, m *bronzelink.Message) {
+	f.out = append(f.out, outgoing{to: to, m: m})
+}
+
+// sendTo queues m for the member of that name.
+func (f *Fleet) sendTo(name string, m *bronzelink.Message) {
+	to := bronzelink.Member{Name: name}
+	if e := f.entries[name]; e != nil {
+		to = e.m
+	}
+	f.send(to, m)
+}
--- a/bronzefleet/peers.go
+++ b/bronzefleet/peers.go
@@ -22,6 +22,7 @@
 type peers struct {
 	targets    []bronzelink.Member // monitored by this node
 	neighbours []bronzelink.Member // targets, and those that monitor this node
+	loads      []bronzelink.Member // that loads are sent to
 }
 
 // ring is an order of members around a circle by hash.
@@ -51,15 +52,21 @@
 	// places that the first ring fills.
 	targets.add(rings[0].walk(self, others, 1), targetCount)
 	monitors.add(rings[0].walk(self, others, -1), targetCount)
-	p := &peers{targets: targets.members}
 	if len(others) < smallFleet {
-		p.neighbours = slices.Clone(others)
-	} else {
-		p.neighbours = append(slices.Clone(targets.members), monitors.members...)
+		return &peers{targets: targets.members, neighbours: others, loads: others}
 	}
-	slices.SortFunc(p.neighbours, compareNames)
-	p.neighbours = slices.CompactFunc(p.neighbours, func(a, b bronzelink.Member) bool { return a.Name == b.Name })
-	return p
+	return &peers{
+		targets:    targets.members,
+		neighbours: union(targets.members, monitors.members),
+		loads:      union(targets.members[:1], monitors.members[:1]),
+	}
+}
+
+// union returns the members of both lists by name.
+func union(a, b []bronzelink.Member) []bronzelink.Member {
+	list := slices.Concat(a, b)
+	slices.SortFunc(list, compareNames)
+	return slices.CompactFunc(list, func(a, b bronzelink.Member) bool { return a.Name == b.Name })
 }
 
 // chosen collects up to targetCount members.
@@ -122,7 +129,7 @@
 	slices.SortFunc(others, compareNames)
 	p := choosePeers(f.self, others)
 	f.peers.Store(p)
-	f.load.setNeighbours(p.neighbours, len(others))
+	f.load.setNeighbours(p.loads, len(others))
 	f.setWatches(p.targets)
 }
 
--- a/bronzefleet/sync.go
+++ b/bronzefleet/sync.go
@@ -250,7 +250,8 @@
 	f.count(CountFenceUnanswered)
 }
 
-// join asks the members that are known for their lists, once an interval.
+// join asks members for their lists: one with each tick until there was an
+// answer, then one with each interval.
 func (f *Fleet) join(now time.Time) {
 	if !f.catchUp.active {
 		f.catchUp = catchUp{active: true, first: f.sequence + 1, until: now.Add(orDefault(f.JoinWait, DefaultJoinWait))}
@@ -258,18 +259,18 @@
 	if now.Before(f.nextBeat) {
 		return
 	}
-	f.nextBeat = now.Add(f.interval())
-	for _, to := range f.contacts() {
+	if !f.catchUp.heard.IsZero() {
+		f.nextBeat = now.Add(f.interval())
+	}
+	if to, ok := f.contact(); ok {
 		f.send(to, &bronzelink.Message{Members: &bronzelink.Members{Full: true, Sequence: f.nextSequence()}})
 	}
 }
 
-// joinContacts is how many members a joining node asks at once.
-const joinContacts = 3
-
-// contacts returns some members that may answer a joining node, others each
-// time: seeds, members it has heard of, and the platform's list.
-func (f *Fleet) contacts() []bronzelink.Member {
+// contact returns a member that may answer a joining node, another one each
+// time: a seed, a member it has heard of, or one from the platform's list. They
+// are asked one at a time because a whole list is large.
+func (f *Fleet) contact() (to bronzelink.Member, ok bool) {
 	all := f.unknown()
 	for _, e := range f.entries {
 		if e.live() {
@@ -277,13 +278,11 @@
 		}
 	}
 	slices.SortFunc(all, compareContacts)
-	n := min(len(all), joinContacts)
-	var some []bronzelink.Member
-	for i := range n {
-		some = append(some, all[(f.nextDead+i)%len(all)])
+	if len(all) == 0 {
+		return to, false
 	}
-	f.nextDead += n
-	return some
+	f.nextContact++
+	return all[f.nextContact%len(all)], true
 }
 
 // compareContacts orders members of which the name may not be known.
@@ -334,8 +333,8 @@
 		return
 	}
 	slices.SortFunc(lost, compareContacts)
-	f.nextDead++
-	f.exchange(lost[f.nextDead%len(lost)])
+	f.nextContact++
+	f.exchange(lost[f.nextContact%len(lost)])
 }
 
 // unknown returns the seeds, and the VMs that the platform lists, at whose
--- a/bronzefleet/table.go
+++ b/bronzefleet/table.go
@@ -47,9 +47,7 @@
 		former:  slices.Repeat([]order{emptyOrder}, Slots),
 		changed: make([]int64, Slots),
 	}
-	for _, name := range slices.Sorted(maps.Keys(owners)) {
-		t.join(name)
-	}
+	t.join(slices.Sorted(maps.Keys(owners)))
 	return t
 }
 
@@ -86,57 +84,87 @@
 	next.former = slices.Clone(t.former)
 	next.changed = slices.Clone(t.changed)
 	slices.Sort(joined)
-	for _, name := range joined {
-		next.join(name)
-	}
+	next.join(joined)
 	next.leave(gone) // after join, so that no index that prev's orders name is used again
 	next.record(t, back, now)
 	return next
 }
 
-// score is the rendezvous score of a node for a slot.
-func (t *table) score(slot int, i uint16) uint64 {
-	return bronzeflow.Mix(uint64(slot), t.nodes[i].hash)
+// ranking is an order with the scores of its nodes.
+type ranking struct {
+	order  order
+	scores [OrderLength]uint64
 }
 
-// better reports whether node a comes before node b in the slot's order.
-func (t *table) better(slot int, a, b uint16) bool {
-	if b == none {
-		return a != none
-	}
-	if a == none {
-		return false
-	}
-	x, y := t.score(slot, a), t.score(slot, b)
-	if x != y {
-		return x > y
+// rank returns the order o of a slot with its scores.
+func (t *table) rank(slot int, o order) ranking {
+	r := ranking{order: o}
+	for k, i := range o {
+		if i != none {
+			r.scores[k] = bronzeflow.Mix(uint64(slot), t.nodes[i].hash)
+		}
 	}
-	return t.nodes[a].name < t.nodes[b].name
+	return r
 }
 
-// insert puts node i into its place in o, if it has one there.
-func (t *table) insert(slot int, o *order, i uint16) {
-	for k := range o {
-		if o[k] == i {
+// insert puts node i into its place in r, if it has one there and isn't in r.
+func (t *table) insert(slot int, r *ranking, i uint16) {
+	score := bronzeflow.Mix(uint64(slot), t.nodes[i].hash)
+	if score < r.scores[OrderLength-1] && r.order[OrderLength-1] != none {
+		return
+	}
+	for k := range r.order {
+		if r.order[k] == i {
 			return
 		}
-		if t.better(slot, i, o[k]) {
-			copy(o[k+1:], o[k:])
-			o[k] = i
-			return
+		if !t.before(i, score, r, k) {
+			continue
 		}
+		copy(r.order[k+1:], r.order[k:])
+		copy(r.scores[k+1:], r.scores[k:])
+		r.order[k], r.scores[k] = i, score
+		return
 	}
 }
 
-// join adds a node to the orders that it belongs in.
-func (t *table) join(name string) {
-	i := t.index(name)
-	t.live[name] = i
+// before reports whether node i with that score comes before place k of r.
+func (t *table) before(i uint16, score uint64, r *ranking, k int) bool {
+	if r.order[k] == none || score != r.scores[k] {
+		return r.order[k] == none || score > r.scores[k]
+	}
+	return t.nodes[i].name < t.nodes[r.order[k]].name
+}
+
+// manyJoins is the number of joining nodes from which on it is cheaper to
+// compute all orders again.
+const manyJoins = 8
+
+// join adds nodes to the orders that they belong in.
+func (t *table) join(names []string) {
+	indexes := make([]uint16, len(names))
+	for k, name := range names {
+		indexes[k] = t.index(name)
+		t.live[name] = indexes[k]
+	}
+	many := len(names) >= manyJoins
+	if many {
+		indexes = t.indexes()
+	}
 	for slot := range t.orders {
-		t.insert(slot, &t.orders[slot], i)
+		r := ranking{order: emptyOrder}
+		if !many {
+			r = t.rank(slot, t.orders[slot])
+		}
+		for _, i := range indexes {
+			t.insert(slot, &r, i)
+		}
+		t.orders[slot] = r.order
 	}
 }
 
+// indexes returns the indexes of all live nodes.
+func (t *table) indexes() []uint16 { return slices.Sorted(maps.Values(t.live)) }
+
 // index returns the index of name, which may be one that no order names.
 func (t *table) index(name string) uint16 {
 	free := -1
@@ -184,23 +212,21 @@
 		gone[t.live[name]] = true
 		delete(t.live, name)
 	}
+	rest := t.indexes()
 	for slot := range t.orders {
-		for _, i := range t.orders[slot] {
-			if i != none && gone[i] {
-				t.orders[slot] = t.compute(slot)
-				break
-			}
+		if slices.ContainsFunc(t.orders[slot][:], func(i uint16) bool { return i != none && gone[i] }) {
+			t.orders[slot] = t.compute(slot, rest)
 		}
 	}
 }
 
-// compute returns the order of a slot from all live nodes.
-func (t *table) compute(slot int) order {
-	o := emptyOrder
-	for _, i := range t.live {
-		t.insert(slot, &o, i)
+// compute returns the order of a slot from the live nodes.
+func (t *table) compute(slot int, live []uint16) order {
+	r := ranking{order: emptyOrder}
+	for _, i := range live {
+		t.insert(slot, &r, i)
 	}
-	return o
+	return r.order
 }
 
 // record notes for each slot whose owner is no longer prev's who owned it
@@ -229,7 +255,7 @@
 // best of the earlier ones and of those that came back. The owner of now isn't
 // among them.
 func (t *table) formerOrder(slot int, was, is uint16, back []string) order {
-	rest := emptyOrder
+	rest := ranking{order: emptyOrder}
 	for _, i := range t.former[slot] {
 		if i != none && i != was && i != is {
 			t.insert(slot, &rest, i)
@@ -241,7 +267,7 @@
 		}
 	}
 	if was == none || was == is {
-		return rest
+		return rest.order
 	}
-	return order{was, rest[0], rest[1]}
+	return order{was, rest.order[0], rest.order[1]}
 }
--- a/bronzelink/link.go
+++ b/bronzelink/link.go
@@ -133,7 +133,7 @@
 		return
 	case errors.Is(l.err, ErrSilent):
 		m.count(CountSilent)
-	case errors.Is(l.err, context.DeadlineExceeded):
+	case errors.Is(l.err, ErrStuck):
 		m.count(CountWriteTimeout)
 	}
 	_ = l.conn.CloseNow()
@@ -175,15 +175,11 @@
 
 // writeOne sends one message. The deadline is what frees the link of a peer
 // that has stopped reading: without it the writer would wait for ever.
-func (l *link) writeOne(ctx context.Context, b []byte) (err error) {
-	ctx, cancel := context.WithTimeout(ctx, l.mesh.writeTimeout())
-	defer cancel()
+func (l *link) writeOne(ctx context.Context, b []byte) error {
+	timer := time.AfterFunc(l.mesh.writeTimeout(), func() { l.end(ErrStuck) })
+	defer timer.Stop()
 	l.touch()
-	err = l.conn.Write(ctx, websocket.MessageBinary, b)
-	if err != nil && ctx.Err() != nil {
-		return ctx.Err()
-	}
-	return err
+	return l.conn.Write(ctx, websocket.MessageBinary, b)
 }
 
 // read hands on messages until the link ends.
--- a/bronzelink/mesh.go
+++ b/bronzelink/mesh.go
@@ -19,6 +19,7 @@
 	ErrPlainNotLoopback = errors.New("links without certificates are for loopback addresses only")
 	ErrQueueFull        = errors.New("queue of the link is full")
 	ErrSilent           = errors.New("link went silent")
+	ErrStuck            = errors.New("peer doesn't read")
 )
 
 // Reasons that Mesh.Count is called with.
@@ -121,7 +122,7 @@
 func (m *Mesh) init() {
 	m.once.Do(func() {
 		m.ctx, m.cancel = context.WithCancel(context.Background())
-		m.dials = pond.NewPool(setupsAtOnce)
+		m.dials = pond.NewPool(setupsAtOnce, pond.WithContext(m.ctx))
 		m.links = map[string]*link{}
 		m.tls.files = [3]string{m.CertFile, m.KeyFile, m.CAFile}
 		m.tls.count = m.count
@@ -242,7 +243,6 @@
 	m.open.Wait()
 	timer.Stop()
 	m.cancel()
-	m.dials.StopAndWait()
 	return nil
 }
 
--- a/bronzelink/message.go
+++ b/bronzelink/message.go
@@ -142,15 +142,13 @@
 // Message is the envelope of the control links: exactly one field is set.
 // Unknown fields are skipped, so that versions can meet during a rollout.
 type Message struct {
-	Hello        *Hello        `cbor:",omitempty"`
-	Heartbeat    *Heartbeat    `cbor:",omitempty"`
-	HeartbeatAck *HeartbeatAck `cbor:",omitempty"`
-	Members      *Members      `cbor:",omitempty"`
-	Check        *Check        `cbor:",omitempty"`
-	CheckAck     *CheckAck     `cbor:",omitempty"`
-	Load         *Load         `cbor:",omitempty"`
-	// Prune lists origins whose Load the sender gets from another peer.
-	Prune          []string        `cbor:",omitempty"`
+	Hello          *Hello          `cbor:",omitempty"`
+	Heartbeat      *Heartbeat      `cbor:",omitempty"`
+	HeartbeatAck   *HeartbeatAck   `cbor:",omitempty"`
+	Members        *Members        `cbor:",omitempty"`
+	Check          *Check          `cbor:",omitempty"`
+	CheckAck       *CheckAck       `cbor:",omitempty"`
+	Load           *Load           `cbor:",omitempty"`
 	RecordsRequest *RecordsRequest `cbor:",omitempty"`
 	Records        *Records        `cbor:",omitempty"`
 }
@@ -158,6 +156,7 @@
 // Mapping tells where a flow is pinned. Hash stands for the key where both
 // sides need no more.
 type Mapping struct {
+	_      struct{} `cbor:",toarray"`
 	Key    bronzeflow.Key
 	Server bronzeflow.ServerID
 	State  bronzeflow.State
@@ -191,13 +190,11 @@
 	CopyAcks []uint64 `cbor:",omitempty"`
 	// Forget ends what the receiver learned of a flow.
 	Forget *bronzeflow.Key `cbor:",omitempty"`
-	// Ended tells the owner that a direction of the flow, or the whole of
-	// it, ended in a packet that went straight through the sender.
-	Ended *Mapping `cbor:",omitempty"`
 }
 
 // Query is the question of a balancer that owns a flow but doesn't know it.
 type Query struct {
+	_    struct{} `cbor:",toarray"`
 	Key  bronzeflow.Key
 	Open bool
 }
