Learn flows from their servers' answers, without messages

A server's data shows by itself where its flow is pinned; ends reach the owner as copies on the data path; an opening is asked of two former owners; a key is 37 bytes.

--- a/bronzecore/balancer.go
+++ b/bronzecore/balancer.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"bronzeusher.example/bronzeusher/bronzeconf"
 	"bronzeusher.example/bronzeusher/bronzefleet"
 	"bronzeusher.example/bronzeusher/bronzeflow"
@@ -56,6 +58,8 @@
 	copies copyStore
 	copier copier
 	sweep  sweeper
+	// teacher paces Learn messages.
+	teacher *rate.Limiter
 }
 
 // Timing holds the durations that a Balancer works with.
@@ -127,6 +131,7 @@
 		b.limits.HalfOpen = b.HalfOpen
 		b.limits.Open = b.Open
 		b.copier.setRate(b.CopyBytesPerSecond)
+		b.teacher = rate.NewLimiter(learnBytesPerSecond, learnBurst)
 		b.services.Store(&serviceSet{})
 	})
 }
--- a/bronzecore/caller.go
+++ b/bronzecore/caller.go
@@ -21,10 +21,14 @@
 	b.init()
 	now := time.Now()
 	hash := p.Key.Hash()
+	if p.Hops&bronzeflow.Noted != 0 {
+		b.markEnded(&p.Key, hash, bronzeflow.CallerClosed, p.Kind == bronzeflow.Reset)
+		return out
+	}
 	e, ok := b.table.Get(&p.Key, hash)
 	if ok && p.Kind != bronzeflow.Open && b.trusted(e, now) && e.State != bronzeflow.Pending {
 		b.touch(&p.Key, hash, e, now)
-		return b.pinned(p, hash, e, peer, out)
+		return b.pinned(p, hash, e, peer, now, out)
 	}
 	switch p.Kind {
 	case bronzeflow.Open, bronzeflow.Data, bronzeflow.Datagram, bronzeflow.Close, bronzeflow.Reset:
@@ -57,7 +61,7 @@
 }
 
 // pinned forwards a packet of a flow whose server is known.
-func (b *Balancer) pinned(p *bronzeflow.Packet, hash uint64, e bronzeflow.Entry, peer string, out []Action) []Action {
+func (b *Balancer) pinned(p *bronzeflow.Packet, hash uint64, e bronzeflow.Entry, peer string, now time.Time, out []Action) []Action {
 	if !b.inForce(e.Server, &p.Key) {
 		return b.serverGone(p, hash, out)
 	}
@@ -73,12 +77,10 @@
 	}
 	out = append(out, Action{Kind: Forward, Server: e.Server, Packet: *p})
 	if p.Kind == bronzeflow.Close || p.Kind == bronzeflow.Reset {
-		return b.ended(p, hash, e, bronzeflow.CallerClosed, out)
-	}
-	if peer != "" && e.State == bronzeflow.Established {
-		out = append(out, b.learn(p.Key, e, peer))
+		b.markEnded(&p.Key, hash, bronzeflow.CallerClosed, p.Kind == bronzeflow.Reset)
+		return b.note(p, hash, e, Relay, out)
 	}
-	return out
+	return b.teach(p, e, peer, now, out)
 }
 
 // echoWindow is how far a caller's first packets may have acknowledged past
@@ -86,12 +88,6 @@
 // once in 4,096 times.
 const echoWindow = 1 << 20
 
-func (b *Balancer) learn(key bronzeflow.Key, e bronzeflow.Entry, peer string) Action {
-	m := mapping(key, e)
-	m.Flags &^= bronzeflow.Owned
-	return Action{Kind: Send, Peer: peer, Message: &bronzelink.FlowMessage{Learn: &m}}
-}
-
 func mapping(key bronzeflow.Key, e bronzeflow.Entry) bronzelink.Mapping {
 	return bronzelink.Mapping{Key: key, Server: e.Server, State: e.State, Flags: e.Flags, Echo: e.Echo}
 }
@@ -140,23 +136,17 @@
 	return append(out, Action{Kind: Relay, Peer: owner, Packet: q})
 }
 
-// ended notes that one direction, or the whole flow, has ended, and tells
-// the owner if that is another node.
-func (b *Balancer) ended(p *bronzeflow.Packet, hash uint64, e bronzeflow.Entry, side bronzeflow.Flags, out []Action) []Action {
-	whole := p.Kind == bronzeflow.Reset || p.Kind == bronzeflow.Refuse
-	b.markEnded(&p.Key, hash, side, whole)
-	if e.Flags&bronzeflow.Owned != 0 {
-		return out
-	}
+// note sends the owner a copy of a packet that ended a direction of its flow
+// and went straight to its other end. Without it the owner would count the
+// flow until it expires, and its server would look busy.
+func (b *Balancer) note(p *bronzeflow.Packet, hash uint64, e bronzeflow.Entry, kind ActionKind, out []Action) []Action {
 	owner := b.owner(b.view.Load(), hash)
-	if owner == b.Name {
+	if e.Flags&bronzeflow.Owned != 0 || owner == b.Name {
 		return out
 	}
-	m := bronzelink.Mapping{Key: p.Key, Server: e.Server, Flags: side}
-	if whole {
-		m.State = bronzeflow.Closed
-	}
-	return append(out, Action{Kind: Send, Peer: owner, Message: &bronzelink.FlowMessage{Ended: &m}})
+	q := *p
+	q.Hops |= bronzeflow.Noted
+	return append(out, Action{Kind: kind, Server: e.Server, Peer: owner, Packet: q})
 }
 
 // markEnded records an end in the flow's entry. A flow whose both sides have
--- a/bronzecore/harness_test.go
+++ b/bronzecore/harness_test.go
@@ -289,7 +289,7 @@
 		case bronzecore.Relay:
 			w.send(name, a.Peer, func(n *node) []bronzecore.Action { return n.FromPeer(&p, name, nil) })
 		case bronzecore.RelayReply:
-			w.send(name, a.Peer, func(n *node) []bronzecore.Action { return n.ReplyFromPeer(&p, a.Server, name, nil) })
+			w.send(name, a.Peer, func(n *node) []bronzecore.Action { return n.ReplyFromPeer(&p, a.Server, nil) })
 		case bronzecore.Send:
 			w.send(name, a.Peer, func(n *node) []bronzecore.Action { return n.Message(a.Message, name, nil) })
 		case bronzecore.Forward, bronzecore.Probe, bronzecore.Cancel:
--- a/bronzecore/message.go
+++ b/bronzecore/message.go
@@ -19,8 +19,6 @@
 		return b.queried(m.Query, peer, now, out)
 	case m.Answer != nil:
 		return b.answered(m.Answer, peer, now, out)
-	case m.Ended != nil:
-		b.endedElsewhere(m.Ended)
 	case m.Forget != nil:
 		b.forgotten(m.Forget)
 	case m.Copies != nil:
@@ -41,14 +39,34 @@
 	if m.State != bronzeflow.Established || !b.inForce(m.Server, &m.Key) {
 		return
 	}
-	b.table.Put(&m.Key, hash, bronzeflow.Entry{
-		Server: m.Server,
-		Used:   b.seconds(now),
-		Opened: b.seconds(now),
-		Echo:   m.Echo,
-		State:  bronzeflow.Established,
-		Flags:  m.Flags &^ (bronzeflow.Owned | bronzeflow.Copied | bronzeflow.Exception),
-	})
+	e = bronzeflow.Entry{Server: m.Server, Echo: m.Echo, Flags: m.Flags}
+	b.putLearned(&m.Key, hash, e, now)
+}
+
+// putLearned remembers a flow that another node owns.
+func (b *Balancer) putLearned(key *bronzeflow.Key, hash uint64, e bronzeflow.Entry, now time.Time) {
+	e.Used = b.seconds(now)
+	e.Opened = e.Used
+	e.State = bronzeflow.Established
+	e.Flags &^= bronzeflow.Owned | bronzeflow.Copied | bronzeflow.Exception
+	b.table.Put(key, hash, e)
+}
+
+// The pace of Learn messages. Almost all is learned from the servers'
+// answers, which cost nothing; only datagram flows without answers need them.
+const (
+	learnBytes          = 200
+	learnBytesPerSecond = 512
+	learnBurst          = 2048
+)
+
+// teach tells a node that relayed a datagram where its flow is pinned.
+func (b *Balancer) teach(p *bronzeflow.Packet, e bronzeflow.Entry, peer string, now time.Time, out []Action) []Action {
+	if peer == "" || p.Kind != bronzeflow.Datagram || !b.teacher.AllowN(now, learnBytes) {
+		return out
+	}
+	m := mapping(p.Key, e)
+	return append(out, Action{Kind: Send, Peer: peer, Message: &bronzelink.FlowMessage{Learn: &m}})
 }
 
 // queried answers a node that owns a flow and doesn't know it.
@@ -99,17 +117,6 @@
 	b.table.Put(key, hash, e)
 }
 
-// endedElsewhere takes in that a flow of this owner ended in a packet that
-// another node forwarded.
-func (b *Balancer) endedElsewhere(m *bronzelink.Mapping) {
-	hash := m.Key.Hash()
-	e, ok := b.table.Get(&m.Key, hash)
-	if !ok || e.Server != m.Server {
-		return
-	}
-	b.markEnded(&m.Key, hash, m.Flags, m.State == bronzeflow.Closed)
-}
-
 // forget tells all nodes that a key no longer meets the server that they may
 // have learned for it.
 func (b *Balancer) forget(key bronzeflow.Key, out []Action) []Action {
--- a/bronzecore/recover.go
+++ b/bronzecore/recover.go
@@ -1,6 +1,8 @@
 package bronzecore
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"bronzeusher.example/bronzeusher/bronzefleet"
@@ -56,7 +58,7 @@
 	if v == nil {
 		return out
 	}
-	for _, name := range b.knowers(v, a.hash) {
+	for _, name := range b.knowers(v, a) {
 		if _, ok := a.asked[name]; ok || name == b.Name {
 			continue
 		}
@@ -67,22 +69,23 @@
 	return out
 }
 
-// knowers returns the nodes that may know a flow: the next in its order and
-// the former ones, or all in a small fleet, since any may have learned it.
-func (b *Balancer) knowers(v *bronzefleet.View, hash uint64) []string {
-	var names []string
+// openQueries is how many former owners are asked about an opening.
+const openQueries = 2
+
+// knowers returns the nodes that may know the flow of an attempt. An opening
+// that is not established is known to the flow's former owner alone; an
+// established flow to all that may have learned it, of which a large fleet
+// asks the next in the flow's order and the former owners.
+func (b *Balancer) knowers(v *bronzefleet.View, a *attempt) []string {
+	former, n := v.Previous(a.hash)
+	if a.isOpen() {
+		return former[:min(n, openQueries)]
+	}
 	if len(v.Members) <= smallFleet {
-		for name, m := range v.Members {
-			if m.Status <= bronzelink.Leaving {
-				names = append(names, name)
-			}
-		}
-		return names
+		return slices.Collect(maps.Keys(v.Members))
 	}
-	order, n := v.Order(hash)
-	names = append(names, order[:n]...)
-	before, n := v.Previous(hash)
-	return append(names, before[:n]...)
+	order, m := v.Order(a.hash)
+	return append(former[:n:n], order[:m]...)
 }
 
 // adopt pins a flow to the server that somebody knows it to be at, and
@@ -113,7 +116,7 @@
 			b.copier.add(p.Key, hash, e.Opened)
 		}
 	}
-	return b.pinned(p, hash, e, "", out)
+	return b.pinned(p, hash, e, "", now, out)
 }
 
 // replace drops an older entry of a flow with all it holds.
--- a/bronzecore/server.go
+++ b/bronzecore/server.go
@@ -13,37 +13,38 @@
 func (b *Balancer) FromServer(p *bronzeflow.Packet, ids []bronzeflow.ServerID, out []Action) []Action {
 	for _, id := range ids {
 		if b.inForce(id, &p.Key) {
-			return b.fromServer(p, id, "", out)
+			return b.fromServer(p, id, out)
 		}
 	}
 	return append(out, Action{Kind: Drop, Packet: *p, Reason: ForeignServer})
 }
 
-// ReplyFromPeer decides on a packet of server id that the node peer relayed.
-func (b *Balancer) ReplyFromPeer(p *bronzeflow.Packet, id bronzeflow.ServerID, peer string, out []Action) []Action {
+// ReplyFromPeer decides on a packet of server id that another node relayed.
+func (b *Balancer) ReplyFromPeer(p *bronzeflow.Packet, id bronzeflow.ServerID, out []Action) []Action {
 	if !b.inForce(id, &p.Key) {
 		return append(out, Action{Kind: Drop, Packet: *p, Reason: ForeignServer})
 	}
-	return b.fromServer(p, id, peer, out)
+	return b.fromServer(p, id, out)
 }
 
-func (b *Balancer) fromServer(p *bronzeflow.Packet, id bronzeflow.ServerID, peer string, out []Action) []Action {
+func (b *Balancer) fromServer(p *bronzeflow.Packet, id bronzeflow.ServerID, out []Action) []Action {
 	b.init()
 	now := time.Now()
 	hash := p.Key.Hash()
+	if p.Hops&bronzeflow.Noted != 0 {
+		b.markEnded(&p.Key, hash, bronzeflow.ServerClosed, false)
+		return out
+	}
 	e, ok := b.table.Get(&p.Key, hash)
 	if ok && e.Server == id && e.State != bronzeflow.Pending && b.trusted(e, now) {
 		b.touch(&p.Key, hash, e, now)
 		switch p.Kind {
 		case bronzeflow.Data, bronzeflow.Datagram:
-			out = append(out, Action{Kind: Reply, Server: id, Packet: *p})
-			if peer != "" && e.State == bronzeflow.Established {
-				out = append(out, b.learn(p.Key, e, peer))
-			}
-			return out
+			return append(out, Action{Kind: Reply, Server: id, Packet: *p})
 		case bronzeflow.Close:
+			b.markEnded(&p.Key, hash, bronzeflow.ServerClosed, false)
 			out = append(out, Action{Kind: Reply, Server: id, Packet: *p})
-			return b.ended(p, hash, e, bronzeflow.ServerClosed, out)
+			return b.note(p, hash, e, RelayReply, out)
 		}
 	}
 	switch p.Kind {
@@ -55,7 +56,7 @@
 	// the owner's to decide.
 	v := b.view.Load()
 	if owner := b.owner(v, hash); owner != b.Name {
-		return b.relayReply(p, id, owner, out)
+		return b.elsewhere(p, hash, id, e, ok, owner, now, out)
 	}
 	if b.fenced(v, now) {
 		return append(out, Action{Kind: Drop, Packet: *p, Reason: Fenced})
@@ -66,6 +67,32 @@
 	return b.ownReply(s, p, hash, id, now, out)
 }
 
+// elsewhere decides on a server's packet of a flow that another node owns.
+func (b *Balancer) elsewhere(p *bronzeflow.Packet, hash uint64, id bronzeflow.ServerID, e bronzeflow.Entry, known bool, owner string, now time.Time, out []Action) []Action {
+	if known && e.Flags&bronzeflow.Owned == 0 {
+		// Two servers claim the flow, or the entry is old: the owner tells.
+		b.table.Delete(&p.Key, hash)
+	}
+	if known || !b.teaches(p) {
+		return b.relayReply(p, id, owner, out)
+	}
+	b.putLearned(&p.Key, hash, bronzeflow.Entry{Server: id, Flags: bronzeflow.Confirmed}, now)
+	return append(out, Action{Kind: Reply, Server: id, Packet: *p})
+}
+
+// teaches reports whether a server's packet shows by itself that its flow is
+// pinned there. A server sends data only on a connection that the caller has
+// confirmed, and owners let one acceptance through. An opening that carried
+// its request may have been given up after the server got it, though, where
+// the service's requests are idempotent: then only the owner knows.
+func (b *Balancer) teaches(p *bronzeflow.Packet) bool {
+	if p.Kind != bronzeflow.Data && p.Kind != bronzeflow.Datagram {
+		return false
+	}
+	svc := b.snapshot.Load().Match(&p.Key)
+	return svc != nil && !svc.Retry.Idempotent
+}
+
 func (b *Balancer) relayReply(p *bronzeflow.Packet, id bronzeflow.ServerID, owner string, out []Action) []Action {
 	if p.Hops >= MaxHops {
 		return append(out, Action{Kind: Drop, Packet: *p, Reason: RelayLoop})
--- a/bronzeflow/key.go
+++ b/bronzeflow/key.go
@@ -5,6 +5,7 @@
 	"net/netip"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 )
 
 // Protocol is the IP protocol number of a flow.
@@ -61,19 +62,45 @@
 	return netip.AddrPortFrom(netip.AddrFrom16(k.Service).Unmap(), k.ServicePort)
 }
 
-// keyBytes is the length of the fixed form of a Key that is hashed.
+// keyBytes is the length of the fixed form of a Key.
 const keyBytes = 37
 
+// append appends the fixed form of k, which is hashed and sent to peers.
+func (k *Key) append(b []byte) []byte {
+	b = append(b, k.Caller[:]...)
+	b = append(b, k.Service[:]...)
+	b = binary.BigEndian.AppendUint16(b, k.CallerPort)
+	b = binary.BigEndian.AppendUint16(b, k.ServicePort)
+	return append(b, byte(k.Protocol))
+}
+
+// MarshalBinary returns k in 37 bytes. It never fails.
+func (k Key) MarshalBinary() (b []byte, err error) {
+	return k.append(make([]byte, 0, keyBytes)), nil
+}
+
+// UnmarshalBinary sets k from what MarshalBinary returned. It returns
+// ErrKeyLength if b has another length.
+func (k *Key) UnmarshalBinary(b []byte) (err error) {
+	if len(b) != keyBytes {
+		return ErrKeyLength
+	}
+	copy(k.Caller[:], b)
+	copy(k.Service[:], b[16:])
+	k.CallerPort = binary.BigEndian.Uint16(b[32:])
+	k.ServicePort = binary.BigEndian.Uint16(b[34:])
+	k.Protocol = Protocol(b[36])
+	return nil
+}
+
+// ErrKeyLength is returned for a binary form of a Key that is not 37 bytes.
+var ErrKeyLength = errors.New("flow key has not 37 bytes")
+
 // Hash returns a 64-bit hash of k that is the same in every process and
 // every release: ownership and candidate order are computed from it.
 func (k *Key) Hash() uint64 {
 	var b [keyBytes]byte
-	copy(b[0:16], k.Caller[:])
-	copy(b[16:32], k.Service[:])
-	binary.BigEndian.PutUint16(b[32:34], k.CallerPort)
-	binary.BigEndian.PutUint16(b[34:36], k.ServicePort)
-	b[36] = byte(k.Protocol)
-	return xxhash.Sum64(b[:])
+	return xxhash.Sum64(k.append(b[:0]))
 }
 
 // ServerID identifies one instance of a BackendServer in the whole fleet. It
--- a/bronzeflow/packet.go
+++ b/bronzeflow/packet.go
@@ -34,6 +34,10 @@
 	return "Invalid"
 }
 
+// Noted marks, in Hops, the copy of a packet that ends a flow: it has been
+// forwarded, and the flow's owner shall only take note of it.
+const Noted uint8 = 0x80
+
 // Packet is one packet of a flow as the decisions see it.
 type Packet struct {
 	Key  Key
@@ -45,7 +49,8 @@
 	// number plus one), which the caller's first packets afterwards carry
 	// back (TCP: the acknowledgement number). 0 means not known.
 	Echo uint32
-	// Hops counts the balancers that relayed the packet so far.
+	// Hops counts the balancers that relayed the packet so far. The bit
+	// Noted is set on a copy that its sender has forwarded already.
 	Hops uint8
 	// Raw is the packet as it was on the wire. The decisions never read it;
 	// they may keep a copy of an Open's.
--- a/bronzenode/path.go
+++ b/bronzenode/path.go
@@ -74,11 +74,12 @@
 	}
 }
 
-// tick does what is due by time.
-func (w *worker) tick() error {
+// tick does what is due by time. Once the sockets are closed it is of no
+// effect.
+func (w *worker) tick() {
 	w.actions = w.node.balancer.Tick(w.actions[:0])
 	w.do()
-	return w.flush()
+	_ = w.flush()
 }
 
 // fromEdge handles an encapsulated packet. Who sent it is known from the
