--- a/bronzenode/node.go
+++ b/bronzenode/node.go
@@ -258,8 +258,8 @@
 // Kill ends the node abruptly: its sockets are closed, and nobody is told.
 func (n *Node) Kill() {
 	n.killed.Store(true)
-	n.closeAddresses()
 	n.end(nil)
+	n.closeAddresses()
 	n.gate.open()
 }
 
--- a/bronzenode/records.go
+++ b/bronzenode/records.go
@@ -1,9 +1,7 @@
 package bronzenode
 
 import (
-	"context"
 	"sync"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -151,25 +149,15 @@
 	return true
 }
 
-// askForLacking asks peers for bodies that didn't arrive.
-func (n *Node) askForLacking(ctx context.Context) error {
-	ticker := time.NewTicker(lackInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-		n.gate.pass()
-		if !n.lacking.next(n.store.Lacks) {
-			continue
-		}
-		for _, m := range n.members.Load().view.Members {
-			if m.Name != n.cfg.Name && m.Revision >= n.store.Revision() {
-				n.onBehind(m) //nolint:contextcheck // a link that it opens outlives ctx
-				break
-			}
+// askForLacking asks a peer for bodies that didn't arrive.
+func (n *Node) askForLacking() {
+	if !n.lacking.next(n.store.Lacks) {
+		return
+	}
+	for _, m := range n.members.Load().view.Members {
+		if m.Name != n.cfg.Name && m.Revision >= n.store.Revision() {
+			n.onBehind(m)
+			return
 		}
 	}
 }
--- a/bronzenode/reports.go
+++ b/bronzenode/reports.go
@@ -74,20 +74,12 @@
 // run polls at each interval until ctx is done.
 func (r *reports) run(ctx context.Context) error {
 	defer r.pool.StopAndWait()
-	ticker := time.NewTicker(r.node.cfg.PollInterval)
-	defer ticker.Stop()
 	var due dueServers
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-		r.node.gate.pass()
+	return r.node.every(ctx, r.node.cfg.PollInterval, func() {
 		for _, b := range due.of(r.node) {
 			r.start(ctx, b)
 		}
-	}
+	})
 }
 
 // start asks b, unless the last answer is still outstanding.
--- a/bronzenode/run.go
+++ b/bronzenode/run.go
@@ -72,18 +72,24 @@
 		r.read(n.edge, (*worker).fromEdge)
 		r.read(n.data, (*worker).fromData)
 	}
-	r.task(n.tick)
+	ticker := n.newWorker()
+	r.every(bronzecore.TickInterval, ticker.tick)
 	r.task(n.keepMembership(r.farewell))
 	r.task(func(ctx context.Context) error { return n.mesh.Serve(ctx, n.control) })
 	r.task(n.readPlatform)
 	r.task(n.readVMs)
-	r.task(n.askForLacking)
+	r.every(lackInterval, n.askForLacking)
 	r.task(n.reports.run)
-	r.task(n.share)
-	r.task(n.tellMetrics)
+	r.every(n.cfg.ShareInterval, (&sharer{node: n}).share)
+	r.every(metricsInterval, n.tellMetrics)
 	r.task(func(context.Context) error { return n.serveHTTP(r.server) })
 }
 
+// every calls step at each interval in a goroutine of its own.
+func (r *runner) every(interval time.Duration, step func()) {
+	r.task(func(ctx context.Context) error { return r.node.every(ctx, interval, step) })
+}
+
 func (r *runner) read(s *bronzewire.Socket, handle func(w *worker, from netip.AddrPort, b []byte)) {
 	w := r.node.newWorker()
 	r.task(func(context.Context) error {
@@ -117,10 +123,9 @@
 	}
 }
 
-// tick makes the decisions that are due by time.
-func (n *Node) tick(ctx context.Context) error {
-	w := n.newWorker()
-	ticker := time.NewTicker(bronzecore.TickInterval)
+// every calls step at each interval until ctx is done.
+func (n *Node) every(ctx context.Context, interval time.Duration, step func()) error {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -129,9 +134,7 @@
 		case <-ticker.C:
 		}
 		n.gate.pass()
-		if err := w.tick(); err != nil {
-			return nil // the sockets are closed
-		}
+		step()
 	}
 }
 
@@ -179,19 +182,12 @@
 	if n.cfg.Platform == "" {
 		return nil
 	}
-	ticker := time.NewTicker(vmInterval)
-	defer ticker.Stop()
-	for {
-		n.gate.pass()
+	n.readVMsOnce(ctx)
+	return n.every(ctx, vmInterval, func() {
 		if !n.members.Load().view.Ready || n.readsPlatform() {
 			n.readVMsOnce(ctx)
 		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+	})
 }
 
 func (n *Node) readVMsOnce(ctx context.Context) {
@@ -204,18 +200,9 @@
 	n.fleet.SetVMs(vms)
 }
 
-// tellMetrics keeps the metrics up to date.
-func (n *Node) tellMetrics(ctx context.Context) error {
-	ticker := time.NewTicker(metricsInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-		n.countBytes()
-		n.counters.tell()
-		n.setGauges()
-	}
+// tellMetrics brings the metrics up to date.
+func (n *Node) tellMetrics() {
+	n.countBytes()
+	n.counters.tell()
+	n.setGauges()
 }
--- a/bronzenode/shares.go
+++ b/bronzenode/shares.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"slices"
 	"sync"
 	"time"
@@ -34,31 +33,27 @@
 	at    time.Time
 }
 
-// share tells the fleet this node's load, if it changed, until ctx is done.
-func (n *Node) share(ctx context.Context) error {
-	ticker := time.NewTicker(n.cfg.ShareInterval)
-	defer ticker.Stop()
-	var last bronzelink.Load
-	var next time.Time
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-		n.gate.pass()
-		now := time.Now()
-		if now.Before(next) {
-			continue
-		}
-		load := n.load()
-		if sameLoad(&load, &last) {
-			continue
-		}
-		last = load
-		next = now.Add(n.spreadTime(&load))
-		n.fleet.Share(load)
+// sharer tells the fleet its node's load.
+type sharer struct {
+	node *Node
+	last bronzelink.Load
+	// next is when the last load has reached all neighbours.
+	next time.Time
+}
+
+// share tells the load if it changed.
+func (s *sharer) share() {
+	now := time.Now()
+	if now.Before(s.next) {
+		return
+	}
+	load := s.node.load()
+	if sameLoad(&load, &s.last) {
+		return
 	}
+	s.last = load
+	s.next = now.Add(s.node.spreadTime(&load))
+	s.node.fleet.Share(load)
 }
 
 // spreadTime returns how long the fleet's byte budget needs to bring a load
