Let an owner see the answers to its probes

Cause: in the demo's rolling change 2 of 6,449 flows were reset as UnknownFlow. A server's empty answer to a probe entered by another node, which took it for a sign of where the flow is and kept it; the owner waited until its deadline and ended the flow. Now only answers with payload teach, and an answer of a node that comes late still ends the search.

--- a/bronzecore/message.go
+++ b/bronzecore/message.go
@@ -53,16 +53,20 @@
 }
 
 // The pace of Learn messages. Almost all is learned from the servers'
-// answers, which cost nothing; only datagram flows without answers need them.
+// answers, which cost nothing; only flows without answers need messages, and
+// only those that live long are worth them.
 const (
-	learnBytes          = 200
+	learnBytes          = 100
 	learnBytesPerSecond = 512
 	learnBurst          = 2048
 )
 
-// teach tells a node that relayed a datagram where its flow is pinned.
+// teach tells a node that relayed a packet where its flow is pinned.
 func (b *Balancer) teach(p *bronzeflow.Packet, e bronzeflow.Entry, peer string, now time.Time, out []Action) []Action {
-	if peer == "" || p.Kind != bronzeflow.Datagram || !b.teacher.AllowN(now, learnBytes) {
+	if peer == "" || e.State != bronzeflow.Established || b.seconds(now)-e.Opened < toSeconds(b.Timing.CopyAge) {
+		return out
+	}
+	if !b.teacher.AllowN(now, learnBytes) {
 		return out
 	}
 	m := mapping(p.Key, e)
--- a/bronzecore/recover.go
+++ b/bronzecore/recover.go
@@ -133,14 +133,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a, ok := s.attempts[m.Key]
-	if !ok || a.phase != querying {
+	if !ok || a.phase == opening {
 		return out
 	}
 	delete(a.asked, peer)
-	if m.Server != 0 {
+	if m.Server != 0 && (a.phase == querying || m.State == bronzeflow.Established) {
 		return b.found(s, a, *m, now, out)
 	}
-	if len(a.asked) > 0 {
+	if a.phase != querying || len(a.asked) > 0 {
 		return out
 	}
 	return b.unanswered(s, a, now, out)
--- a/bronzecore/server.go
+++ b/bronzecore/server.go
@@ -84,9 +84,12 @@
 // pinned there. A server sends data only on a connection that the caller has
 // confirmed, and owners let one acceptance through. An opening that carried
 // its request may have been given up after the server got it, though, where
-// the service's requests are idempotent: then only the owner knows.
+// the service's requests are idempotent: then only the owner knows. Data
+// without payload may be the answer to an owner's probe. If it taught the node
+// that it happens to enter by, the owner would wait for it in vain and end the
+// flow.
 func (b *Balancer) teaches(p *bronzeflow.Packet) bool {
-	if p.Kind != bronzeflow.Data && p.Kind != bronzeflow.Datagram {
+	if p.Payload == 0 || p.Kind != bronzeflow.Data && p.Kind != bronzeflow.Datagram {
 		return false
 	}
 	svc := b.snapshot.Load().Match(&p.Key)
