Let callers repeat a request that their opening carried in vain

A server or balancer may take the opening and leave its payload; TCP then sends the payload again. Callers also send again at least once a second, so that a path which is mended within the five seconds they wait shows: with doubling alone their last try came 3 s after the first, before a takeover that takes 4 s. After a partition the time to put a change in force counts from the heal, like that after an outage of the platform.

--- a/bronzetest/caller.go
+++ b/bronzetest/caller.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// firstRetransmit is when a caller first sends again; the wait doubles.
+	// firstRetransmit is when a caller first sends again; the wait doubles up
+	// to maxRetransmit, so that what is mended within giveUp shows.
 	firstRetransmit = 200 * time.Millisecond
+	maxRetransmit   = time.Second
 	// defaultGiveUp is how long a caller waits for an answer.
 	defaultGiveUp = 5 * time.Second
 	// inboxLength bounds the replies that wait for their flow's goroutine.
@@ -67,7 +69,9 @@
 	seq, next uint32
 	server    bronzeflow.ServerID
 	number    uint32
-	ledger    *Ledger
+	// unanswered is a request that the opening carried in vain.
+	unanswered []byte
+	ledger     *Ledger
 }
 
 // Flow opens a flow from a port not used before, makes up to limit requests
@@ -137,7 +141,7 @@
 		f.Shadow.Open(f.Service, f.key)
 		defer f.Shadow.Close(f.Service, f.key)
 	}
-	for limit == 0 || int(f.number) < limit {
+	for limit == 0 || int(f.number) < limit || f.unanswered != nil {
 		if !f.request() {
 			return Broken
 		}
@@ -152,21 +156,23 @@
 	return Finished
 }
 
-// open sends the opening until it is accepted or refused.
+// open sends the opening until it is accepted or refused. A request in it
+// that wasn't acknowledged with it is made again, as TCP does.
 func (f *callerFlow) open() Outcome {
 	syn := segment{SYN: true, Seq: f.seq}
 	f.seq++
 	if f.Early {
 		syn.Payload = f.nextRequest()
-		f.seq += uint32(len(syn.Payload))
 	}
+	whole := f.seq + uint32(len(syn.Payload))
 	outcome := Unopened
 	f.transact(syn, func(s segment) bool {
+		acknowledged := s.ACK && (s.Ack == f.seq || s.Ack == whole)
 		switch {
-		case s.RST && s.Ack == f.seq:
+		case s.RST && acknowledged:
 			outcome = Refused
-		case s.SYN && s.ACK && s.Ack == f.seq:
-			outcome = f.established(s)
+		case s.SYN && acknowledged:
+			outcome = f.established(s, syn.Payload)
 		default:
 			f.ledger.Strays.Add(1)
 			return false
@@ -176,9 +182,12 @@
 	return outcome
 }
 
-func (f *callerFlow) established(s segment) Outcome {
+// established takes the acceptance s of an opening with payload in.
+func (f *callerFlow) established(s segment, payload []byte) Outcome {
 	f.next = s.Seq + 1
-	if f.Early && !f.verify(s) {
+	if s.Ack == f.seq {
+		f.unanswered = payload
+	} else if f.seq = s.Ack; !f.verify(s) {
 		return Broken
 	}
 	f.send(segment{ACK: true, Seq: f.seq, Ack: f.next})
@@ -190,9 +199,14 @@
 	return Request{Flow: f.key.Hash(), Number: f.number}.marshal()
 }
 
-// request makes the next request and reports whether it was answered.
+// request makes the next request, or the one that the opening was to carry,
+// and reports whether it was answered.
 func (f *callerFlow) request() (answered bool) {
-	p := segment{ACK: true, Seq: f.seq, Ack: f.next, Payload: f.nextRequest()}
+	p := segment{ACK: true, Seq: f.seq, Ack: f.next, Payload: f.unanswered}
+	if f.unanswered == nil {
+		p.Payload = f.nextRequest()
+	}
+	f.unanswered = nil
 	f.seq += uint32(len(p.Payload))
 	f.transact(p, func(s segment) bool {
 		switch {
@@ -278,7 +292,7 @@
 func (f *callerFlow) transact(s segment, done func(segment) bool) {
 	deadline := time.NewTimer(f.giveUp())
 	defer deadline.Stop()
-	for wait := firstRetransmit; ; wait *= 2 {
+	for wait := firstRetransmit; ; wait = min(2*wait, maxRetransmit) {
 		f.send(s)
 		again := time.NewTimer(wait)
 		finished := f.collect(again.C, deadline.C, done)
--- a/bronzetest/demo.go
+++ b/bronzetest/demo.go
@@ -81,9 +81,9 @@
 	// platformURL and reportsURL are the base URLs of the two HTTP servers.
 	platformURL, reportsURL string
 	http                    []*http.Server
-	// platformUp is when a platform that was down came back, in Unix
+	// reachable is when the platform could be reached by all again, in Unix
 	// nanoseconds.
-	platformUp atomic.Int64
+	reachable atomic.Int64
 
 	mu sync.Mutex
 	// places tells the zones of balancers' addresses.
@@ -332,7 +332,7 @@
 		if !r.inForce(rev) {
 			continue
 		}
-		if up := r.platformUp.Load(); up > published.UnixNano() {
+		if up := r.reachable.Load(); up > published.UnixNano() {
 			published = time.Unix(0, up)
 		}
 		r.result.ConfigSeconds = time.Since(published).Seconds()
--- a/bronzetest/disturb.go
+++ b/bronzetest/disturb.go
@@ -76,7 +76,7 @@
 		r.platform.SetDown(true)
 		sleep(ctx, span)
 		r.platform.SetDown(false)
-		r.platformUp.Store(time.Now().UnixNano())
+		r.reachable.Store(time.Now().UnixNano())
 	case Silent:
 		r.silence()
 	case Reject:
@@ -158,6 +158,7 @@
 	r.fabric.Split(sides)
 	sleep(ctx, span)
 	r.fabric.Split(nil)
+	r.reachable.Store(time.Now().UnixNano())
 }
 
 func (r *run) pause(span time.Duration) {
