Keep the loads between choices instead of weighing the pool each time

The differential test against the naive recomputation holds exactly. Servers without a bound of connections no longer weigh one against the thousands of those that have one.

--- a/bronzepool/choose.go
+++ b/bronzepool/choose.go
@@ -6,20 +6,10 @@
 	"bronzeusher.example/bronzeusher/bronzeflow"
 )
 
-// DefaultImbalanceBound holds where a Policy has none.
-const DefaultImbalanceBound = 1.10
-
-const (
-	// minSlack is how many flows over its fair share a server may always
-	// have, so that a service with few flows doesn't have exceptions only.
-	minSlack = 1
-	// overflowChoices is how many candidates an exception is chosen from, by
-	// load. The least loaded of all would spread little better, and every
-	// owner would pick the same.
-	overflowChoices = 5
-	// tolerance absorbs the rounding of loads.
-	tolerance = 1e-9
-)
+// overflowChoices is how many candidates an exception is chosen from, by load.
+// The least loaded of all would spread little better, and every owner would
+// pick the same.
+const overflowChoices = 5
 
 // Candidates appends to dst up to n servers for the flow hash in rendezvous
 // order over the whole pool, those that are leaving included: the order in
@@ -30,10 +20,13 @@
 		return dst
 	}
 	start := len(dst)
+	worst := uint64(0)
 	for _, id := range *ids {
 		top := dst[start:]
-		if len(top) == n && !before(hash, id, top[n-1]) {
-			continue
+		if len(top) == n {
+			if x := score(hash, id); x < worst || x == worst && id > top[n-1] {
+				continue
+			}
 		}
 		if len(top) < n {
 			dst = append(dst, id)
@@ -44,6 +37,7 @@
 			top[i] = top[i-1]
 		}
 		top[i] = id
+		worst = score(hash, top[len(top)-1])
 	}
 	return dst
 }
@@ -62,17 +56,18 @@
 // when it is the flow's first candidate in the order of Candidates, so that
 // other nodes can derive it. With plain set it takes the first candidate that
 // may have work whatever its load (but for hard limits and servers that are
-// silent), so that both sides of a partition choose alike. ok is false if no server may take it.
+// silent), so that both sides of a partition choose alike. ok is false if no
+// server may take it.
 func (p *Pool) Choose(hash uint64, tried []bronzeflow.ServerID, plain bool) (id bronzeflow.ServerID, first, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
 	p.weigh(now)
-	top := p.first(hash, func(*server) bool { return true })
+	top := p.top(hash)
 	if top == nil {
 		return 0, false, false
 	}
-	allowed := func(s *server) bool { return s.allowed && !slices.Contains(tried, s.id) }
+	allowed := func(s *server) bool { return s.serving && !s.full() && !slices.Contains(tried, s.id) }
 	s := p.pick(hash, top, allowed, plain, now)
 	if s == nil {
 		return 0, false, false
@@ -88,7 +83,7 @@
 		return p.pickPlain(hash, allowed, now)
 	}
 	ready := func(s *server) bool { return now >= s.retryAt && !s.shut(now) && allowed(s) }
-	if top.fits && ready(top) {
+	if p.fits(top) && ready(top) {
 		return top
 	}
 	if s := p.overflow(hash, ready); s != nil {
@@ -113,6 +108,22 @@
 	return p.first(hash, allowed)
 }
 
+// top returns the first server in the order for hash.
+func (p *Pool) top(hash uint64) *server {
+	ids := p.ids.Load()
+	if ids == nil || len(*ids) == 0 {
+		return nil
+	}
+	best, most := 0, uint64(0)
+	for i, id := range *ids {
+		x := score(hash, id)
+		if x > most || x == most && id < (*ids)[best] {
+			best, most = i, x
+		}
+	}
+	return p.servers[best]
+}
+
 // first returns the first server in the order for hash that is accepted.
 func (p *Pool) first(hash uint64, accept func(*server) bool) *server {
 	var best *server
@@ -132,7 +143,7 @@
 	var order [overflowChoices]*server
 	n := 0
 	for _, s := range p.servers {
-		if !s.fits || p.crowded(s) || !ready(s) {
+		if !p.fits(s) || p.crowded(s) || !ready(s) {
 			continue
 		}
 		if n < len(order) {
@@ -180,75 +191,3 @@
 	}
 	return best
 }
-
-// weigh brings the loads, weights and verdicts of all servers up to date.
-func (p *Pool) weigh(now int64) {
-	total, weight := 0.0, 0.0
-	for _, s := range p.servers {
-		s.load = p.estimate(s, now)
-		s.weight = s.ramp(now, p.policy.ColdStart)
-		if s.connections > 0 {
-			s.weight *= float64(s.connections)
-		}
-		s.allowed = !s.leaving(now) && !s.full()
-		if s.leaving(now) {
-			continue
-		}
-		total += s.load
-		weight += s.weight
-	}
-	p.weight = weight
-	for _, s := range p.servers {
-		share := 0.0
-		if weight > 0 {
-			share = (total + 1) * s.weight / weight
-		}
-		s.fits = s.allowed && s.load+1 <= p.limit(s, share)+tolerance
-	}
-}
-
-// limit returns how many flows s may have before it is passed over, given its
-// fair share of them.
-func (p *Pool) limit(s *server, share float64) float64 {
-	bound := p.policy.ImbalanceBound
-	if bound < 1 {
-		bound = DefaultImbalanceBound
-	}
-	limit := max(share*bound, share+minSlack)
-	if s.slots > 0 && share <= float64(s.slots) {
-		// While there are slots for all flows, none needs to wait for one.
-		limit = min(limit, float64(s.slots))
-	}
-	return limit
-}
-
-const (
-	// crowdedFactor times its fair part of new flows is what a server may
-	// have for long, exceptions included; crowdedMost bounds the part in a
-	// small pool. crowdedBurst is how many it may have ahead of that.
-	crowdedFactor = 2
-	crowdedMost   = 0.75
-	crowdedBurst  = 3
-)
-
-// crowded reports whether s had too much of what this node placed of late.
-func (p *Pool) crowded(s *server) bool {
-	return p.debt(s)+1 > crowdedBurst
-}
-
-// debt returns how many flows s had more than its part, forgetting at the
-// pace at which this node places flows.
-func (p *Pool) debt(s *server) float64 {
-	part := crowdedMost
-	if p.weight > 0 {
-		part = min(crowdedFactor*s.weight/p.weight, crowdedMost)
-	}
-	return max(s.debt-part*float64(p.placed-s.debtAt), 0)
-}
-
-// notePlaced counts a new flow on s.
-func (p *Pool) notePlaced(s *server) {
-	s.debt = min(p.debt(s)+1, 2*crowdedBurst)
-	p.placed++
-	s.debtAt = p.placed
-}
--- a/bronzepool/load.go
+++ b/bronzepool/load.go
@@ -20,6 +20,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.forget(name)
+	p.reweigh()
 	if counts == nil {
 		return
 	}
--- a/bronzepool/pool.go
+++ b/bronzepool/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,7 +32,16 @@
 	index   map[bronzeflow.ServerID]*server
 	origins map[string]origin
 	placed  uint64
-	weight  float64
+	// weighted is set if all servers have a bound of connections, so that
+	// their shares are in proportion to it.
+	weighted bool
+
+	// The sums over the servers that may have work, as of weighedAt and
+	// valid until weighedUntil.
+	total        float64
+	weight       float64
+	weighedAt    int64
+	weighedUntil int64
 }
 
 // SetService puts a service's pool and policy in force. Counts of servers
@@ -66,7 +76,9 @@
 	p.servers = servers
 	p.index = index
 	p.ids.Store(&ids)
+	p.weighted = !slices.ContainsFunc(servers, func(s *server) bool { return s.connections <= 0 })
 	p.dropRemoved()
+	p.reweigh()
 }
 
 // SetOwners tells how many nodes place flows on the pool, at least 1.
@@ -74,6 +86,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.owners = max(n, 1)
+	p.reweigh()
 }
 
 // Opened counts a flow that this node owns on server id.
@@ -85,6 +98,7 @@
 		return
 	}
 	s.own++
+	p.weighOne(s)
 	p.notePlaced(s)
 }
 
@@ -99,6 +113,7 @@
 		return
 	}
 	s.own--
+	p.weighOne(s)
 }
 
 // Accepted notes that server id established a flow after the given time.
@@ -131,6 +146,7 @@
 		s.leave(p.now() + int64(ReportedLeavingHold))
 	}
 	s.observe(&r, p.now())
+	p.reweigh()
 }
 
 // SetLeaving marks server id as leaving, from whatever source; it is cleared
@@ -141,6 +157,7 @@
 	defer p.mu.Unlock()
 	if s := p.index[id]; s != nil {
 		s.leave(p.now() + int64(hold))
+		p.reweigh()
 	}
 }
 
--- a/bronzepool/report.go
+++ b/bronzepool/report.go
@@ -144,7 +144,7 @@
 // unheard is the part of the owners that don't share theirs. One that says
 // it is full is left to shut.
 func (s *server) believed(now int64, unheard float64) float64 {
-	age := time.Duration(now - s.report.at)
+	age := time.Duration(max(now-s.report.at, 0))
 	if s.report.at == 0 || age >= reportLife || s.saysFull() {
 		return 0
 	}
--- a/bronzepool/server.go
+++ b/bronzepool/server.go
@@ -47,12 +47,11 @@
 	// tryShutAt is when a server that says it is full is tried again.
 	tryShutAt int64
 
-	// What the last weigh found: the estimated load, the weight, whether it
-	// may have new flows at all, and whether it is under its limit.
+	// What weigh found: the estimated load, the weight, and whether it may
+	// have new flows as far as it isn't leaving.
 	load    float64
 	weight  float64
-	allowed bool
-	fits    bool
+	serving bool
 }
 
 func (s *server) set(b *bronzeconf.BackendServer) {
