Measure whole-process forwarding and test the command line

Cause: readiness was told before the decisions had the configuration, so that a first opening was dropped with NoService; a second signal raced with the log of the leave that it cut short.

--- /dev/null
+++ b/bronzenode/forward_bench_test.go
@@ -0,0 +1,230 @@
+package bronzenode
+
+import (
+	"net"
+	"net/netip"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bronzeusher.example/bronzeusher/bronzecore"
+	"bronzeusher.example/bronzeusher/bronzeflow"
+	"bronzeusher.example/bronzeusher/bronzewire"
+)
+
+const (
+	benchServers = 4
+	benchFlows   = 4096
+	benchSenders = 4
+	benchBatch   = 32
+	benchRounds  = 4
+	// benchWindow is how many packets may be on their way at once: few enough
+	// for the kernel's buffers, so that what is measured is not loss.
+	benchWindow = 512
+	// benchStall is how long nothing may arrive before what is on its way is
+	// held lost.
+	benchStall = 50 * time.Millisecond
+)
+
+// sinks count the packets that reach the backend servers.
+type sinks struct {
+	addresses []netip.AddrPort
+	received  atomic.Int64
+}
+
+func newSinks(b *testing.B) *sinks {
+	s := &sinks{}
+	for range benchServers {
+		socket, err := bronzewire.Listen(loopback.String())
+		require.NoError(b, err)
+		b.Cleanup(func() { _ = socket.Close() })
+		s.addresses = append(s.addresses, socket.LocalAddrPort())
+		go s.read(socket)
+	}
+	return s
+}
+
+func (s *sinks) read(socket *bronzewire.Socket) {
+	batch := newBatch()
+	for {
+		n, err := socket.ReadBatch(batch)
+		if err != nil {
+			return
+		}
+		s.received.Add(int64(n))
+	}
+}
+
+func newBatch() []bronzewire.Datagram {
+	batch := make([]bronzewire.Datagram, bronzewire.MaxBatch)
+	for i := range batch {
+		batch[i].Buf = make([]byte, maxPacket)
+	}
+	return batch
+}
+
+// sender sends packets of established flows to one forwarder.
+type sender struct {
+	socket  *bronzewire.Socket
+	packets [][]byte
+	next    int
+}
+
+func (s *sender) send(b *testing.B, to netip.AddrPort, n int) {
+	batch := make([]bronzewire.Datagram, n)
+	for i := range batch {
+		p := s.packets[s.next%len(s.packets)]
+		s.next++
+		batch[i] = bronzewire.Datagram{Addr: to, Buf: p, N: len(p)}
+	}
+	if _, err := s.socket.WriteBatch(batch); err != nil {
+		b.Error(err)
+	}
+}
+
+// load sends packets with a bounded number on their way, and returns how many
+// arrived in a second.
+type load struct {
+	b       *testing.B
+	sinks   *sinks
+	senders []*sender
+	lost    int64
+}
+
+func (l *load) run(to netip.AddrPort, packets int) (perSecond float64) {
+	share := max(packets/len(l.senders), benchBatch)
+	window := int64(benchWindow / len(l.senders) * len(l.senders))
+	var sent, lost atomic.Int64
+	base := l.sinks.received.Load()
+	began := time.Now()
+	var work sync.WaitGroup
+	for _, s := range l.senders {
+		work.Go(func() {
+			for done := 0; done < share; done += benchBatch {
+				s.send(l.b, to, benchBatch)
+				sent.Add(benchBatch)
+				l.wait(base, window-benchBatch, &sent, &lost)
+			}
+		})
+	}
+	work.Wait()
+	l.wait(base, 0, &sent, &lost)
+	arrived := l.sinks.received.Load() - base
+	l.lost += sent.Load() - arrived
+	return float64(arrived) / time.Since(began).Seconds()
+}
+
+// wait returns once at most window packets are on their way.
+func (l *load) wait(base, window int64, sent, lost *atomic.Int64) {
+	last, since := int64(-1), time.Now()
+	for {
+		arrived := l.sinks.received.Load() - base
+		flying := sent.Load() - arrived - lost.Load()
+		if flying <= window {
+			return
+		}
+		if arrived != last {
+			last, since = arrived, time.Now()
+		} else if time.Since(since) > benchStall {
+			lost.Add(flying)
+			return
+		}
+		runtime.Gosched()
+	}
+}
+
+// naive forwards with one map under one mutex, one packet a system call.
+type naive struct {
+	conn    *net.UDPConn
+	mu      sync.Mutex
+	servers map[bronzeflow.Key]netip.AddrPort
+}
+
+func (f *naive) serve() {
+	var parser bronzewire.Parser
+	var p bronzeflow.Packet
+	buf := make([]byte, maxPacket)
+	for {
+		n, _, err := f.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return
+		}
+		if parser.FromCaller(buf[:n], &p) != nil {
+			continue
+		}
+		f.mu.Lock()
+		to, ok := f.servers[p.Key]
+		f.mu.Unlock()
+		if ok {
+			_, _ = f.conn.WriteToUDPAddrPort(p.Raw, to)
+		}
+	}
+}
+
+// establish opens flows in the decisions of n, and returns a packet of each
+// with the naive version's map of the same flows.
+func establish(b *testing.B, n *Node) (packets [][]byte, servers map[bronzeflow.Key]netip.AddrPort) {
+	servers = make(map[bronzeflow.Key]netip.AddrPort)
+	var parser bronzewire.Parser
+	for i := range benchFlows {
+		from := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 4001)
+		p := bronzeflow.Packet{Key: bronzeflow.NewKey(bronzeflow.TCP, from, service), Kind: bronzeflow.Open}
+		out := n.balancer.FromCaller(&p, nil)
+		require.Len(b, out, 1)
+		require.Equal(b, bronzecore.Forward, out[0].Kind, out[0].Reason.String())
+		p.Kind = bronzeflow.Accept
+		out = n.balancer.FromServer(&p, []bronzeflow.ServerID{out[0].Server}, nil)
+		require.Equal(b, bronzecore.Reply, out[0].Kind)
+		servers[p.Key], _ = n.tunnels.Load().address(out[0].Server)
+		raw, err := bronzewire.BuildTCP(nil, from, service, bronzewire.ACK, callerSeq, 0, make([]byte, 64))
+		require.NoError(b, err)
+		require.NoError(b, parser.FromCaller(raw, &p))
+		packets = append(packets, raw)
+	}
+	return packets, servers
+}
+
+// BenchmarkForward forwards packets of established flows through the whole
+// process, from socket to socket, and the same through a naive version with
+// as many goroutines. The two take turns within one run; ratio is how many
+// times more packets a second the node forwards.
+func BenchmarkForward(b *testing.B) {
+	s := newSinks(b)
+	w := newWorld(b, 0)
+	w.tunnels = s.addresses
+	w.heartbeat = 0
+	n := w.start("a")
+	packets, servers := establish(b, n)
+
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(loopback))
+	require.NoError(b, err)
+	b.Cleanup(func() { _ = conn.Close() })
+	require.NoError(b, conn.SetReadBuffer(4<<20))
+	simple := &naive{conn: conn, servers: servers}
+	for range n.cfg.Readers {
+		go simple.serve()
+	}
+
+	l := &load{b: b, sinks: s}
+	for i := range benchSenders {
+		socket, err := bronzewire.Listen(loopback.String())
+		require.NoError(b, err)
+		b.Cleanup(func() { _ = socket.Close() })
+		l.senders = append(l.senders, &sender{socket: socket, packets: packets, next: i * benchFlows / benchSenders})
+	}
+	var node, plain float64
+	b.ResetTimer()
+	for range benchRounds {
+		node += l.run(n.EdgeAddress(), b.N/benchRounds) / benchRounds
+		plain += l.run(conn.LocalAddr().(*net.UDPAddr).AddrPort(), b.N/benchRounds) / benchRounds
+	}
+	b.ReportMetric(node, "packets/s")
+	b.ReportMetric(plain, "naive-packets/s")
+	b.ReportMetric(node/plain, "ratio")
+	b.ReportMetric(float64(l.lost), "lost")
+	b.ReportMetric(0, "ns/op")
+}
--- a/bronzenode/harness_test.go
+++ b/bronzenode/harness_test.go
@@ -48,18 +48,24 @@
 	platform *httptest.Server
 	fabric   *net.UDPConn
 	servers  []*net.UDPConn
+	// tunnels are the servers' tunnel endpoints.
+	tunnels  []netip.AddrPort
 	arrivals chan arrival
 	// pinned is the only server that may get packets from now on, if not -1.
 	pinned int
+	// heartbeat is the nodes', 0 means the default.
+	heartbeat time.Duration
 	// refuse makes the servers refuse all openings.
 	refuse bool
 }
 
 func newWorld(t testing.TB, servers int) *world {
-	w := &world{t: t, arrivals: make(chan arrival, 1024), pinned: -1}
+	w := &world{t: t, arrivals: make(chan arrival, 1024), pinned: -1, heartbeat: 100 * time.Millisecond}
 	w.fabric = w.listen(-1)
 	for i := range servers {
-		w.servers = append(w.servers, w.listen(i))
+		conn := w.listen(i)
+		w.servers = append(w.servers, conn)
+		w.tunnels = append(w.tunnels, conn.LocalAddr().(*net.UDPAddr).AddrPort())
 	}
 	w.platform = httptest.NewServer(http.HandlerFunc(w.servePlatform))
 	t.Cleanup(w.platform.Close)
@@ -100,10 +106,10 @@
 	v.Addresses = []netip.Addr{service.Addr()}
 	v.Rules = []bronzeconf.RuleV1{{Protocol: "TCP", Port: service.Port()}}
 	v.Retry.Budget = 1
-	for i, s := range w.servers {
+	for i, address := range w.tunnels {
 		v.Pool = append(v.Pool, bronzeconf.BackendServerV1{
 			Instance:         fmt.Sprintf("map-%d", i),
-			Address:          s.LocalAddr().(*net.UDPAddr).AddrPort(),
+			Address:          address,
 			AvailabilityZone: "riga-a",
 		})
 	}
@@ -142,7 +148,7 @@
 		EdgeAddress: loopback, DataAddress: loopback, ControlAddress: loopback, HTTPAddress: loopback,
 		FabricAddress: w.fabric.LocalAddr().(*net.UDPAddr).AddrPort(),
 		Plain:         true,
-		Heartbeat:     100 * time.Millisecond,
+		Heartbeat:     w.heartbeat,
 		LeaveQuiet:    time.Millisecond,
 		Log:           quietLog(),
 	}
--- a/bronzenode/leave.go
+++ b/bronzenode/leave.go
@@ -30,8 +30,10 @@
 	n.log.Info("leaving")
 	n.quietSince.Store(time.Now().UnixNano())
 	limit, cancel := context.WithTimeout(ctx, n.cfg.LeaveLimit)
-	defer cancel()
-	n.waitUntilHandedOver(limit, n.announce(limit))
+	told := n.announce(limit)
+	n.waitUntilHandedOver(limit, told)
+	cancel()
+	<-told
 	undone = n.balancer.Undone()
 	n.end(nil)
 	<-n.done
--- a/bronzenode/node.go
+++ b/bronzenode/node.go
@@ -41,6 +41,8 @@
 
 	tunnels atomic.Pointer[tunnels]
 	members atomic.Pointer[members]
+	// revision is that of the configuration that the decisions have.
+	revision atomic.Uint64
 	// quietSince is when the last packet came in at the edge, in Unix
 	// nanoseconds.
 	quietSince atomic.Int64
@@ -158,7 +160,7 @@
 		return m
 	}
 	m := n.fleet.Self
-	m.Revision = n.store.Revision()
+	m.Revision = n.Revision()
 	return m
 }
 
@@ -197,7 +199,7 @@
 }
 
 // Revision returns the revision of the configuration in force.
-func (n *Node) Revision() uint64 { return n.store.Revision() }
+func (n *Node) Revision() uint64 { return n.revision.Load() }
 
 // onView puts a new view in force.
 func (n *Node) onView(v *bronzefleet.View) {
--- a/bronzenode/records.go
+++ b/bronzenode/records.go
@@ -43,6 +43,7 @@
 func (n *Node) onSnapshot(s *bronzeconf.Snapshot) {
 	n.tunnels.Store(newTunnels(s))
 	n.balancer.SetSnapshot(s)
+	n.revision.Store(s.Revision)
 	n.fleet.SetRevision(s.Revision)
 }
 
--- a/bronzenode/status.go
+++ b/bronzenode/status.go
@@ -76,7 +76,7 @@
 // its peers and a configuration, and is not leaving.
 func (n *Node) Ready() bool {
 	v := n.members.Load().view
-	return v.Ready && !v.Fenced && n.store.Revision() > 0 && !n.leaving.Load()
+	return v.Ready && !v.Fenced && n.Revision() > 0 && !n.leaving.Load()
 }
 
 func (n *Node) peers() (peers []Peer) {
--- /dev/null
+++ b/cmd/bronzeusher/cli_test.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"bronzeusher.example/bronzeusher/bronzeconf"
+	"bronzeusher.example/bronzeusher/bronzecore"
+	"bronzeusher.example/bronzeusher/bronzenode"
+	"bronzeusher.example/bronzeusher/bronzepool"
+)
+
+// runProgram runs the command line and returns what it printed.
+func runProgram(t *testing.T, signals <-chan os.Signal, args ...string) (code int, stdout, stderr string) {
+	t.Helper()
+	var out, errs bytes.Buffer
+	p := program{Stdout: &out, Stderr: &errs, Signals: signals}
+	code = p.run(context.Background(), args)
+	return code, out.String(), errs.String()
+}
+
+func serveArgs(more ...string) []string {
+	args := []string{
+		"serve", "--name=a", "--fleet=test", "--availability-zone=riga-a", "--plain",
+		"--edge-address=127.0.0.1:0", "--data-address=127.0.0.1:0", "--control-address=127.0.0.1:0",
+		"--http-address=127.0.0.1:0", "--fabric-address=127.0.0.1:6080",
+	}
+	return append(args, more...)
+}
+
+func TestWrongSettingsNameTheFlag(t *testing.T) {
+	cases := map[string][]string{
+		"--edge-address":    serveArgs("--edge-address=here"),
+		"--control-address": serveArgs("--control-address=0.0.0.0:1"),
+		"--http-address":    serveArgs("--http-address=1"),
+		"--platform":        serveArgs("--platform=ftp://192.0.2.1"),
+		"--peers":           serveArgs("--peers=vm-1"),
+		"--leave-limit":     serveArgs("--leave-limit=-1s"),
+		"--log-level":       serveArgs("--log-level=loud"),
+		"--name":            {"serve"},
+		"--disturb":         {"demo", "--disturb=everything"},
+	}
+	for flag, args := range cases {
+		t.Run(flag, func(t *testing.T) {
+			code, _, stderr := runProgram(t, nil, args...)
+			require.Equal(t, exitUsage, code)
+			require.Contains(t, stderr, flag)
+		})
+	}
+}
+
+func TestWrongEnvironmentNamesTheVariable(t *testing.T) {
+	t.Setenv("BRONZEUSHER_LEAVE_QUIET", "soon")
+	code, _, stderr := runProgram(t, nil, serveArgs()...)
+	require.Equal(t, exitUsage, code)
+	require.Contains(t, stderr, "--leave-quiet")
+	require.Contains(t, stderr, "BRONZEUSHER_LEAVE_QUIET")
+}
+
+func TestHelpAndVersion(t *testing.T) {
+	code, stdout, _ := runProgram(t, nil, "--help")
+	require.Equal(t, exitOK, code)
+	require.Contains(t, stdout, "serve")
+	code, stdout, _ = runProgram(t, nil, "version")
+	require.Equal(t, exitOK, code)
+	require.Contains(t, stdout, "inner protocol 1 to 2")
+}
+
+func writeRecord(t *testing.T, dir, name, body string) string {
+	t.Helper()
+	file := filepath.Join(dir, name+".json")
+	require.NoError(t, os.WriteFile(file, []byte(body), 0o600))
+	return file
+}
+
+const goodRecord = `{"SchemaVersion":1,"Customer":"agency","Brand":"maps","Name":"map-live",
+	"Addresses":["198.51.100.1"],"Rules":[{"Protocol":"TCP","Port":443}],
+	"Pool":[{"Instance":"map-1","Address":"192.0.2.1:6080","AvailabilityZone":"riga-a"}]}`
+
+// An operator sees every fault of all files before publishing, and not only
+// the first: an unknown field and a bad address in one record, a claim that
+// another record has, and a file that is no JSON.
+func TestCheckListsEveryFault(t *testing.T) {
+	dir := t.TempDir()
+	good := writeRecord(t, dir, "good", goodRecord)
+	code, stdout, stderr := runProgram(t, nil, "check", good)
+	require.Equal(t, exitOK, code, stdout+stderr)
+	require.Equal(t, "1 records, no faults\n", stdout)
+
+	bad := writeRecord(t, dir, "bad", strings.NewReplacer(
+		`"Brand"`, `"Colour":"red","Brand"`, "198.51.100.1", "198.51.100.x", "map-live", "map-bad").Replace(goodRecord))
+	twin := writeRecord(t, dir, "twin", strings.Replace(goodRecord, "map-live", "map-twin", 1))
+	text := writeRecord(t, dir, "text", "not a record")
+	code, stdout, _ = runProgram(t, nil, "check", good, bad, twin, text)
+	require.Equal(t, exitFailed, code)
+	for _, fault := range []string{"bad: Colour", "bad: Addresses[0]", "twin: ", "text: "} {
+		require.Contains(t, stdout, fault)
+	}
+	require.NotContains(t, stdout, "good: ")
+}
+
+func TestCheckNamesMissingFile(t *testing.T) {
+	code, _, stderr := runProgram(t, nil, "check", filepath.Join(t.TempDir(), "absent.json"))
+	require.Equal(t, exitUsage, code)
+	require.Contains(t, stderr, "absent.json")
+}
+
+func TestShow(t *testing.T) {
+	status := bronzenode.Status{
+		Name: "vm-1", Ready: true,
+		Balancer: bronzecore.Status{
+			Revision: 42,
+			Services: []bronzecore.ServiceStatus{{
+				Customer: "agency", Name: "map-live", Brand: "maps", SchemaVersion: 2,
+				Servers: []bronzepool.ServerLoad{{Instance: "map-1", Own: 3}},
+			}},
+			Refusals: []bronzeconf.Refusal{{Record: "map-archive", Field: "Pool", Reason: "is empty"}},
+		},
+		Peers:    []bronzenode.Peer{{Name: "vm-2", Status: "Suspect"}},
+		Counters: map[string]uint64{"Refuse.RateLimit": 5, "Drop.NoService": 0},
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == bronzenode.StatusPath {
+			_ = json.NewEncoder(w).Encode(status)
+		}
+	}))
+	defer server.Close()
+	address := "--address=" + strings.TrimPrefix(server.URL, "http://")
+
+	code, stdout, stderr := runProgram(t, nil, "show", address)
+	require.Equal(t, exitOK, code, stderr)
+	for _, want := range []string{"vm-1", "42", "map-live", "map-1", "vm-2", "Suspect", "map-archive", "is empty", "Refuse.RateLimit"} {
+		require.Contains(t, stdout, want)
+	}
+	require.NotContains(t, stdout, "Drop.NoService")
+
+	code, stdout, _ = runProgram(t, nil, "show", "--json", address)
+	require.Equal(t, exitOK, code)
+	var shown bronzenode.Status
+	require.NoError(t, json.Unmarshal([]byte(stdout), &shown))
+	require.Equal(t, status, shown)
+
+	server.Close()
+	code, _, stderr = runProgram(t, nil, "show", address)
+	require.Equal(t, exitFailed, code)
+	require.Contains(t, stderr, "ask the balancer")
+}
+
+// logLines hands over the messages of a JSON log.
+type logLines chan string
+
+func (l logLines) Write(b []byte) (n int, err error) {
+	var line struct{ Message string }
+	if err = json.Unmarshal(b, &line); err != nil {
+		return 0, err
+	}
+	l <- line.Message
+	return len(b), nil
+}
+
+// An operator stops a balancer. The first SIGTERM makes it leave, and what it
+// left undone is in the log, which has a JSON object in each line.
+func TestServeLeavesOnSignal(t *testing.T) {
+	signals := make(chan os.Signal, 2)
+	lines := make(logLines, 16)
+	p := program{Stdout: io.Discard, Stderr: lines, Signals: signals}
+	code := make(chan int)
+	go func() { code <- p.run(context.Background(), serveArgs("--leave-quiet=1ms")) }()
+	require.Equal(t, "serving", <-lines)
+	signals <- syscall.SIGTERM
+	require.Equal(t, "leaving", <-lines)
+	require.Equal(t, exitOK, <-code)
+	require.Equal(t, "left", <-lines)
+}
+
+// An operator can't wait. The balancer is leaving and waits for its fabric to
+// go quiet, which it won't for an hour; the second SIGTERM ends it at once.
+func TestServeEndsOnSecondSignal(t *testing.T) {
+	signals := make(chan os.Signal, 2)
+	signals <- syscall.SIGTERM
+	signals <- syscall.SIGTERM
+	code, _, stderr := runProgram(t, signals, serveArgs("--leave-quiet=1h", "--leave-limit=1h")...)
+	require.Equal(t, exitFailed, code)
+	require.Contains(t, stderr, errEndedAtOnce.Error())
+}
--- a/cmd/bronzeusher/serve.go
+++ b/cmd/bronzeusher/serve.go
@@ -121,16 +121,20 @@
 		return err
 	case <-p.Signals:
 	}
-	left := make(chan error, 1)
+	left := make(chan struct{})
 	go func() {
-		_, err := n.Leave(running)
-		left <- err
+		defer close(left)
+		_, err = n.Leave(running)
 	}()
 	select {
-	case err = <-left:
+	case <-left:
+		if runErr := <-ended; runErr != nil {
+			return runErr
+		}
 		return err
 	case <-p.Signals:
 		n.Kill()
+		<-left
 		if err = <-ended; err != nil {
 			return err
 		}
