Leave the pace of shared loads to the fleet

Cause: the fleet now keeps the newest load and sends it within its budget, so the wait here paced it twice.

--- a/bronzenode/config.go
+++ b/bronzenode/config.go
@@ -67,7 +67,8 @@
 	JoinWait  time.Duration
 	// PollInterval is how often a backend server's report is asked for.
 	PollInterval time.Duration
-	// ShareInterval is how often changed loads are told to other nodes.
+	// ShareInterval is the least time between two loads that other nodes are
+	// told. The fleet's byte budget makes it longer.
 	ShareInterval time.Duration
 	// LeaveQuiet is how long no packet of a caller may have come before a
 	// leaving node ends.
--- a/bronzenode/harness_test.go
+++ b/bronzenode/harness_test.go
@@ -55,6 +55,8 @@
 	pinned int
 	// heartbeat is the nodes', 0 means the default.
 	heartbeat time.Duration
+	// change, if set, changes the settings of the nodes.
+	change func(*Config)
 	// refuse makes the servers refuse all openings.
 	refuse bool
 }
@@ -159,6 +161,9 @@
 	for _, o := range others {
 		cfg.Peers = append(cfg.Peers, o.ControlAddress().String())
 	}
+	if w.change != nil {
+		w.change(&cfg)
+	}
 	n, err := New(cfg)
 	require.NoError(w.t, err)
 	ended := make(chan error, 1)
--- a/bronzenode/run.go
+++ b/bronzenode/run.go
@@ -80,7 +80,7 @@
 	r.task(n.readVMs)
 	r.every(lackInterval, n.askForLacking)
 	r.task(n.reports.run)
-	r.every(n.cfg.ShareInterval, (&sharer{node: n}).share)
+	r.every(n.cfg.ShareInterval, n.share)
 	r.every(metricsInterval, n.tellMetrics)
 	r.task(func(context.Context) error { return n.serveHTTP(r.server) })
 }
--- a/bronzenode/shares.go
+++ b/bronzenode/shares.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"bronzeusher.example/bronzeusher/bronzefleet"
 	"bronzeusher.example/bronzeusher/bronzeflow"
 	"bronzeusher.example/bronzeusher/bronzelink"
 	"bronzeusher.example/bronzeusher/bronzepool"
@@ -15,10 +14,6 @@
 // reportsFor is for how many poll intervals a report is passed on.
 const reportsFor = 2
 
-// spreadMargin is by how much more time than needed a load gets to reach all
-// neighbours before the next one replaces it.
-const spreadMargin = 1.5
-
 // shares tells the other nodes what this one owns and was reported, and takes
 // in what they tell. The zero shares is ready.
 type shares struct {
@@ -33,44 +28,9 @@
 	at    time.Time
 }
 
-// sharer tells the fleet its node's load.
-type sharer struct {
-	node *Node
-	last bronzelink.Load
-	// next is when the last load has reached all neighbours.
-	next time.Time
-}
-
-// share tells the load if it changed.
-func (s *sharer) share() {
-	now := time.Now()
-	if now.Before(s.next) {
-		return
-	}
-	load := s.node.load()
-	if sameLoad(&load, &s.last) {
-		return
-	}
-	s.last = load
-	s.next = now.Add(s.node.spreadTime(&load))
-	s.node.fleet.Share(load)
-}
-
-// spreadTime returns how long the fleet's byte budget needs to bring a load
-// to all neighbours. A newer load replaces one that is still being spread, so
-// with less time those last in line would never get any.
-func (n *Node) spreadTime(load *bronzelink.Load) time.Duration {
-	b, err := bronzelink.Encode(&bronzelink.Message{Load: load})
-	if err != nil {
-		return 0
-	}
-	neighbours := min(len(n.members.Load().addresses), maxNeighbours)
-	seconds := spreadMargin * float64(len(b)*neighbours) / bronzefleet.DefaultLoadBytesPerSecond
-	return time.Duration(seconds * float64(time.Second))
-}
-
-// maxNeighbours is the most members that a node sends its loads to.
-const maxNeighbours = 8
+// share tells the fleet this node's load. The fleet sends the newest one as
+// often as its byte budget allows.
+func (n *Node) share() { n.fleet.Share(n.load()) }
 
 // load returns this node's present load.
 func (n *Node) load() (load bronzelink.Load) {
@@ -91,13 +51,6 @@
 
 func compareItems(a, b bronzelink.LoadItem) int { return cmp.Compare(a.Server, b.Server) }
 
-// sameLoad reports whether nothing changed. A server that is leaving is told
-// of again and again, because the others forget it after leavingHold.
-func sameLoad(a, b *bronzelink.Load) bool {
-	return len(a.Leaving) == 0 && len(b.Leaving) == 0 &&
-		slices.Equal(a.Owned, b.Owned) && slices.Equal(a.Reported, b.Reported)
-}
-
 // onLoad takes in what another node tells.
 func (n *Node) onLoad(l *bronzelink.Load) {
 	counts := make(map[bronzeflow.ServerID]uint32, len(l.Owned))
