Silence also the open links between balancers

The disturbance silent loses a balancer's packets to servers for the flows that exist, and now what its open control links carry, while new ones work.

--- a/bronzetest/balancer.go
+++ b/bronzetest/balancer.go
@@ -138,8 +138,12 @@
 	return cfg
 }
 
-// cut reports whether a partition lies between two balancers' addresses.
+// cut reports whether a partition lies between two balancers' addresses, or
+// one of them is muted.
 func (r *run) cut(from, to netip.AddrPort) bool {
+	if m := r.muted.Load(); m != nil && (*m == from || *m == to) {
+		return true
+	}
 	r.mu.Lock()
 	a, b := r.places[from], r.places[to]
 	r.mu.Unlock()
--- a/bronzetest/demo.go
+++ b/bronzetest/demo.go
@@ -84,6 +84,8 @@
 	// reachable is when the platform could be reached by all again, in Unix
 	// nanoseconds.
 	reachable atomic.Int64
+	// muted is the control address whose links go silent now.
+	muted atomic.Pointer[netip.AddrPort]
 
 	mu sync.Mutex
 	// places tells the zones of balancers' addresses.
--- a/bronzetest/disturb.go
+++ b/bronzetest/disturb.go
@@ -24,7 +24,8 @@
 	// PlatformDown makes the platform fail for a while.
 	PlatformDown = "platform-down"
 	// Silent loses what one balancer sends to backend servers for the flows
-	// that exist.
+	// that exist, and all on its open links to other balancers. New flows and
+	// new links work.
 	Silent = "silent"
 	// Reject makes a third of each pool refuse new flows.
 	Reject = "reject"
@@ -40,6 +41,8 @@
 const (
 	// victims is how many balancers are killed or paused.
 	victims = 2
+	// muteLinks is longer than the interval of heartbeats.
+	muteLinks = 1200 * time.Millisecond
 	// rejectOneIn is the part of a pool that refuses.
 	rejectOneIn = 3
 	// leaveQuiet is how long a leaving balancer waits for late packets.
@@ -78,7 +81,7 @@
 		r.platform.SetDown(false)
 		r.reachable.Store(time.Now().UnixNano())
 	case Silent:
-		r.silence()
+		r.silence(ctx)
 	case Reject:
 		r.reject()
 	}
@@ -167,13 +170,19 @@
 	}
 }
 
-func (r *run) silence() {
+// silence mutes the links for as long as it takes that each has been used:
+// then they stay silent, and new ones work.
+func (r *run) silence(ctx context.Context) {
 	b := r.live()[0]
 	for _, svc := range r.services {
 		for _, s := range svc.servers {
 			s.Silence(b.edge)
 		}
 	}
+	control := b.node.ControlAddress()
+	r.muted.Store(&control)
+	sleep(ctx, muteLinks)
+	r.muted.Store(nil)
 }
 
 func (r *run) reject() {
