Run the frontier with several seeds and print it as the page's table

The page's medians and ranges came from a script outside the repository; now the command computes and prints them.

--- a/cmd/bronzefrontier/doc.go
+++ b/cmd/bronzefrontier/doc.go
@@ -12,5 +12,6 @@
 //	go run ./cmd/bronzefrontier --out docs
 //
 // writes docs/data/frontier.json and docs/frontier.svg, and prints a table.
-// The same seed gives the same figures.
+// The same seeds give the same figures; each is the
+// median of several seeds, with the lowest and the highest.
 package main
--- a/cmd/bronzefrontier/main.go
+++ b/cmd/bronzefrontier/main.go
@@ -1,10 +1,8 @@
 package main
 
 import (
-	"fmt"
 	"io"
 	"os"
-	"text/tabwriter"
 
 	"github.com/alecthomas/kong"
 	"github.com/alitto/pond/v2"
@@ -12,7 +10,8 @@
 
 // options are the command's flags.
 type options struct {
-	Seed       uint64 `help:"Seed of the random numbers." default:"1" env:"BRONZEFRONTIER_SEED"`
+	Seed       uint64 `help:"First seed of the random numbers." default:"1" env:"BRONZEFRONTIER_SEED"`
+	Seeds      int    `help:"Number of seeds, at least 1." default:"5" env:"BRONZEFRONTIER_SEEDS"`
 	Out        string `help:"Directory to write data/frontier.json and frontier.svg to; none means print only." type:"path" env:"BRONZEFRONTIER_OUT"`
 	Deployment string `help:"Deployment to draw: riga, klang or all." enum:"riga,klang,all" default:"all" env:"BRONZEFRONTIER_DEPLOYMENT"`
 	Workers    int    `help:"Runs at the same time." default:"3" env:"BRONZEFRONTIER_WORKERS"`
@@ -25,53 +24,57 @@
 }
 
 func run(opts *options, w io.Writer) error {
-	results := runAll(opts)
-	if err := printTable(w, results); err != nil {
+	points := runAll(opts)
+	if err := printTable(w, points); err != nil {
 		return err
 	}
 	if opts.Out == "" {
 		return nil
 	}
-	return writeAll(opts, results)
+	return writeAll(opts, points)
 }
 
 // runAll runs every setting of the chosen workloads. Each run has its own
 // random numbers, so the order in which they finish doesn't matter.
-func runAll(opts *options) []Result {
-	var models []*model
+func runAll(opts *options) []Point {
+	var points []Point
+	workers := pond.NewPool(max(opts.Workers, 1))
+	defer workers.StopAndWait()
 	for _, w := range workloads {
 		if opts.Deployment != "all" && opts.Deployment != w.Deployment {
 			continue
 		}
 		for _, flows := range flowsPerServer {
 			for _, s := range settings() {
-				models = append(models, newModel(w, s, flows, opts.Seed))
+				results := runSeeds(workers, w, s, flows, opts)
+				points = append(points, newPoint(w, s, flows, results))
 			}
 		}
 	}
-	results := make([]Result, len(models))
-	workers := pond.NewPool(max(opts.Workers, 1))
-	for i, m := range models {
-		workers.Submit(func() { results[i] = m.run() })
+	return points
+}
+
+// runSeeds runs one setting with every seed.
+func runSeeds(workers pond.Pool, w Workload, s Setting, flows int, opts *options) []Result {
+	results := make([]Result, max(opts.Seeds, 1))
+	group := workers.NewGroup()
+	for i := range results {
+		m := newModel(w, s, flows, opts.Seed+uint64(i))
+		group.Submit(func() { results[i] = m.run() })
 	}
-	workers.StopAndWait()
+	// The runs return no error, and nothing stops the group.
+	_ = group.Wait()
 	return results
 }
 
-func printTable(w io.Writer, results []Result) error {
-	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
-	const heading = "Service\tFlowsPerServer\tPlacement\tBound\tImbalance\tP99\tExceptions\tBrokenByKill\tBrokenByJoinAndKill\tOwnedFlows\n"
-	if _, err := io.WriteString(t, heading); err != nil {
+func printTable(w io.Writer, points []Point) error {
+	if _, err := io.WriteString(w, tableHead); err != nil {
 		return err
 	}
-	for i := range results {
-		r := &results[i]
-		_, err := fmt.Fprintf(t, "%s\t%d\t%s\t%.2f\t%.3f\t%.3f\t%.1f%%\t%.2f\t%.2f\t%.0f\n",
-			r.Service, r.FlowsPerServer, r.Placement, r.Bound, r.Imbalance, r.ImbalanceP99,
-			100*r.Exceptions, r.BrokenByKill, r.BrokenByJoinAndKill, r.OwnedFlows)
-		if err != nil {
+	for i := range points {
+		if _, err := io.WriteString(w, points[i].row()); err != nil {
 			return err
 		}
 	}
-	return t.Flush()
+	return nil
 }
--- a/cmd/bronzefrontier/model_test.go
+++ b/cmd/bronzefrontier/model_test.go
@@ -41,17 +41,16 @@
 }
 
 func TestWriteAll(t *testing.T) {
-	w := workloads[0]
-	r := Result{Deployment: w.Deployment, Service: w.Service, Placement: Bounded, Imbalance: 1.1}
-	var results []Result
+	results := []Result{{Imbalance: 1.3}, {Imbalance: 1.1}, {Imbalance: 1.2}}
+	var points []Point
 	for _, flows := range flowsPerServer {
-		for _, p := range []Placement{Bounded, HashAlone, TwoChoices} {
-			r.FlowsPerServer, r.Placement = flows, p
-			results = append(results, r)
+		for _, s := range settings() {
+			points = append(points, newPoint(workloads[0], s, flows, results))
 		}
 	}
+	require.Equal(t, Spread{Low: 1.1, Median: 1.2, High: 1.3}, points[0].Imbalance)
 	dir := t.TempDir()
-	require.NoError(t, writeAll(&options{Out: dir}, results))
+	require.NoError(t, writeAll(&options{Out: dir}, points))
 	svg, err := os.ReadFile(filepath.Join(dir, "frontier.svg"))
 	require.NoError(t, err)
 	require.Contains(t, string(svg), "riga map-live, 14 servers")
--- a/cmd/bronzefrontier/plot.go
+++ b/cmd/bronzefrontier/plot.go
@@ -23,19 +23,19 @@
 	legendRoom = 0.6
 )
 
-// axis is a figure of a Result that a panel draws against the exceptions.
+// axis is a figure of a Point that a panel draws against the exceptions.
 type axis struct {
 	label string
-	value func(*Result) float64
+	value func(*Point) float64
 }
 
 var axes = []axis{
-	{label: "imbalance (max over mean)", value: func(r *Result) float64 { return r.Imbalance }},
-	{label: "flows broken by a kill", value: func(r *Result) float64 { return r.BrokenByKill }},
+	{label: "imbalance (max over mean)", value: func(p *Point) float64 { return p.Imbalance.Median }},
+	{label: "flows broken by a kill", value: func(p *Point) float64 { return p.BrokenByKill.Median }},
 }
 
 // writePlot draws a row of panels for each service.
-func writePlot(name string, results []Result) (err error) {
+func writePlot(name string, points []Point) (err error) {
 	defer func() {
 		if err != nil {
 			err = errors.Wrap(err, "plot")
@@ -43,7 +43,7 @@
 	}()
 	var rows [][]*plot.Plot
 	for _, w := range workloads {
-		row, err := panels(w, results)
+		row, err := panels(w, points)
 		if err != nil {
 			return err
 		}
@@ -89,12 +89,12 @@
 	}
 }
 
-// panels returns the row of a service, nil if it has no results.
-func panels(w Workload, results []Result) (row []*plot.Plot, err error) {
-	var own []*Result
-	for i := range results {
-		if results[i].Deployment == w.Deployment && results[i].Service == w.Service {
-			own = append(own, &results[i])
+// panels returns the row of a service, nil if it has no points.
+func panels(w Workload, points []Point) (row []*plot.Plot, err error) {
+	var own []*Point
+	for i := range points {
+		if points[i].Deployment == w.Deployment && points[i].Service == w.Service {
+			own = append(own, &points[i])
 		}
 	}
 	if len(own) == 0 {
@@ -122,17 +122,17 @@
 }
 
 // addCurve draws the bounds as a line and the baselines as single points.
-func addCurve(p *plot.Plot, results []*Result, a axis, flows, index int) error {
+func addCurve(p *plot.Plot, points []*Point, a axis, flows, index int) error {
 	var bounded plotter.XYs
-	points := make(map[Placement]plotter.XYs)
-	for _, r := range results {
-		xy := plotter.XY{X: 100 * r.Exceptions, Y: a.value(r)}
+	baselines := make(map[Placement]plotter.XYs)
+	for _, r := range points {
+		xy := plotter.XY{X: 100 * r.Exceptions.Median, Y: a.value(r)}
 		switch {
 		case r.FlowsPerServer != flows:
 		case r.Placement == Bounded:
 			bounded = append(bounded, xy)
 		default:
-			points[r.Placement] = append(points[r.Placement], xy)
+			baselines[r.Placement] = append(baselines[r.Placement], xy)
 		}
 	}
 	line, marks, err := plotter.NewLinePoints(bounded)
@@ -144,10 +144,10 @@
 	marks.Shape = draw.CircleGlyph{}
 	p.Add(line, marks)
 	p.Legend.Add(fmt.Sprintf("%d flows a server", flows), line, marks)
-	if err := addPoint(p, points[HashAlone], line.Color, draw.CrossGlyph{}, "hash alone", index); err != nil {
+	if err := addPoint(p, baselines[HashAlone], line.Color, draw.CrossGlyph{}, "hash alone", index); err != nil {
 		return err
 	}
-	return addPoint(p, points[TwoChoices], line.Color, draw.TriangleGlyph{}, "two choices", index)
+	return addPoint(p, baselines[TwoChoices], line.Color, draw.TriangleGlyph{}, "two choices", index)
 }
 
 // addPoint draws a baseline, named in the legend once.
--- a/cmd/bronzefrontier/result.go
+++ b/cmd/bronzefrontier/result.go
@@ -6,13 +6,8 @@
 	"bronzeusher.example/bronzeusher/bronzeflow"
 )
 
-// Result is one point of the frontier.
+// Result is what one run measured.
 type Result struct {
-	Deployment     string
-	Service        string
-	FlowsPerServer int
-	Placement      Placement
-	Bound          float64
 	// Imbalance is the busiest server's flows over the mean: its average
 	// over time and its 99th percentile.
 	Imbalance    float64
@@ -99,11 +94,6 @@
 	}
 	slices.Sort(t.imbalance)
 	r := Result{
-		Deployment:          m.workload.Deployment,
-		Service:             m.workload.Service,
-		FlowsPerServer:      m.flows,
-		Placement:           m.setting.Placement,
-		Bound:               m.setting.Bound,
 		Imbalance:           sum / n,
 		BrokenByKill:        t.broken / n,
 		BrokenByJoinAndKill: t.moved / n,
--- a/cmd/bronzefrontier/write.go
+++ b/cmd/bronzefrontier/write.go
@@ -11,16 +11,17 @@
 // Frontier is the content of frontier.json.
 type Frontier struct {
 	Seed   uint64
+	Seeds  int
 	Owners int
 	// ShareSeconds is how often owners share their counts, CopiesPerSecond
 	// how many exceptions each copies.
 	ShareSeconds    float64
 	CopiesPerSecond int
-	Results         []Result
+	Points          []Point
 }
 
 // writeAll writes the data and the plot below the directory Out.
-func writeAll(opts *options, results []Result) (err error) {
+func writeAll(opts *options, points []Point) (err error) {
 	defer func() {
 		if err != nil {
 			err = errors.Wrap(err, "write frontier")
@@ -28,10 +29,11 @@
 	}()
 	f := Frontier{
 		Seed:            opts.Seed,
+		Seeds:           max(opts.Seeds, 1),
 		Owners:          Owners,
 		ShareSeconds:    shareEvery.Seconds(),
 		CopiesPerSecond: copyPace,
-		Results:         results,
+		Points:          points,
 	}
 	b, err := json.MarshalIndent(&f, "", "  ")
 	if err != nil {
@@ -44,5 +46,5 @@
 	if err = os.WriteFile(filepath.Join(dir, "frontier.json"), append(b, '\n'), 0o644); err != nil {
 		return err
 	}
-	return writePlot(filepath.Join(opts.Out, "frontier.svg"), results)
+	return writePlot(filepath.Join(opts.Out, "frontier.svg"), points)
 }
