--- a/bronzepool/load.go
+++ b/bronzepool/load.go
@@ -19,6 +19,7 @@
 func (p *Pool) SetOwned(name string, counts map[bronzeflow.ServerID]uint32) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	o := p.origins[name][:0]
 	p.forget(name)
 	p.reweigh()
 	if counts == nil {
@@ -27,7 +28,9 @@
 	if p.origins == nil {
 		p.origins = make(map[string]origin)
 	}
-	o := make(origin, 0, len(p.servers))
+	if cap(o) < len(p.servers) {
+		o = make(origin, 0, len(p.servers))
+	}
 	for _, s := range p.servers {
 		sh := share{server: s, count: counts[s.id], base: uint32(s.own)}
 		s.shared += int64(sh.count)
