Measure what the balancer costs, and fit lines to it

Costs grow with flows, hosts, nodes and pools, and nobody could repeat how they were found. bronzecost runs the benchmarks and the tests that count, fits a line to at least four sizes of each, and keeps the figures with the machine and the revision.

--- /dev/null
+++ b/cmd/bronzecost/fleet_bench_test.go
@@ -0,0 +1,261 @@
+package main
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+
+	"bronzeusher.example/bronzeusher/bronzeconf"
+	"bronzeusher.example/bronzeusher/bronzecore"
+	"bronzeusher.example/bronzeusher/bronzefleet"
+	"bronzeusher.example/bronzeusher/bronzeflow"
+	"bronzeusher.example/bronzeusher/bronzelink"
+)
+
+// BenchmarkSetSnapshot is putting a configuration in force.
+func BenchmarkSetSnapshot(b *testing.B) {
+	for _, d := range deployments {
+		b.Run(fmt.Sprintf("hosts=%d", d.hosts), func(b *testing.B) {
+			bal := d.balancer(b)
+			s := d.store(b).Snapshot()
+			for b.Loop() {
+				bal.SetSnapshot(s)
+			}
+		})
+	}
+}
+
+// BenchmarkConfigHeap reports the heap of a Store and a Balancer that have a
+// configuration in force.
+func BenchmarkConfigHeap(b *testing.B) {
+	type node struct {
+		store    *bronzeconf.Store
+		balancer *bronzecore.Balancer
+	}
+	for _, d := range deployments {
+		b.Run(fmt.Sprintf("hosts=%d", d.hosts), func(b *testing.B) {
+			heap := 0.0
+			for b.Loop() {
+				heap = heapOf(func() node {
+					n := node{store: d.store(b), balancer: &bronzecore.Balancer{Name: self}}
+					n.balancer.SetSnapshot(n.store.Snapshot())
+					return n
+				})
+			}
+			b.ReportMetric(heap, "B-heap")
+		})
+	}
+}
+
+// BenchmarkViewHeap reports the heap of a view.
+func BenchmarkViewHeap(b *testing.B) {
+	for _, n := range fleets {
+		b.Run(fmt.Sprintf("nodes=%d", n), func(b *testing.B) {
+			heap := 0.0
+			for b.Loop() {
+				heap = heapOf(func() *bronzefleet.View { return view(n) })
+			}
+			b.ReportMetric(heap, "B-heap")
+		})
+	}
+}
+
+// BenchmarkDiff is the answer to a peer that lacks one record. It reports the
+// bytes of the request, of the answer, and of an answer to a peer that lacks
+// all.
+func BenchmarkDiff(b *testing.B) {
+	for _, d := range deployments {
+		b.Run(fmt.Sprintf("hosts=%d", d.hosts), func(b *testing.B) {
+			s := d.store(b)
+			have := s.Have()
+			have[0].Revision = 0
+			for b.Loop() {
+				s.Diff(have)
+			}
+			b.ReportMetric(controlBytes(b, recordsRequest(have)), "B-request")
+			b.ReportMetric(controlBytes(b, recordsAnswer(s, have)), "B-answer")
+			b.ReportMetric(controlBytes(b, recordsAnswer(s, nil)), "B-all")
+		})
+	}
+}
+
+// linkBytes is what TLS and WebSocket add to one message: a record's header,
+// type and tag, and a frame's header and mask.
+const linkBytes = 22 + 8
+
+// controlBytes returns the length of a message on a control link.
+func controlBytes(t testing.TB, m *bronzelink.Message) float64 {
+	b, err := bronzelink.Encode(m)
+	require.NoError(t, err)
+	return float64(len(b) + linkBytes)
+}
+
+// recordsRequest and recordsAnswer are the messages that a node sends.
+func recordsRequest(have []bronzeconf.RecordVersion) *bronzelink.Message {
+	r := &bronzelink.RecordsRequest{Revision: 1}
+	for _, v := range have {
+		r.Have = append(r.Have, bronzelink.RecordVersion{Name: v.Name, Revision: v.Revision})
+	}
+	return &bronzelink.Message{RecordsRequest: r}
+}
+
+func recordsAnswer(s *bronzeconf.Store, have []bronzeconf.RecordVersion) *bronzelink.Message {
+	revision, present, bodies := s.Diff(have)
+	r := &bronzelink.Records{Revision: revision}
+	for _, v := range present {
+		r.Present = append(r.Present, bronzelink.RecordVersion{Name: v.Name, Revision: v.Revision})
+	}
+	for _, body := range bodies {
+		r.Bodies = append(r.Bodies, bronzelink.StoredRecord{Name: body.Name, Revision: body.Revision, Body: body.Body})
+	}
+	return &bronzelink.Message{Records: r}
+}
+
+// counts returns a count of flows for each host of d.
+func (d deployment) counts(t testing.TB) map[bronzeflow.ServerID]uint32 {
+	counts := map[bronzeflow.ServerID]uint32{}
+	for _, svc := range d.store(t).Snapshot().Services {
+		for i := range svc.Pool {
+			counts[svc.Pool[i].ID] = 2
+		}
+	}
+	return counts
+}
+
+// ownLoad returns the Load of a node that owns flows on each host of d.
+func (d deployment) ownLoad(t testing.TB, origin string) *bronzelink.Load {
+	l := &bronzelink.Load{Origin: origin, Sequence: 1 << 40}
+	for id, n := range d.counts(t) {
+		l.Owned = append(l.Owned, bronzelink.LoadItem{Server: id, Count: n})
+	}
+	return l
+}
+
+// BenchmarkLoad reports the bytes of a Load on a control link.
+func BenchmarkLoad(b *testing.B) {
+	for _, d := range deployments {
+		b.Run(fmt.Sprintf("hosts=%d", d.hosts), func(b *testing.B) {
+			m := &bronzelink.Message{Load: d.ownLoad(b, self)}
+			n := 0.0
+			for b.Loop() {
+				n = controlBytes(b, m)
+			}
+			b.ReportMetric(n, "B")
+		})
+	}
+}
+
+// BenchmarkOwned is the collection of a node's own counts.
+func BenchmarkOwned(b *testing.B) {
+	for _, d := range deployments {
+		b.Run(fmt.Sprintf("hosts=%d", d.hosts), func(b *testing.B) {
+			bal := d.balancer(b)
+			for i := range heldFlows {
+				open(b, bal, d.key(i))
+			}
+			for b.Loop() {
+				bal.Owned()
+			}
+		})
+	}
+}
+
+// BenchmarkSetOwned is taking in what one other node owns.
+func BenchmarkSetOwned(b *testing.B) {
+	for _, d := range deployments {
+		b.Run(fmt.Sprintf("hosts=%d", d.hosts), func(b *testing.B) {
+			bal := d.balancer(b)
+			counts := d.counts(b)
+			for b.Loop() {
+				bal.SetOwned("other", counts)
+			}
+		})
+	}
+}
+
+// BenchmarkOwnersHeap reports the heap of what all other nodes have shared,
+// in the pools.
+func BenchmarkOwnersHeap(b *testing.B) {
+	d := largest
+	counts := d.counts(b)
+	for _, n := range fleets {
+		b.Run(fmt.Sprintf("nodes=%d", n), func(b *testing.B) {
+			heap := 0.0
+			for b.Loop() {
+				bal := d.balancer(b)
+				heap = heapOf(func() *bronzecore.Balancer {
+					for i := 1; i < n; i++ {
+						bal.SetOwned(fmt.Sprint(i), counts)
+					}
+					return bal
+				})
+				runtime.KeepAlive(bal)
+			}
+			b.ReportMetric(heap, "B-heap")
+		})
+	}
+}
+
+// BenchmarkLoadsHeap reports the heap of the Loads of all other nodes, which
+// a Fleet keeps to pass them on.
+func BenchmarkLoadsHeap(b *testing.B) {
+	d := largest
+	encoded, err := bronzelink.Encode(&bronzelink.Message{Load: d.ownLoad(b, "other")})
+	require.NoError(b, err)
+	for _, n := range fleets {
+		b.Run(fmt.Sprintf("nodes=%d", n), func(b *testing.B) {
+			heap := 0.0
+			for b.Loop() {
+				heap = heapOf(func() *bronzefleet.Fleet { return loadedFleet(b, encoded, n) })
+			}
+			b.ReportMetric(heap, "B-heap")
+		})
+	}
+}
+
+// loadedFleet returns a Fleet that has got a Load of each of n nodes.
+func loadedFleet(b *testing.B, encoded []byte, n int) *bronzefleet.Fleet {
+	f := &bronzefleet.Fleet{Self: members(1)[0]}
+	for i := 1; i < n; i++ {
+		m, err := bronzelink.Decode(encoded)
+		require.NoError(b, err)
+		m.Load.Origin = fmt.Sprint(i)
+		f.Handle("other", m)
+	}
+	return f
+}
+
+// BenchmarkMembers reports the bytes of a list of all members on a control
+// link.
+func BenchmarkMembers(b *testing.B) {
+	for _, n := range fleets {
+		b.Run(fmt.Sprintf("nodes=%d", n), func(b *testing.B) {
+			m := &bronzelink.Message{Members: &bronzelink.Members{Members: members(n)}}
+			total := 0.0
+			for b.Loop() {
+				total = controlBytes(b, m)
+			}
+			b.ReportMetric(total, "B")
+		})
+	}
+}
+
+// BenchmarkScores is the rank scores of one node for the polls of all hosts.
+// A node computes them for each node whenever the members or the
+// configuration change.
+func BenchmarkScores(b *testing.B) {
+	for _, d := range deployments {
+		b.Run(fmt.Sprintf("hosts=%d", d.hosts), func(b *testing.B) {
+			sum := uint64(0)
+			for b.Loop() {
+				for j := range d.hosts {
+					sum += bronzeflow.Mix(uint64(j), xxhash.Sum64String(self))
+				}
+			}
+			runtime.KeepAlive(sum)
+		})
+	}
+}
--- /dev/null
+++ b/cmd/bronzecost/page.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"os"
+	"regexp"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// marked finds a table of the page with the marks around it.
+var marked = regexp.MustCompile(`(?s)<!-- bronzecost:(\w+) -->\n.*?<!-- /bronzecost -->`)
+
+// rewritePage puts new tables between the marks of a page.
+func rewritePage(path string, r *Report) (err error) {
+	defer func() {
+		if err != nil {
+			err = errors.Wrap(err, "rewrite "+path)
+		}
+	}()
+	all, err := tables(r)
+	if err != nil {
+		return err
+	}
+	page, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	text, err := replaceTables(string(page), all)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, []byte(text), 0o644)
+}
+
+// replaceTables returns page with its marked tables replaced. A mark without
+// a table is an error, and a table without a mark too: the page would look up
+// to date, and have old figures or none.
+func replaceTables(page string, all map[string]*table) (text string, err error) {
+	used := map[string]bool{}
+	text = marked.ReplaceAllStringFunc(page, func(old string) string {
+		name := marked.FindStringSubmatch(old)[1]
+		t := all[name]
+		if t == nil {
+			err = errors.Errorf("no table %s", name)
+			return old
+		}
+		used[name] = true
+		return "<!-- bronzecost:" + name + " -->\n" + t.markdown() + "<!-- /bronzecost -->"
+	})
+	for name := range all {
+		if err == nil && !used[name] {
+			err = errors.Errorf("table %s has no mark on the page", name)
+		}
+	}
+	return text, err
+}
+
+// markdown writes the table.
+func (t *table) markdown() string {
+	var b strings.Builder
+	row(&b, t.head)
+	rule := make([]string, len(t.head))
+	for i := range rule {
+		rule[i] = "---"
+	}
+	row(&b, rule)
+	for _, cells := range t.rows {
+		row(&b, cells)
+	}
+	return b.String()
+}
+
+func row(b *strings.Builder, cells []string) {
+	b.WriteString("| " + strings.Join(cells, " | ") + " |\n")
+}
