Balance the servers that serve while others refuse

While servers refused, their part of the fair share was kept free for them: all others were over their limit, so nothing balanced them. A server is left out of the sums after three failures in a row.

The first step is 250 ms now (none refused), and a trial's outcome is waited for.

--- a/bronzepool/naive_test.go
+++ b/bronzepool/naive_test.go
@@ -115,10 +115,13 @@
 		if b.ID == id {
 			own = float64(b.Connections)
 		}
-		if !n.now.Before(n.leaving[b.ID]) {
+		if !n.now.Before(n.leaving[b.ID]) && n.pool.index[b.ID].fails < failsOut {
 			all += float64(b.Connections)
 		}
 	}
+	if all == 0 {
+		return crowdedMost
+	}
 	return own / all
 }
 
@@ -136,14 +139,6 @@
 	return max(debt-min(crowdedFactor*part, crowdedMost)*float64(len(n.placed)-last), 0)
 }
 
-func (c counts) sum() float64 {
-	total := 0.0
-	for _, v := range c {
-		total += v
-	}
-	return total
-}
-
 func (n *naive) total(id bronzeflow.ServerID) float64 {
 	total := n.own[id]
 	unheard := max(n.owners-1-len(n.words), 0)
@@ -158,13 +153,17 @@
 // choose is the rule as the documentation has it.
 func (n *naive) choose(hash uint64, tried []bronzeflow.ServerID, plain bool) (id bronzeflow.ServerID, ok bool) {
 	loads, weights := counts{}, counts{}
+	all, weight := 1.0, 0.0
 	for _, b := range n.svc.Pool {
 		if !n.now.Before(n.leaving[b.ID]) {
 			loads[b.ID] = n.total(b.ID)
 			weights[b.ID] = float64(b.Connections)
+			if n.pool.index[b.ID].fails < failsOut {
+				all += loads[b.ID]
+				weight += weights[b.ID]
+			}
 		}
 	}
-	all, weight := loads.sum()+1, weights.sum()
 	var allowed, ready, fit, uncrowded []bronzeflow.ServerID
 	for _, id := range naiveOrder(hash, serverIDs(n.svc)) {
 		if _, serving := loads[id]; !serving || loads[id]+1 > weights[id] || slices.Contains(tried, id) {
@@ -176,7 +175,7 @@
 		}
 		ready = append(ready, id)
 		share := all * weights[id] / weight
-		if loads[id]+1 > n.limit(share)+tolerance {
+		if weight == 0 || loads[id]+1 > n.limit(share)+tolerance {
 			continue
 		}
 		fit = append(fit, id)
--- a/bronzepool/pool.go
+++ b/bronzepool/pool.go
@@ -36,7 +36,7 @@
 	// their shares are in proportion to it.
 	weighted bool
 
-	// The sums over the servers that may have work, as of weighedAt and
+	// The sums over the servers that are counted, as of weighedAt and
 	// valid until weighedUntil.
 	total        float64
 	weight       float64
@@ -122,6 +122,7 @@
 	defer p.mu.Unlock()
 	if s := p.index[id]; s != nil {
 		s.accept(after)
+		p.recount(s)
 	}
 }
 
@@ -131,6 +132,7 @@
 	defer p.mu.Unlock()
 	if s := p.index[id]; s != nil {
 		s.refuse(p.now(), silent, rand.Float64())
+		p.recount(s)
 	}
 }
 
--- a/bronzepool/server.go
+++ b/bronzepool/server.go
@@ -9,10 +9,12 @@
 
 // The back-off of a server that fails openings.
 const (
-	backoffBase   = 100 * time.Millisecond
+	backoffBase   = 250 * time.Millisecond
 	backoffSilent = 400 * time.Millisecond
 	backoffMax    = 10 * time.Second
 	backoffSteps  = 8
+	// trialEvery is how long the outcome of a trial is waited for.
+	trialEvery = time.Second
 )
 
 // server is the state of one backend server; the Pool's lock guards it.
@@ -43,15 +45,17 @@
 
 	fails   int
 	silent  bool
+	trying  bool
 	retryAt int64
 	// tryShutAt is when a server that says it is full is tried again.
 	tryShutAt int64
 
-	// What weigh found: the estimated load, the weight, and whether it may
-	// have new flows as far as it isn't leaving.
+	// What weigh found: the estimated load, the weight, whether it isn't
+	// leaving, and whether it counts in the sums of all.
 	load    float64
 	weight  float64
 	serving bool
+	inSums  bool
 }
 
 func (s *server) set(b *bronzeconf.BackendServer) {
@@ -78,10 +82,18 @@
 	}
 	s.fails = 0
 	s.retryAt = 0
+	s.trying = false
 }
 
 // refuse starts or prolongs the back-off; jitter is in [0,1).
 func (s *server) refuse(now int64, silent bool, jitter float64) {
+	s.report.seen.refused++
+	// Openings that were under way when the first of them failed are not
+	// further evidence. Counted, a moment's refusal of fifty would shut the
+	// server out for as long as one that has failed for minutes.
+	if now < s.retryAt && !s.trying {
+		return
+	}
 	step := backoffBase
 	if silent {
 		step = backoffSilent
@@ -89,7 +101,7 @@
 	step = min(step<<min(s.fails, backoffSteps), backoffMax)
 	s.fails++
 	s.silent = silent
-	s.report.seen.refused++
+	s.trying = false
 	// Owners that met the same refusal must not come back together.
 	s.retryAt = now + int64(float64(step)*(0.5+jitter))
 }
@@ -98,7 +110,8 @@
 // puts the next off until this one's outcome should be known.
 func (s *server) noteTrial(now int64) {
 	if s.fails > 0 {
-		s.retryAt = now + int64(backoffSilent)
+		s.retryAt = now + int64(trialEvery)
+		s.trying = true
 	}
 	s.tryShutAt = now + int64(shutTrial)
 }
--- a/bronzepool/storm_test.go
+++ b/bronzepool/storm_test.go
@@ -225,18 +225,23 @@
 
 // A third of the pool sheds load: it refuses until it has recovered. Every
 // caller must find a server with few attempts, the servers that shed must
-// be left alone but for trials, and come back when they accept.
+// be left alone but for trials, and come back when they accept. Meanwhile the
+// others carry more than a fair share of the whole pool; they must still be
+// held to a fair share of what there is.
 func TestThirdOfPoolSheds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		svc := newService(6)
-		sheds := map[bronzeflow.ServerID]bool{svc.Pool[0].ID: true, svc.Pool[3].ID: true}
+		svc := newService(18)
+		sheds := make(map[bronzeflow.ServerID]bool)
+		for i := 0; i < 18; i += 3 {
+			sheds[svc.Pool[i].ID] = true
+		}
 		var p Pool
 		p.SetService(svc)
 		b := Budget{Share: 0.1}
 		rnd := rand.New(rand.NewPCG(9, 10))
 		given := 0
-		for range 10_000 {
-			time.Sleep(time.Millisecond)
+		for range 1800 {
+			time.Sleep(10 * time.Millisecond)
 			b.Open()
 			var tried []bronzeflow.ServerID
 			id, _, ok := p.Choose(rnd.Uint64(), tried, false)
@@ -250,8 +255,14 @@
 				id, _, ok = p.Choose(rnd.Uint64(), tried, false)
 			}
 			require.True(t, ok)
+			p.Opened(id)
 		}
 		require.Zero(t, given, "callers refused for the budget")
+		for _, l := range p.Loads() {
+			if !sheds[l.Server] {
+				require.InEpsilon(t, 150, l.Own, 0.06, "those that serve share alike")
+			}
+		}
 		for id := range sheds {
 			time.Sleep(2 * backoffMax)
 			require.True(t, chooses(&p, rnd, id), "a trial")
@@ -261,6 +272,30 @@
 	})
 }
 
+// Fifty callers are on their way to a server when it sheds load for a moment:
+// all fifty are refused within a millisecond. The server is well again at
+// once, and must be back after the first step of the back-off.
+func TestOneIncidentIsOneFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		svc := newService(2)
+		id := svc.Pool[0].ID
+		var p Pool
+		p.SetService(svc)
+		rnd := rand.New(rand.NewPCG(19, 20))
+		for range 50 {
+			p.Refused(id, false)
+		}
+		require.False(t, chooses(&p, rnd, id))
+		time.Sleep(2 * backoffBase)
+		require.True(t, chooses(&p, rnd, id))
+
+		// A trial that fails is another failure.
+		p.Refused(id, false)
+		time.Sleep(backoffBase)
+		require.False(t, chooses(&p, rnd, id))
+	})
+}
+
 // A server joins a pool whose others hold long flows, so it alone is under
 // the bound. Its caches are cold: given all new callers at once it would
 // refuse them. It must get a growing share, and never most of them.
--- a/bronzepool/weigh.go
+++ b/bronzepool/weigh.go
@@ -14,6 +14,10 @@
 	// weighEvery is how often ramps and the age of reports are brought up to
 	// date. All else that changes loads does so at once.
 	weighEvery = 50 * time.Millisecond
+	// failsOut is how many openings in a row a server fails before it is
+	// left out of the fair share. With its part kept free for it, all that
+	// serve would be over their limit, and nothing would balance them.
+	failsOut = 3
 )
 
 // weigh brings the loads and weights of all servers up to date, if something
@@ -31,10 +35,12 @@
 			s.weight *= float64(s.connections)
 		}
 		s.serving = !s.leaving(now)
-		if s.serving {
+		s.inSums = s.serving && s.fails < failsOut
+		if s.inSums {
 			p.total += s.load
 			p.weight += s.weight
-		} else if !s.draining {
+		}
+		if !s.serving && !s.draining {
 			until = min(until, s.leavingUntil)
 		}
 	}
@@ -44,7 +50,7 @@
 // weighOne follows a change of this node's own count on s.
 func (p *Pool) weighOne(s *server) {
 	load := p.estimate(s, p.weighedAt)
-	if s.serving {
+	if s.inSums {
 		p.total += load - s.load
 	}
 	s.load = load
@@ -55,6 +61,14 @@
 	p.weighedUntil = 0
 }
 
+// recount makes the next weigh compute everything if s fails, or no longer
+// fails, often enough to change the sums.
+func (p *Pool) recount(s *server) {
+	if s.inSums != (s.serving && s.fails < failsOut) {
+		p.reweigh()
+	}
+}
+
 // fits reports whether s is under its limit.
 func (p *Pool) fits(s *server) bool {
 	if !s.serving || p.weight == 0 {
