--- a/bronzewire/socket.go
+++ b/bronzewire/socket.go
@@ -105,6 +105,7 @@
 		b.buffers[i][0] = ms[i].Buf
 		b.messages[i] = ipv4.Message{Buffers: b.buffers[i][:]}
 	}
+	defer b.release(len(ms))
 	n, err = s.packets.ReadBatch(b.messages[:len(ms)], 0)
 	if err != nil {
 		return 0, err
@@ -113,7 +114,6 @@
 		ms[i].N = b.messages[i].N
 		ms[i].Addr = addrPort(b.messages[i].Addr)
 	}
-	b.release(len(ms))
 	return n, nil
 }
 
