Test that an interrupted demo has a result

An operator's interrupt ends the run before the first sample of the imbalance; the result must stay writable and must say that nothing was answered. It did; the test keeps it so.

--- a/bronzetest/demo.go
+++ b/bronzetest/demo.go
@@ -93,7 +93,6 @@
 	balancers []*balancer
 	started   int
 	gone      counters
-	samples   int
 	result    Result
 }
 
@@ -355,9 +354,10 @@
 // sample measures the imbalance at intervals, after the flows are open.
 func (r *run) sample(ctx context.Context) {
 	sums := [3]map[string]float64{{}, {}, {}}
+	samples := 0.0
 	for wait := r.rampUp() + r.rampUp()/2; sleep(ctx, wait); wait = sampleInterval {
 		r.mu.Lock()
-		r.samples++
+		samples++
 		for _, svc := range r.services {
 			serving := svc.serving()
 			sums[0][svc.Name] += svc.imbalance()
@@ -370,7 +370,7 @@
 	}
 	for i := range sums {
 		for name := range sums[i] {
-			sums[i][name] /= float64(r.samples)
+			sums[i][name] /= samples
 		}
 	}
 	r.result.Imbalance, r.result.HashAloneImbalance, r.result.FlowsPerHost = sums[0], sums[1], sums[2]
--- a/bronzetest/demo_test.go
+++ b/bronzetest/demo_test.go
@@ -88,3 +88,18 @@
 	_, err = Demo{Flows: -1}.Run(context.Background())
 	require.ErrorContains(t, err, "Flows")
 }
+
+// The operator interrupts the demo as it starts. The result has no samples,
+// and has to be writable all the same.
+func TestInterruptedDemoHasAResult(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	r := &run{
+		Demo:   Demo{Balancers: 1, Flows: 1, Duration: time.Second, Disturb: NoDisturbance},
+		ledger: &Ledger{}, shadow: &Shadow{}, platform: &Platform{},
+	}
+	require.NoError(t, r.drive(ctx))
+	_, err := json.Marshal(&r.result)
+	require.NoError(t, err)
+	require.NotEmpty(t, r.result.BrokenPromises())
+}
