--- a/cmd/bronzecost/counts_test.go
+++ b/cmd/bronzecost/counts_test.go
@@ -17,6 +17,7 @@
 	maxCopyBytes     = 140                   // a copy and its acknowledgement
 	maxCopyHeap      = 100                   // bytes a copy
 	maxLoadItemBytes = 12
+	maxQueries       = 5  // the order without the owner, and three former owners
 	maxOwnersHeap    = 32 // bytes for each pair of another node and a host
 )
 
@@ -77,6 +78,24 @@
 	}
 }
 
+// TestQueriesOfRecovery looks for a flow in the largest fleet. Only the flow's
+// former owners and the next in its order are asked: a question to all would
+// cost more bytes with each node.
+func TestQueriesOfRecovery(t *testing.T) {
+	d := deployments[0]
+	b := d.balancer(t)
+	v := view(targetNodes)
+	b.SetView(v)
+	for _, key := range d.owned(v, 20, true) {
+		out := b.FromCaller(&bronzeflow.Packet{Key: key, Kind: bronzeflow.Data, Payload: 100}, nil)
+		require.NotEmpty(t, out)
+		require.LessOrEqual(t, len(out), maxQueries)
+		for _, a := range out {
+			require.NotNil(t, a.Message.Query)
+		}
+	}
+}
+
 // TestHeapOfSharedCounts bounds what each node keeps of what another shares.
 func TestHeapOfSharedCounts(t *testing.T) {
 	const others = 20
--- a/cmd/bronzecost/model.go
+++ b/cmd/bronzecost/model.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"bronzeusher.example/bronzeusher/bronzecore"
 	"bronzeusher.example/bronzeusher/bronzefleet"
 )
 
@@ -85,11 +86,28 @@
 // owner and as a successor. Successors differ, so each copy travels alone.
 func (m *model) copyBytes() float64 { return m.copyRate() * m.at(costCopyBytes, 1) }
 
-// mostExceptions returns the share of exceptions at which all control traffic
-// but copies leaves just enough of the budget.
+// mostExceptions returns the share of exceptions whose copies, counted as they
+// are sent, keep to their part of the budget.
 func (m *model) mostExceptions() float64 {
-	rest := budgetBytes - (m.bytes() - m.copyBytes())
-	return max(rest, 0) / (2 * nodeOpens * m.at(costCopyBytes, 1))
+	return bronzecore.DefaultCopyBytesPerSecond / (2 * nodeOpens * m.at(costCopyBytes, 1))
+}
+
+// largestCopied returns up to how many nodes there are no more exceptions than
+// that, between the sizes that were measured.
+func (m *model) largestCopied() int {
+	s, err := m.report.series(costExceptions)
+	if err != nil {
+		m.err = err
+		return 0
+	}
+	most := 100 * m.mostExceptions()
+	for i := 1; i < len(s.Points); i++ {
+		a, b := s.Points[i-1], s.Points[i]
+		if b.Value > most {
+			return int(a.Size + (b.Size-a.Size)*max(most-a.Value, 0)/(b.Value-a.Value))
+		}
+	}
+	return targetNodes
 }
 
 // changeBytes returns the bytes that a node sends in one change.
--- a/cmd/bronzecost/tables.go
+++ b/cmd/bronzecost/tables.go
@@ -40,7 +40,7 @@
 	t.add("control, memory", megabytes(m.controlMemory()), megabytes(budgetMemory), verdict(m.controlMemory(), budgetMemory))
 	for _, p := range []float64{fewPackets, manyPackets} {
 		all := m.controlMemory() + m.tableMemory(p)
-		t.add(fmt.Sprintf("with the flow table, %s packets a second each way of a flow", number(p)),
+		t.add(fmt.Sprintf("control and flow table, at %s packet/s of a flow each way", number(p)),
 			megabytes(all), megabytes(budgetMemory), verdict(all, budgetMemory))
 	}
 	interval, stale := m.loadInterval(targetNodes), staleShare*meanLife
@@ -80,7 +80,7 @@
 func (m *model) relayRows(t *table) {
 	for _, p := range []float64{fewPackets, manyPackets} {
 		rate := p * nodeFlows
-		label := fmt.Sprintf("at %s packets a second each way", number(p))
+		label := fmt.Sprintf("at %s packet/s each way", number(p))
 		t.add("relaying balancer", "callers' packets that are relayed, "+label, fmt.Sprintf("e^(-%s × 30 s / 490)", number(p)),
 			percent(1-knownShare(p)), "`bronzecore.Balancer.FromCaller`")
 		t.add("relaying balancer", "decisions to relay, "+label,
@@ -171,8 +171,8 @@
 	sum("copies held as a successor", m.copyMemory())
 	sum("counts of the other nodes", m.sharedMemory())
 	sum("**control**", m.controlMemory())
-	sum("flow table, 1 packet a second each way", m.tableMemory(fewPackets))
-	sum("flow table, 10 packets a second each way", m.tableMemory(manyPackets))
+	sum("flow table, at 1 packet/s of a flow each way", m.tableMemory(fewPackets))
+	sum("flow table, at 10 packet/s of a flow each way", m.tableMemory(manyPackets))
 	return t
 }
 
@@ -194,7 +194,7 @@
 	row("failure of a VM", "7 a day", 1, lost(1))
 	row(fmt.Sprintf("rack of %d", rackNodes), "weekly", rackNodes, lost(rackNodes))
 	row("availability zone", "every other month", zone, lost(zone))
-	row("region", "-", targetNodes/targetRegions, lost(targetNodes/targetRegions))
+	row("region cut off, at one side", "several a year", targetNodes/targetRegions, lost(targetNodes/targetRegions))
 	return t
 }
 
@@ -203,13 +203,15 @@
 	t := &table{head: []string{"mechanism", "reaches", "at 490"}}
 	t.add("Loads of all owners to all, not older than a tenth of a flow's mean life", number(float64(m.largestShared()))+" nodes, with 10.4 hosts for each",
 		seconds(m.loadInterval(targetNodes))+" between two Loads")
-	t.add("copies inside the budget", percent(m.mostExceptions())+" exceptions",
-		percent(m.exceptions())+" exceptions")
+	t.add("copies as they are sent, inside 2,048 B/s", fmt.Sprintf("%s exceptions: %d nodes, with the target's openings for each",
+		percent(m.mostExceptions()), m.largestCopied()), percent(m.exceptions())+" exceptions")
+	hosts := budgetBytes / 2 / (pollers * m.slope(costPollBytes))
+	t.add("polls inside half of the budget of bytes", number(hosts)+" hosts for each node", number(targetHosts/float64(targetNodes)))
 	pace := float64(bronzecore.DefaultCopyBytesPerSecond) / copyItemBytes
 	t.add("pace of copies, by its own measure of 20 bytes each", number(pace)+" a second",
 		fmt.Sprintf("%s a second, %s bytes each", number(m.copyRate()), number(m.at(costCopyBytes, 1))))
 	t.add("counts of the others in memory, half the budget", number(m.largestKept())+" nodes at 5,100 hosts", megabytes(m.sharedMemory()))
-	t.add("learned flows below the table's capacity", number(m.mostPackets())+" packets a second each way of a flow", number(tableCapacity)+" entries")
+	t.add("learned flows below the table's capacity", number(m.mostPackets())+" packet/s of a flow each way", number(tableCapacity)+" entries")
 	t.add("failure noticed", "-", seconds(detectIntervals*bronzefleet.DefaultLargeInterval.Seconds()))
 	return t
 }
