Leave the payload of openings to their callers

Cause: a request in a TCP opening commits its flow to a server that has promised nothing; after a partition the next owner placed the repeated opening elsewhere and the request ran twice. Conclusion: the opening goes without, TCP sends the payload again. The broken flows of a partition have another cause.

--- a/bronzenode/counters.go
+++ b/bronzenode/counters.go
@@ -28,12 +28,13 @@
 	sendRefused
 	unknownPeer
 	unknownAddress
+	payloadLeft
 	eventCount
 )
 
 var eventNames = [eventCount]string{
 	"CallerPackets", "ServerPackets", "PeerPackets", "PeerReplies", "FlowMessages", "FlowBytesSent",
-	"SendRefused", "UnknownPeer", "UnknownAddress",
+	"SendRefused", "UnknownPeer", "UnknownAddress", "PayloadsLeft",
 }
 
 // The names of further counters. Those with a reason are named Name.Reason,
--- /dev/null
+++ b/bronzenode/opening.go
@@ -0,0 +1,103 @@
+package bronzenode
+
+import (
+	"encoding/binary"
+
+	"github.com/gopacket/gopacket"
+	"github.com/gopacket/gopacket/layers"
+
+	"bronzeusher.example/bronzeusher/bronzeflow"
+)
+
+// leavePayload takes the request out of a TCP opening; its caller sends it
+// again once the opening is accepted. A forwarded request commits its flow to
+// a server that has promised nothing yet. Were that server then silent, or
+// this node killed before it told anyone, the flow's next owner would find
+// the caller's repeated opening, place it elsewhere, and the request would run
+// twice. An opening without payload runs nothing wherever it is repeated.
+func (w *worker) leavePayload() {
+	p := &w.packet
+	if p.Kind != bronzeflow.Open || p.Payload == 0 {
+		return
+	}
+	start := len(w.built)
+	w.built = appendBareOpening(w.built, p)
+	p.Raw = w.built[start:]
+	p.Payload = 0
+	w.seen[payloadLeft]++
+}
+
+// Offsets in the headers of IP and TCP.
+const (
+	ipv4Length     = 2
+	ipv4Checksum   = 10
+	ipv4UnitLength = 4
+	ipv6Length     = 4
+	tcpChecksum    = 16
+)
+
+// appendBareOpening appends p, a TCP packet, without its payload.
+func appendBareOpening(dst []byte, p *bronzeflow.Packet) []byte {
+	start := len(dst)
+	dst = append(dst, p.Raw[:len(p.Raw)-p.Payload]...)
+	b := dst[start:]
+	tcp := b[len(b)-tcpHeaderLength(p.Raw):]
+	if isIPv4(b) {
+		shorten(b[ipv4Length:], p.Payload)
+		header := b[:int(b[0]&0xf)*ipv4UnitLength]
+		clear(header[ipv4Checksum : ipv4Checksum+2])
+		binary.BigEndian.PutUint16(header[ipv4Checksum:], ^fold(sum(0, header)))
+	} else {
+		shorten(b[ipv6Length:], p.Payload)
+	}
+	clear(tcp[tcpChecksum : tcpChecksum+2])
+	pseudo := uint32(bronzeflow.TCP) + uint32(len(tcp))
+	pseudo = sum(sum(pseudo, addressBytes(p.Key.Caller)), addressBytes(p.Key.Service))
+	binary.BigEndian.PutUint16(tcp[tcpChecksum:], ^fold(sum(pseudo, tcp)))
+	return dst
+}
+
+// tcpHeaderLength returns the length with options of the TCP header in raw, a
+// packet that was parsed before.
+func tcpHeaderLength(raw []byte) int {
+	first := layers.LayerTypeIPv6
+	if isIPv4(raw) {
+		first = layers.LayerTypeIPv4
+	}
+	options := gopacket.DecodeOptions{Lazy: true, NoCopy: true}
+	return len(gopacket.NewPacket(raw, first, options).Layer(layers.LayerTypeTCP).LayerContents())
+}
+
+func isIPv4(raw []byte) bool { return raw[0]>>4 == 4 }
+
+func shorten(length []byte, by int) {
+	binary.BigEndian.PutUint16(length, binary.BigEndian.Uint16(length)-uint16(by))
+}
+
+// addressBytes returns the bytes of a that add up in a checksum. Those that
+// make an IPv4 address an IPv6 one are left out.
+func addressBytes(a [16]byte) []byte {
+	const mapped = "\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\xff\xff"
+	if string(a[:len(mapped)]) == mapped {
+		return a[len(mapped):]
+	}
+	return a[:]
+}
+
+// sum adds the 16-bit words of b to s, as in RFC 1071.
+func sum(s uint32, b []byte) uint32 {
+	for ; len(b) > 1; b = b[2:] {
+		s += uint32(binary.BigEndian.Uint16(b))
+	}
+	if len(b) == 1 {
+		s += uint32(b[0]) << 8
+	}
+	return s
+}
+
+func fold(s uint32) uint16 {
+	for s > 0xffff {
+		s = s>>16 + s&0xffff
+	}
+	return uint16(s)
+}
--- a/bronzenode/path.go
+++ b/bronzenode/path.go
@@ -101,6 +101,7 @@
 		return
 	}
 	w.seen[callerPacket]++
+	w.leavePayload()
 	w.actions = w.node.balancer.FromCaller(&w.packet, w.actions[:0])
 	w.do()
 }
@@ -134,6 +135,7 @@
 		}
 		w.packet.Hops = w.frame.Hops
 		w.seen[peerPacket]++
+		w.leavePayload()
 		w.actions = balancer.FromPeer(&w.packet, peer, w.actions)
 	case bronzewire.FrameReply:
 		if err := w.parser.FromServer(w.frame.Body, &w.packet); err != nil {
