Bridge suspected owners and silent paths, and end no flow of a split

Found: a suspected owner's flows waited 4 s for its death; a flow unknown during or just after a split was reset although the other side knew it; an owner whose path to a server had lost a flow went on using it. Now established flows of a suspected owner are found by the next in line, an unknown flow of a split is dropped and looked for again, also by asking the nodes anew, and an owner that sees the same payload twice tells the other nodes where the flow is, so that they go around its path.

--- a/bronzecore/attempt.go
+++ b/bronzecore/attempt.go
@@ -40,7 +40,8 @@
 	belief bronzeflow.Entry
 	// committed is set once payload was forwarded.
 	committed bool
-	// disputed is set if the fleet was split when the flow was placed.
+	// disputed is set if the fleet was split when the attempt began or placed
+	// its flow: the other side may know the flow.
 	disputed bool
 	started  time.Time
 	// due is when the phase times out; deadline when the attempt gives up.
--- a/bronzecore/balancer.go
+++ b/bronzecore/balancer.go
@@ -10,6 +10,7 @@
 	"bronzeusher.example/bronzeusher/bronzeconf"
 	"bronzeusher.example/bronzeusher/bronzefleet"
 	"bronzeusher.example/bronzeusher/bronzeflow"
+	"bronzeusher.example/bronzeusher/bronzelink"
 	"bronzeusher.example/bronzeusher/bronzepool"
 )
 
@@ -27,6 +28,9 @@
 type Balancer struct {
 	// Name is this node's name in the fleet.
 	Name string
+	// AvailabilityZone is this node's. Where the bound takes a flow off its
+	// first candidate, a server of the own zone is preferred.
+	AvailabilityZone string
 	// Capacity bounds the flow table, 0 means bronzeflow.DefaultCapacity.
 	Capacity int
 	// Timing holds durations; zero values mean the defaults.
@@ -58,8 +62,9 @@
 	copies copyStore
 	copier copier
 	sweep  sweeper
-	// teacher paces Learn messages.
+	// teacher and rescuer pace Learn messages.
 	teacher *rate.Limiter
+	rescuer *rate.Limiter
 }
 
 // Timing holds the durations that a Balancer works with.
@@ -133,6 +138,7 @@
 		b.limits.Open = b.Open
 		b.copier.setRate(b.CopyBytesPerSecond)
 		b.teacher = rate.NewLimiter(learnBytesPerSecond, learnBurst)
+		b.rescuer = rate.NewLimiter(rescueBytesPerSecond, rescueBurst)
 		b.services.Store(&serviceSet{})
 	})
 }
@@ -154,7 +160,7 @@
 	if old := b.snapshot.Load(); old != nil && s.Revision < old.Revision {
 		return
 	}
-	b.services.Store(b.services.Load().next(s, &b.limits, b.owners()))
+	b.services.Store(b.services.Load().next(s, &b.limits, b.owners(), b.AvailabilityZone))
 	b.snapshot.Store(s)
 	b.sweep.again()
 }
@@ -208,3 +214,21 @@
 	}
 	return v.Owner(hash)
 }
+
+// keeper returns the node that finds the server of an established flow: the
+// owner, or while the owner is suspected to be dead the next in line that is
+// not. Finding moves no flow, so it need not wait until the owner is known to
+// be dead; its callers would have given up by then. Openings do wait.
+func (b *Balancer) keeper(v *bronzefleet.View, hash uint64) string {
+	owner := b.owner(v, hash)
+	if v == nil || v.Members[owner].Status != bronzelink.Suspect {
+		return owner
+	}
+	order, n := v.Order(hash)
+	for _, name := range order[:n] {
+		if v.Members[name].Status == bronzelink.Alive {
+			return name
+		}
+	}
+	return owner
+}
--- a/bronzecore/caller.go
+++ b/bronzecore/caller.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bronzeusher.example/bronzeusher/bronzefleet"
 	"bronzeusher.example/bronzeusher/bronzeflow"
 	"bronzeusher.example/bronzeusher/bronzelink"
 )
@@ -115,7 +116,7 @@
 	if b.fenced(v, now) {
 		return append(out, Action{Kind: Drop, Packet: *p, Reason: Fenced})
 	}
-	if owner := b.owner(v, hash); owner != b.Name {
+	if owner := b.decider(v, hash, p.Kind); owner != b.Name {
 		if known && e.Flags&bronzeflow.Owned == 0 {
 			b.table.Delete(&p.Key, hash)
 		}
@@ -127,6 +128,17 @@
 	return b.own(p, hash, b.services.Load().of(svc), now, out)
 }
 
+// decider returns the node that decides on a packet of a flow that is not
+// known here.
+func (b *Balancer) decider(v *bronzefleet.View, hash uint64, k bronzeflow.Kind) string {
+	switch k {
+	case bronzeflow.Data, bronzeflow.Close, bronzeflow.Reset:
+		return b.keeper(v, hash)
+	default:
+		return b.owner(v, hash)
+	}
+}
+
 func (b *Balancer) relay(p *bronzeflow.Packet, owner string, out []Action) []Action {
 	if p.Hops >= MaxHops {
 		return append(out, Action{Kind: Drop, Packet: *p, Reason: RelayLoop})
--- a/bronzecore/failure_test.go
+++ b/bronzecore/failure_test.go
@@ -11,6 +11,7 @@
 
 	"bronzeusher.example/bronzeusher/bronzefleet"
 	"bronzeusher.example/bronzeusher/bronzeflow"
+	"bronzeusher.example/bronzeusher/bronzelink"
 )
 
 // inBubble runs a story for some seeds, each in a bubble of its own.
@@ -140,6 +141,33 @@
 	})
 }
 
+// The owner of flows that no other node has learned is gone, but so far only
+// suspected. Their callers would give up before it is declared dead. The next
+// node in line finds their servers meanwhile; openings wait.
+func TestSuspectOwnerIsBridged(t *testing.T) {
+	inBubble(t, 4, 4, func(w *world) {
+		w.openMany(20)
+		for _, f := range w.flows {
+			f.pause = true
+		}
+		w.settle(500 * time.Millisecond)
+		gone := w.ownerOf(w.flows[0])
+		w.kill(gone)
+		for _, f := range w.flows {
+			f.pause = false
+		}
+		members := viewMembers(append(w.names(), gone))
+		members[len(members)-1].Status = bronzelink.Suspect
+		for _, name := range w.names() {
+			n := w.nodes[name]
+			n.view = bronzefleet.NewView(name, members, n.view, time.Now())
+			n.SetView(n.view)
+		}
+		w.settle(2 * time.Second)
+		w.checkGoingOn(make([]int, len(w.flows)))
+	})
+}
+
 // The fleet splits and the fabric hands packets of one flow to both sides.
 // Each side has taken the other's flows over. Flows that were open go on on
 // both sides at their server; of flows that are opened now no payload may
--- a/bronzecore/message.go
+++ b/bronzecore/message.go
@@ -59,20 +59,60 @@
 	learnBytes          = 100
 	learnBytesPerSecond = 512
 	learnBurst          = 2048
+	// The pace of teaching flows whose callers send again. Lost packets are
+	// rare, so this is used when paths go silent, and then it is urgent.
+	rescueBytesPerSecond = 1024
+	rescueBurst          = 64 << 10
 )
 
 // teach tells a node that relayed a packet where its flow is pinned.
 func (b *Balancer) teach(p *bronzeflow.Packet, e bronzeflow.Entry, peer string, now time.Time, out []Action) []Action {
-	if peer == "" || e.State != bronzeflow.Established || b.seconds(now)-e.Opened < toSeconds(b.Timing.CopyAge) {
+	if peer == "" || e.State != bronzeflow.Established {
 		return out
 	}
-	if !b.teacher.AllowN(now, learnBytes) {
+	if p.Payload > 0 && p.Sequence != 0 && b.repeated(p, e) {
+		return b.teachAll(p, e, now, out)
+	}
+	if b.seconds(now)-e.Opened < toSeconds(b.Timing.CopyAge) || !b.teacher.AllowN(now, learnBytes) {
 		return out
 	}
 	m := mapping(p.Key, e)
 	return append(out, Action{Kind: Send, Peer: peer, Message: &bronzelink.FlowMessage{Learn: &m}})
 }
 
+// repeated notes a relayed piece of payload, and reports whether it is the
+// same as the last one.
+func (b *Balancer) repeated(p *bronzeflow.Packet, e bronzeflow.Entry) bool {
+	last := uint16(p.Sequence)
+	if e.Last == last {
+		return true
+	}
+	b.table.Update(&p.Key, p.Key.Hash(), func(e *bronzeflow.Entry) { e.Last = last })
+	return false
+}
+
+// teachAll tells other nodes where a flow is pinned whose caller has to send
+// the same again: the path from here to the server may have lost track of the
+// flow, while the others' paths work. The caller's next try then goes by one
+// of those, to the same server.
+func (b *Balancer) teachAll(p *bronzeflow.Packet, e bronzeflow.Entry, now time.Time, out []Action) []Action {
+	v := b.view.Load()
+	if v == nil {
+		return out
+	}
+	m := mapping(p.Key, e)
+	for i, name := range b.knowers(v, &attempt{hash: p.Key.Hash()}) {
+		if name == b.Name {
+			continue
+		}
+		if i >= smallFleet || !b.rescuer.AllowN(now, learnBytes) {
+			break
+		}
+		out = append(out, Action{Kind: Send, Peer: name, Message: &bronzelink.FlowMessage{Learn: &m}})
+	}
+	return out
+}
+
 // queried answers a node that owns a flow and doesn't know it.
 func (b *Balancer) queried(q *bronzelink.Query, peer string, now time.Time, out []Action) []Action {
 	hash := q.Key.Hash()
--- a/bronzecore/owner.go
+++ b/bronzecore/owner.go
@@ -128,6 +128,7 @@
 	a := s.add(p, hash, now)
 	if a != nil {
 		a.deadline = now.Add(b.Timing.Recover)
+		a.disputed = b.split()
 	}
 	return a
 }
--- a/bronzecore/recover.go
+++ b/bronzecore/recover.go
@@ -106,6 +106,11 @@
 	if !b.isFirst(st, hash, m.Server) {
 		e.Flags |= bronzeflow.Exception
 	}
+	if b.owner(b.view.Load(), hash) != b.Name {
+		// Found in place of an owner that may be alive, which counts it.
+		b.putLearned(&p.Key, hash, e, now)
+		return b.pinned(p, hash, e, "", now, out)
+	}
 	b.replace(&p.Key, hash)
 	if !b.table.Put(&p.Key, hash, e) {
 		return append(out, Action{Kind: Drop, Packet: *p, Reason: TableFull})
@@ -223,15 +228,24 @@
 	case a.refused >= len(a.tried):
 		return b.unknown(s, a, out)
 	default:
-		// A server that was asked is silent: it may be the one.
-		a.due = a.deadline
+		// A server that was asked is silent: it may be the one, or its answer
+		// entered by a node that has learned the flow, and went on to the
+		// caller. Such a node can tell.
+		tried := a.tried
+		out = b.query(a, now, out)
+		a.phase, a.tried = probing, tried
 	}
 	return out
 }
 
-// unknown ends the flow of an attempt that nobody knows.
+// unknown ends the flow of an attempt that nobody knows. While the fleet is
+// split the other side may know it, and it may go on there or after the heal:
+// then its packets are dropped, and its caller's timeout ends it.
 func (b *Balancer) unknown(s *attemptShard, a *attempt, out []Action) []Action {
 	s.remove(a)
+	if a.disputed || b.split() {
+		return append(out, Action{Kind: Drop, Packet: a.held, Reason: UnknownFlow})
+	}
 	return append(out, b.abortion(&a.held, UnknownFlow))
 }
 
--- a/bronzecore/server.go
+++ b/bronzecore/server.go
@@ -55,7 +55,7 @@
 	// All that changes a flow's state, or doesn't fit what is known here, is
 	// the owner's to decide.
 	v := b.view.Load()
-	if owner := b.owner(v, hash); owner != b.Name {
+	if owner := b.decider(v, hash, p.Kind); owner != b.Name {
 		return b.elsewhere(p, hash, id, e, ok, owner, now, out)
 	}
 	if b.fenced(v, now) {
--- a/bronzecore/service.go
+++ b/bronzecore/service.go
@@ -32,7 +32,7 @@
 
 // next returns the set for a new snapshot; services that stay keep their
 // counts.
-func (s *serviceSet) next(snap *bronzeconf.Snapshot, limits *bronzepool.Admission, owners int) *serviceSet {
+func (s *serviceSet) next(snap *bronzeconf.Snapshot, limits *bronzepool.Admission, owners int, zone string) *serviceSet {
 	n := &serviceSet{
 		byConf: make(map[*bronzeconf.Service]*service, len(snap.Services)),
 		byName: make(map[string]*service, len(snap.Services)),
@@ -44,7 +44,7 @@
 			st.pool = old.pool
 			st.budget = old.budget
 		} else {
-			st.pool = &bronzepool.Pool{}
+			st.pool = &bronzepool.Pool{AvailabilityZone: zone}
 			st.budget = &bronzepool.Budget{}
 		}
 		st.pool.SetOwners(owners)
--- a/bronzeflow/packet.go
+++ b/bronzeflow/packet.go
@@ -49,6 +49,9 @@
 	// number plus one), which the caller's first packets afterwards carry
 	// back (TCP: the acknowledgement number). 0 means not known.
 	Echo uint32
+	// Sequence numbers a caller's pieces of payload (TCP: the sequence
+	// number): a piece that is sent again has the same. 0 means not known.
+	Sequence uint32
 	// Hops counts the balancers that relayed the packet so far. The bit
 	// Noted is set on a copy that its sender has forwarded already.
 	Hops uint8
--- a/bronzenode/node.go
+++ b/bronzenode/node.go
@@ -98,6 +98,7 @@
 // connect sets the parts up and ties them to each other.
 func (n *Node) connect() {
 	n.balancer.Name = n.cfg.Name
+	n.balancer.AvailabilityZone = n.cfg.AvailabilityZone
 	n.balancer.Capacity = n.cfg.Capacity
 	n.balancer.Timing = n.cfg.Timing
 	n.balancer.Lease = n.fleet.Lease
--- a/bronzewire/parser.go
+++ b/bronzewire/parser.go
@@ -105,6 +105,9 @@
 	p.Kind = kind
 	p.Payload = len(r.tcp.Payload)
 	p.Echo = echo(&r.tcp, kind, fromServer)
+	if !fromServer {
+		p.Sequence = r.tcp.Seq
+	}
 	return setKey(&p.Key, bronzeflow.TCP, d, uint16(r.tcp.SrcPort), uint16(r.tcp.DstPort), fromServer)
 }
 
--- a/bronzewire/wire_test.go
+++ b/bronzewire/wire_test.go
@@ -165,6 +165,9 @@
 		} else if flags&ACK != 0 && !fromServer {
 			want.Echo = ack
 		}
+		if !fromServer {
+			want.Sequence = seq
+		}
 		require.Equal(t, want, p)
 	})
 }
