Keep brands apart in pending openings, and datagrams with their server

Cause: a property over addresses that move between Customers found an opening that was sent again to the old Customer's server, because its attempt was still pending there. Attempts whose server is out of force for the address are now withdrawn and cancelled. A test of datagrams found flows that moved after their owner died: an unknown datagram flow was placed by load like a new one. Datagram flows now go to the first candidate that may have work, and those on a leaving server are copied. Nodes also bound all Customers' openings and flows. Conclusion: datagram services are as even as hashing is.

--- a/bronzecore/harness_test.go
+++ b/bronzecore/harness_test.go
@@ -45,6 +45,8 @@
 	queue   []func()
 	record  record
 	rev     uint64
+	// datagram is the server that got the last datagram.
+	datagram bronzeflow.ServerID
 	// bare takes messages and probes away, for comparison.
 	bare bool
 	// cut says whether what from sends to to is lost. Names are those of
@@ -235,6 +237,25 @@
 	}
 }
 
+// copyTime is enough for a few exceptions to be copied.
+const copyTime = 6 * time.Second
+
+// sendDatagrams sends a datagram of each flow and requires that it reaches
+// the server in servers, which it notes at the first time.
+func (w *world) sendDatagrams(servers map[bronzeflow.Key]bronzeflow.ServerID) {
+	for key, want := range servers {
+		p := bronzeflow.Packet{Key: key, Kind: bronzeflow.Datagram, Payload: 8}
+		w.datagram = 0
+		w.send("caller", w.spray(nil), func(n *node) []bronzecore.Action { return n.FromCaller(&p, nil) })
+		w.settle(200 * time.Millisecond)
+		require.NotZero(w.t, w.datagram)
+		if want != 0 {
+			require.Equal(w.t, want, w.datagram)
+		}
+		servers[key] = w.datagram
+	}
+}
+
 func (w *world) deliver() {
 	for len(w.queue) > 0 {
 		i := w.rng.IntN(len(w.queue))
@@ -320,6 +341,10 @@
 		return
 	}
 	key := a.Packet.Key
+	if key.Protocol == bronzeflow.UDP {
+		w.datagram = a.Server
+		return
+	}
 	c := s.conns[key]
 	reply := bronzeflow.Packet{Key: key, Kind: bronzeflow.Data}
 	switch {
--- a/bronzecore/owner.go
+++ b/bronzecore/owner.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bronzeusher.example/bronzeusher/bronzeflow"
+	"bronzeusher.example/bronzeusher/bronzelink"
 )
 
 // own decides, as the flow's owner, on a caller's packet that no trusted
@@ -13,7 +14,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if a, ok := s.attempts[p.Key]; ok {
-		return b.again(s, a, p, now, out)
+		if a.phase != opening || b.inForce(a.server(), &p.Key) {
+			return b.again(s, a, p, now, out)
+		}
+		out = b.withdraw(s, a, out)
 	}
 	e, known := b.table.Get(&p.Key, hash)
 	switch {
@@ -53,6 +57,14 @@
 	}
 }
 
+// withdraw ends an attempt whose server is out of force, or whose service no
+// longer has the flow's destination: its opening must reach nobody now.
+func (b *Balancer) withdraw(s *attemptShard, a *attempt, out []Action) []Action {
+	out = append(out, Action{Kind: Cancel, Server: a.server(), Packet: a.held, Reason: ServerGone})
+	b.abandon(s, a)
+	return out
+}
+
 // callerGone ends an attempt whose caller has given up.
 func (b *Balancer) callerGone(s *attemptShard, a *attempt, p *bronzeflow.Packet, out []Action) []Action {
 	if a.phase == opening {
@@ -108,7 +120,12 @@
 	if a == nil {
 		return append(out, b.refusal(p, HalfOpenLimit))
 	}
-	if id, ok := b.copies.get(hash); ok && b.usable(st, id) != 0 {
+	id, copied := b.copies.get(hash)
+	if copied && p.Kind == bronzeflow.Datagram && b.inForce(id, &p.Key) {
+		s.remove(a)
+		return b.adopt(p, hash, bronzelink.Mapping{Server: id, State: bronzeflow.Established}, now, out)
+	}
+	if copied && b.usable(st, id) != 0 {
 		return b.place(s, st, a, id, now, out)
 	}
 	v := b.view.Load()
@@ -160,10 +177,13 @@
 func (b *Balancer) attempt(s *attemptShard, st *service, a *attempt, prefer bronzeflow.ServerID, why Reason, now time.Time, out []Action) []Action {
 	id, first := prefer, false
 	if prefer != 0 {
-		first = b.isFirst(st, a.hash, prefer)
+		first = b.derivable(st, &a.key, a.hash, prefer)
 	} else {
+		// A flow of datagrams can't be told from a new one where it isn't
+		// known, so it goes where any node computes it to be.
+		plain := b.split() || a.held.Kind == bronzeflow.Datagram
 		var ok bool
-		id, first, ok = st.pool.Choose(a.hash, a.tried, b.split())
+		id, first, ok = st.pool.Choose(a.hash, a.tried, plain)
 		if !ok {
 			return b.giveUp(s, st, a, firstReason(why, NoServer), out)
 		}
@@ -213,10 +233,16 @@
 	return v != nil && v.Split
 }
 
-func (b *Balancer) isFirst(st *service, hash uint64, id bronzeflow.ServerID) bool {
+// derivable reports whether any node can compute that the flow is at server
+// id. A flow of datagrams can't be asked for at its server: if that is leaving,
+// a node that doesn't know the flow would take it for a new one.
+func (b *Balancer) derivable(st *service, key *bronzeflow.Key, hash uint64, id bronzeflow.ServerID) bool {
 	var buf [1]bronzeflow.ServerID
 	c := st.pool.Candidates(hash, 1, buf[:0])
-	return len(c) == 1 && c[0] == id
+	if len(c) != 1 || c[0] != id {
+		return false
+	}
+	return key.Protocol != bronzeflow.UDP || st.pool.Available(id)
 }
 
 // established counts a flow that a server has taken.
@@ -257,11 +283,16 @@
 func (b *Balancer) giveUp(s *attemptShard, st *service, a *attempt, r Reason, out []Action) []Action {
 	s.remove(a)
 	st.account.Ended(false)
+	return append(out, b.final(a, r))
+}
+
+// final is the answer to the caller of an attempt. If something of it may have
+// run, no claim is made.
+func (b *Balancer) final(a *attempt, r Reason) Action {
 	if a.committed || a.disputed {
-		// Something may have run: no claim is made.
-		return append(out, b.abortion(&a.held, r))
+		return b.abortion(&a.held, r)
 	}
-	return append(out, b.refusal(&a.held, r))
+	return b.refusal(&a.held, r)
 }
 
 // cancelUnknown passes a caller's reset of an unknown flow on as well as it
--- a/bronzecore/recover.go
+++ b/bronzecore/recover.go
@@ -14,6 +14,10 @@
 // In a larger one only the flow's former and next owners are.
 const smallFleet = 16
 
+// askAgain is after how many times Timing.Query nodes are asked again about a
+// flow that is still unknown.
+const askAgain = 8
+
 // maxProbes bounds how many servers are asked about one unknown flow.
 const maxProbes = 16
 
@@ -103,7 +107,7 @@
 		State:  m.State,
 		Flags:  bronzeflow.Owned | m.Flags&(bronzeflow.Confirmed|bronzeflow.CallerClosed|bronzeflow.ServerClosed|bronzeflow.Committed),
 	}
-	if !b.isFirst(st, hash, m.Server) {
+	if !b.derivable(st, &p.Key, hash, m.Server) {
 		e.Flags |= bronzeflow.Exception
 	}
 	if b.owner(b.view.Load(), hash) != b.Name {
@@ -234,6 +238,7 @@
 		tried := a.tried
 		out = b.query(a, now, out)
 		a.phase, a.tried = probing, tried
+		a.due = now.Add(askAgain * b.Timing.Query)
 	}
 	return out
 }
--- a/bronzecore/server.go
+++ b/bronzecore/server.go
@@ -224,7 +224,7 @@
 		State:  bronzeflow.Established,
 		Flags:  bronzeflow.Owned | bronzeflow.Confirmed,
 	}
-	if !b.isFirst(st, hash, id) {
+	if !b.derivable(st, &p.Key, hash, id) {
 		e.Flags |= bronzeflow.Exception
 	}
 	if b.table.Put(&p.Key, hash, e) {
--- a/bronzecore/tick.go
+++ b/bronzecore/tick.go
@@ -53,12 +53,12 @@
 // silent goes on with an attempt whose server doesn't answer. It is told that
 // the attempt is given up, before the caller or another server hears of it.
 func (b *Balancer) silent(s *attemptShard, a *attempt, now time.Time, out []Action) []Action {
+	if !b.inForce(a.server(), &a.key) {
+		out = b.withdraw(s, a, out)
+		return append(out, b.final(a, ServerGone))
+	}
 	st := b.services.Load().of(b.snapshot.Load().Match(&a.key))
 	out = append(out, Action{Kind: Cancel, Server: a.server(), Packet: a.held, Reason: ServerSilent})
-	if st == nil {
-		b.abandon(s, a)
-		return append(out, b.refusal(&a.held, NoService))
-	}
 	st.pool.Refused(a.server(), true)
 	return b.retry(s, st, a, ServerSilent, now, out)
 }
@@ -184,7 +184,7 @@
 	}
 	hash := k.Hash()
 	c = flagChange{key: *k, entry: e}
-	first := b.isFirst(st, hash, e.Server)
+	first := b.derivable(st, k, hash, e.Server)
 	switch exception := e.Flags&bronzeflow.Exception != 0; {
 	case first && exception:
 		c.clear = bronzeflow.Exception | bronzeflow.Copied
--- a/bronzenode/node.go
+++ b/bronzenode/node.go
@@ -13,10 +13,19 @@
 	"bronzeusher.example/bronzeusher/bronzeconf"
 	"bronzeusher.example/bronzeusher/bronzecore"
 	"bronzeusher.example/bronzeusher/bronzefleet"
+	"bronzeusher.example/bronzeusher/bronzeflow"
 	"bronzeusher.example/bronzeusher/bronzelink"
 	"bronzeusher.example/bronzeusher/bronzewire"
 )
 
+// Bounds of all Customers' flows on one node, of which each Customer may use
+// what the others leave: the openings that the decisions have room for, and
+// half of the default flow table, so that learned flows have room too.
+const (
+	maxHalfOpen = 16 << 10
+	maxOpen     = bronzeflow.DefaultCapacity / 2
+)
+
 // Node is one balancer: the decisions of a bronzecore.Balancer with sockets,
 // peers, platform and metrics around them. New makes one; Run runs it once.
 type Node struct {
@@ -100,6 +109,8 @@
 	n.balancer.Name = n.cfg.Name
 	n.balancer.AvailabilityZone = n.cfg.AvailabilityZone
 	n.balancer.Capacity = n.cfg.Capacity
+	n.balancer.HalfOpen = maxHalfOpen
+	n.balancer.Open = maxOpen
 	n.balancer.Timing = n.cfg.Timing
 	n.balancer.Lease = n.fleet.Lease
 	n.store.OnChange = n.onSnapshot
