Spread at once that a server leaves

A Load waits its turn in the byte budget, 8 seconds at 40 nodes, in which all others go on opening flows at a server that one of them knows to be leaving. Such news now goes out at once and before all others, also over the budget of the moment: all 40 nodes have it within 3 s by virtual time.

--- a/bronzefleet/bytes_test.go
+++ b/bronzefleet/bytes_test.go
@@ -135,6 +135,32 @@
 	nodes[i] = p.start()
 }
 
+// A BackendServer begins to drain, and the one balancer that polls it sees that.
+// The others would open new flows there until they know, which must not take
+// longer than three seconds, though 40 balancers have byte budget for one Load
+// each in eight seconds only.
+func TestLeavingServerIsKnownSoon(t *testing.T) {
+	bubble(t, func(t *testing.T, n *network) {
+		nodes := n.prime(40)
+		known := 0 // guarded by n.mu
+		for _, p := range nodes {
+			p.OnLoad = func(l *bronzelink.Load) {
+				n.mu.Lock()
+				defer n.mu.Unlock()
+				known += len(l.Leaving)
+			}
+		}
+		shareLoads(nodes, 30*time.Second)
+		load := testLoad(5, 30)
+		load.Leaving = []bronzeflow.ServerID{1 << 63}
+		nodes[5].Share(load)
+		time.Sleep(3 * time.Second)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		require.Equal(t, len(nodes)-1, known)
+	})
+}
+
 func TestBytesPerNode(t *testing.T) {
 	t.Parallel()
 	for _, c := range []struct {
--- a/bronzefleet/fleet.go
+++ b/bronzefleet/fleet.go
@@ -71,7 +71,8 @@
 	// Send sends m to a member, of which only the ControlAddress may be known.
 	// It must not wait.
 	Send func(to bronzelink.Member, m *bronzelink.Message) error
-	// OnView is called with each new view, in order of Version.
+	// OnView is called with each new view, in order of Version. It must not
+	// call the Fleet, but for View and Lease.
 	OnView func(v *View)
 	// OnLoad is called with each Load that is newer than the last one of its
 	// Origin.
--- a/bronzefleet/load.go
+++ b/bronzefleet/load.go
@@ -18,6 +18,9 @@
 	loadShare = 0.7
 	// unchangedLoad is by how much later a load is sent that didn't change.
 	unchangedLoad = 8
+	// leavingWeight is what a server that leaves, or no longer does, counts as a
+	// change: more than any number of flows.
+	leavingWeight = 1 << 32
 )
 
 // loads spreads the Load of each node to all others. In a small fleet the
@@ -73,11 +76,7 @@
 	}
 	o := s.origins[s.own.Origin]
 	if o != nil {
-		wait := float64(s.others+1) * float64(o.size) / (rate * loadShare)
-		if difference(o.load, s.own) == 0 {
-			wait *= unchangedLoad
-		}
-		if now.Sub(s.ownSent).Seconds() < wait {
+		if now.Sub(s.ownSent).Seconds() < s.ownWait(o, rate) {
 			return
 		}
 	}
@@ -92,6 +91,21 @@
 	s.store(&l, "")
 }
 
+// ownWait returns how many seconds after o the node's own load may be sent. News
+// of a server that leaves goes out at once: every node that lacks it opens new
+// flows there.
+func (s *loads) ownWait(o *origin, rate float64) float64 {
+	wait := float64(s.others+1) * float64(o.size) / (rate * loadShare)
+	switch change := difference(o.load, s.own); {
+	case change >= leavingWeight:
+		return 0
+	case change == 0:
+		return wait * unchangedLoad
+	default:
+		return wait
+	}
+}
+
 // receive takes a Load that the neighbour from passed on.
 func (s *loads) receive(f *Fleet, from string, l *bronzelink.Load) {
 	if l.Origin == f.Self.Name || !s.keep(from, l) {
@@ -151,8 +165,18 @@
 
 // difference returns by how many flows two loads of one origin differ.
 func difference(a, b *bronzelink.Load) int {
-	return countDifference(a.Owned, b.Owned) + countDifference(a.Reported, b.Reported) +
-		len(b.Leaving) + len(a.Leaving)
+	change := countDifference(a.Owned, b.Owned) + countDifference(a.Reported, b.Reported)
+	for _, id := range a.Leaving {
+		if !slices.Contains(b.Leaving, id) {
+			change += leavingWeight
+		}
+	}
+	for _, id := range b.Leaving {
+		if !slices.Contains(a.Leaving, id) {
+			change += leavingWeight
+		}
+	}
+	return change
 }
 
 func countDifference(a, b []bronzelink.LoadItem) (n int) {
@@ -227,10 +251,14 @@
 	s.tokens = min(s.tokens+rate*now.Sub(s.paced).Seconds(), rate*loadBurst.Seconds())
 	s.paced = now
 	s.storeOwn(now, rate)
-	if s.tokens < 0 {
-		return nil
-	}
 	for _, o := range s.byUrgency(now) {
+		limit := 0.0
+		if o.change >= leavingWeight {
+			limit = -rate * loadBurst.Seconds()
+		}
+		if s.tokens < limit {
+			return out
+		}
 		m := &bronzelink.Message{Load: o.load}
 		if o.size == 0 {
 			o.size = encodedSize(m)
@@ -239,7 +267,7 @@
 			if _, ok := o.pending[s.neighbours[i].Name]; !ok {
 				continue
 			}
-			if s.tokens < 0 {
+			if s.tokens < limit {
 				return out
 			}
 			s.tokens -= float64(o.size)
