Place by the hash alone where counts can't be shared in time

Now counts are shared up to 5,000 pairs of node and server, beyond that a flow goes to its first candidate that may have work, only leaving servers are passed on, and a node polls 4 servers an interval.

--- a/bronzecore/service.go
+++ b/bronzecore/service.go
@@ -1,6 +1,8 @@
 package bronzecore
 
 import (
+	"sync/atomic"
+
 	"bronzeusher.example/bronzeusher/bronzeconf"
 	"bronzeusher.example/bronzeusher/bronzeflow"
 	"bronzeusher.example/bronzeusher/bronzepool"
@@ -19,6 +21,10 @@
 type serviceSet struct {
 	byConf map[*bronzeconf.Service]*service
 	byName map[string]*service
+	// servers is how many backend servers there are in all pools.
+	servers int
+	// shared is set when the nodes share the counts of their flows.
+	shared atomic.Bool
 }
 
 // of returns the state of a service, or nil.
@@ -47,12 +53,13 @@
 			st.pool = &bronzepool.Pool{AvailabilityZone: zone}
 			st.budget = &bronzepool.Budget{}
 		}
-		st.pool.SetOwners(owners)
 		st.pool.SetService(conf)
+		n.servers += len(conf.Pool)
 		st.budget.SetShare(conf.Retry.Budget)
 		n.byConf[conf] = st
 		n.byName[name] = st
 	}
+	n.setOwners(owners)
 	for name, old := range s.byName {
 		if _, ok := n.byName[name]; !ok {
 			limits.Remove(old.conf)
@@ -61,9 +68,14 @@
 	return n
 }
 
+// setOwners tells all pools how many nodes place flows. Nodes too many to
+// share their counts in time don't.
 func (s *serviceSet) setOwners(n int) {
+	shared := n*s.servers <= bronzepool.MaxSharedPairs
+	s.shared.Store(shared)
 	for _, st := range s.byName {
 		st.pool.SetOwners(n)
+		st.pool.SetShared(shared)
 	}
 }
 
--- a/bronzecore/status.go
+++ b/bronzecore/status.go
@@ -85,11 +85,21 @@
 	return Undone{Copies: s.CopiesDue, Attempts: s.Attempts}
 }
 
+// Shared reports whether the nodes share the counts of their flows: there are
+// at most bronzepool.MaxSharedPairs pairs of node and server.
+func (b *Balancer) Shared() bool {
+	b.init()
+	return b.services.Load().shared.Load()
+}
+
 // Owned returns the counts of the flows that this node owns on each server,
-// to be shared with the other nodes.
+// to be shared with the other nodes. It is empty unless they are Shared.
 func (b *Balancer) Owned() map[bronzeflow.ServerID]uint32 {
 	b.init()
 	counts := make(map[bronzeflow.ServerID]uint32)
+	if !b.Shared() {
+		return counts
+	}
 	for _, st := range b.services.Load().byName {
 		st.pool.Owned(counts)
 	}
--- a/bronzenode/reports.go
+++ b/bronzenode/reports.go
@@ -20,6 +20,11 @@
 	// pollers is how many nodes ask each backend server for its report: one
 	// would leave it unasked for seconds when that node dies.
 	pollers = 2
+	// pollsPerInterval bounds the reports that one node asks for in one
+	// interval. A poll costs about 250 bytes, so all pollers together keep
+	// inside the nodes' control budgets however many servers there are; with
+	// more, each server is asked less often.
+	pollsPerInterval = 4
 	// pollsAtOnce bounds the reports that one node asks for at a time.
 	pollsAtOnce = 32
 	// maxReport is the longest report that is read, in bytes.
@@ -75,13 +80,25 @@
 func (r *reports) run(ctx context.Context) error {
 	defer r.pool.StopAndWait()
 	var due dueServers
+	next := 0
 	return r.node.every(ctx, r.node.cfg.PollInterval, func() {
-		for _, b := range due.of(r.node) {
-			r.start(ctx, b)
+		list := due.of(r.node)
+		for range min(len(list), r.perInterval()) {
+			next = (next + 1) % len(list)
+			r.start(ctx, list[next])
 		}
 	})
 }
 
+// perInterval returns how many servers are asked in one interval. A small
+// deployment's few servers are all asked each time.
+func (r *reports) perInterval() int {
+	if r.node.balancer.Shared() {
+		return len(r.node.tunnels.Load().ids)
+	}
+	return pollsPerInterval
+}
+
 // start asks b, unless the last answer is still outstanding.
 func (r *reports) start(ctx context.Context, b *bronzeconf.BackendServer) {
 	r.mu.Lock()
--- a/bronzenode/shares.go
+++ b/bronzenode/shares.go
@@ -37,7 +37,13 @@
 	for id, count := range n.balancer.Owned() {
 		load.Owned = append(load.Owned, bronzelink.LoadItem{Server: id, Count: count})
 	}
+	shared := n.balancer.Shared()
 	for id, report := range n.reports.recent() {
+		if !shared && !report.Leaving {
+			// News of servers that are leaving must not queue behind figures
+			// that arrive too late to be of use.
+			continue
+		}
 		load.Reported = append(load.Reported, bronzelink.LoadItem{Server: id, Count: uint32(report.Connections)})
 		if report.Leaving {
 			load.Leaving = append(load.Leaving, id)
--- a/bronzepool/choose.go
+++ b/bronzepool/choose.go
@@ -83,6 +83,12 @@
 		return p.pickPlain(hash, allowed, now)
 	}
 	ready := func(s *server) bool { return now >= s.retryAt && !s.shut(now) && allowed(s) }
+	if p.unshared {
+		if s := p.first(hash, ready); s != nil {
+			return s
+		}
+		return p.soonest(hash, allowed)
+	}
 	if p.fits(top) && ready(top) {
 		return top
 	}
--- a/bronzepool/load.go
+++ b/bronzepool/load.go
@@ -22,7 +22,7 @@
 	o := p.origins[name][:0]
 	p.forget(name)
 	p.reweigh()
-	if counts == nil {
+	if counts == nil || p.unshared {
 		return
 	}
 	if p.origins == nil {
@@ -83,6 +83,10 @@
 // estimate returns the flows that all owners have on s: the counts, with the
 // server's own report blended in as far as it is believed.
 func (p *Pool) estimate(s *server, now int64) float64 {
+	if p.unshared {
+		own := float64(s.own)
+		return max(own, own+s.believed(now, 1)*(float64(s.report.connections)-own))
+	}
 	heard := len(p.origins)
 	others := max(p.owners-1, heard)
 	since := int64(others)*int64(s.own) - s.base
--- a/bronzepool/pool.go
+++ b/bronzepool/pool.go
@@ -25,13 +25,15 @@
 	// never waits for placements.
 	ids atomic.Pointer[[]bronzeflow.ServerID]
 
-	mu      sync.Mutex
-	policy  bronzeconf.Policy
-	owners  int
-	servers []*server
-	index   map[bronzeflow.ServerID]*server
-	origins map[string]origin
-	placed  uint64
+	mu     sync.Mutex
+	policy bronzeconf.Policy
+	owners int
+	// unshared is set when the owners don't share their counts.
+	unshared bool
+	servers  []*server
+	index    map[bronzeflow.ServerID]*server
+	origins  map[string]origin
+	placed   uint64
 	// weighted is set if all servers have a bound of connections, so that
 	// their shares are in proportion to it.
 	weighted bool
@@ -89,6 +91,30 @@
 	p.reweigh()
 }
 
+// MaxSharedPairs is for how many pairs of owner and server the owners' counts
+// can be shared while they are young: a Load item takes about 8 bytes, so at
+// the 2 KB a second that a node may spend on it a round takes 20 s. Older
+// counts place worse than the hash alone does, which is even where services
+// are large, and cost bytes and memory.
+const MaxSharedPairs = 5000
+
+// SetShared tells whether the owners share their counts, which they do unless
+// they say otherwise. Without, a flow goes to its first candidate that may
+// have work: a server that fails openings, says that it is full, is leaving or
+// holds all it may is passed over, and nothing else is.
+func (p *Pool) SetShared(shared bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unshared = !shared
+	p.reweigh()
+	if p.unshared {
+		p.origins = nil
+		for _, s := range p.servers {
+			s.shared, s.base = 0, 0
+		}
+	}
+}
+
 // Opened counts a flow that this node owns on server id.
 func (p *Pool) Opened(id bronzeflow.ServerID) {
 	p.mu.Lock()
