--- a/bronzecore/bench_test.go
+++ b/bronzecore/bench_test.go
@@ -137,9 +137,7 @@
 			for b.Loop() {
 				runtime.GC()
 				runtime.ReadMemStats(&before)
-				bal, keys := benchFlows(n, 4, 18)
-				keys = nil
-				_ = keys
+				bal, _ := benchFlows(n, 4, 18)
 				runtime.GC()
 				runtime.ReadMemStats(&after)
 				runtime.KeepAlive(bal)
