Have each default once, and the bound that the frontier chose

Cause: bronzepool and bronzecore had defaults of their own beside those of records (bound 1.08 and 1.05, idle 1 h and 2 h 4 m), and the records' bound had not been measured.

--- a/bronzeconf/record.go
+++ b/bronzeconf/record.go
@@ -22,7 +22,7 @@
 
 // What a record takes where it says nothing. Version 1 can't say any of it.
 const (
-	DefaultImbalanceBound = 1.05
+	DefaultImbalanceBound = 1.08
 	DefaultColdStart      = 30 * time.Second
 	// The limits are those of one balancer, wide enough for a service that
 	// is alone on it, yet below the size of its flow table.
--- a/bronzecore/owner.go
+++ b/bronzecore/owner.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bronzeusher.example/bronzeusher/bronzeconf"
 	"bronzeusher.example/bronzeusher/bronzeflow"
 	"bronzeusher.example/bronzeusher/bronzelink"
 )
@@ -167,12 +168,9 @@
 	if st.conf.OpenDeadline > 0 {
 		return st.conf.OpenDeadline
 	}
-	return DefaultOpenDeadline
+	return bronzeconf.DefaultOpenDeadline
 }
 
-// DefaultOpenDeadline holds for services whose records set none.
-const DefaultOpenDeadline = 3 * time.Second
-
 // attempt sends the opening to the next server. The flow is admitted.
 func (b *Balancer) attempt(s *attemptShard, st *service, a *attempt, prefer bronzeflow.ServerID, why Reason, now time.Time, out []Action) []Action {
 	id, first := prefer, false
--- a/bronzecore/tick.go
+++ b/bronzecore/tick.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"bronzeusher.example/bronzeusher/bronzeconf"
 	"bronzeusher.example/bronzeusher/bronzefleet"
 	"bronzeusher.example/bronzeusher/bronzeflow"
 )
@@ -166,14 +167,11 @@
 	return idle > toSeconds(idleTimeout(svc.IdleTimeout)+b.Timing.Refresh)
 }
 
-// DefaultIdleTimeout holds for services whose records set none.
-const DefaultIdleTimeout = time.Hour
-
 func idleTimeout(d time.Duration) time.Duration {
 	if d > 0 {
 		return d
 	}
-	return DefaultIdleTimeout
+	return bronzeconf.DefaultIdleTimeout
 }
 
 // reflag tells how the flags of an owned flow have to change.
--- a/bronzepool/weigh.go
+++ b/bronzepool/weigh.go
@@ -1,9 +1,10 @@
 package bronzepool
 
-import "time"
+import (
+	"time"
 
-// DefaultImbalanceBound holds where a Policy has none.
-const DefaultImbalanceBound = 1.08
+	"bronzeusher.example/bronzeusher/bronzeconf"
+)
 
 const (
 	// minSlack is how many flows over its fair share a server may always
@@ -83,7 +84,7 @@
 func (p *Pool) limit(s *server, share float64) float64 {
 	bound := p.policy.ImbalanceBound
 	if bound < 1 {
-		bound = DefaultImbalanceBound
+		bound = bronzeconf.DefaultImbalanceBound
 	}
 	limit := max(share*bound, share+minSlack)
 	if s.slots > 0 && share <= float64(s.slots) {
