--- a/bronzecore/attempt.go
+++ b/bronzecore/attempt.go
@@ -36,6 +36,8 @@
 	refused int
 	// asked are the nodes whose answer is outstanding.
 	asked map[string]struct{}
+	// widened is set once more nodes than the former owners are asked.
+	widened bool
 	// belief is an entry from before a pause, used if nobody knows better.
 	belief bronzeflow.Entry
 	// committed is set once payload was forwarded.
--- a/bronzecore/copy.go
+++ b/bronzecore/copy.go
@@ -14,8 +14,12 @@
 const DefaultCopyBytesPerSecond = 2048
 
 const (
-	// copyItemBytes is the encoded size of a CopyItem, for pacing.
-	copyItemBytes = 20
+	// copyMessageBytes and copyItemBytes are what a message of copies takes
+	// on the network, its headers included: so much, and so much more for
+	// each item. By its item alone a lone copy would pass for a quarter of
+	// what it takes, and in a large fleet nearly all travel alone.
+	copyMessageBytes = 60
+	copyItemBytes    = 20
 	// copyBatch is the most items in one message: it fits a datagram.
 	copyBatch = 48
 	// copyResend is after how long an item without acknowledgement goes
@@ -145,30 +149,56 @@
 }
 
 // take returns what may be sent now: the exceptions that were open at the
-// second before, and ends.
-func (c *copier) take(now time.Time, before uint32) (items []waiting, gones []bronzelink.CopyItem) {
+// second before, and ends; successor names the node that each goes to. It
+// returns nothing until a second's worth is saved up: when much is waiting,
+// what goes to one node then travels together, which takes down to a quarter
+// of the bytes; when little is, a second's worth is saved up soon again.
+func (c *copier) take(now time.Time, before uint32, successor func(hash uint64) string) (items []waiting, gones []bronzelink.CopyItem) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.refill.IsZero() {
 		c.refill = now
 	}
-	c.tokens = min(c.tokens+now.Sub(c.refill).Seconds()*c.rate, max(c.rate, copyItemBytes))
+	most := max(c.rate, copyMessageBytes+copyItemBytes)
+	c.tokens = min(c.tokens+now.Sub(c.refill).Seconds()*c.rate, most)
 	c.refill = now
-	room := int(c.tokens / copyItemBytes)
-	n := min(room, len(c.gones))
+	if c.tokens < most {
+		return nil, nil
+	}
+	batches := make(map[string]int)
+	n := 0
+	for n < len(c.gones) && c.pay(batches, successor(c.gones[n].Hash)) {
+		n++
+	}
 	gones = append(gones, c.gones[:n]...)
 	c.gones = c.gones[n:]
-	room -= n
 	n = 0
-	for n < min(room, len(c.queue)) && c.queue[n].from <= before {
+	for n < len(c.queue) && c.queue[n].from <= before && c.pay(batches, successor(c.queue[n].hash)) {
 		n++
 	}
 	items = append(items, c.queue[:n]...)
 	c.queue = c.queue[n:]
-	c.tokens -= float64((len(items) + len(gones)) * copyItemBytes)
 	return items, gones
 }
 
+// pay takes the bytes of one more item for peer, if they are saved up;
+// batches counts the items that go to each node.
+func (c *copier) pay(batches map[string]int, peer string) bool {
+	if peer == "" {
+		return true // it is not sent
+	}
+	price := float64(copyItemBytes)
+	if batches[peer]%copyBatch == 0 {
+		price += copyMessageBytes
+	}
+	if c.tokens < price {
+		return false
+	}
+	batches[peer]++
+	c.tokens -= price
+	return true
+}
+
 // noteSent remembers a copy until it is acknowledged.
 func (c *copier) noteSent(hash uint64, s sent) {
 	c.mu.Lock()
@@ -179,7 +209,7 @@
 	c.unacked[hash] = s
 }
 
-// overdue puts copies without acknowledgement back at the queue's head.
+// overdue queues copies without acknowledgement again.
 func (c *copier) overdue(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -239,7 +269,7 @@
 	if b.leaving.Load() {
 		age = 0
 	}
-	items, gones := b.copier.take(now, b.seconds(now)-min(age, b.seconds(now)))
+	items, gones := b.copier.take(now, b.seconds(now)-min(age, b.seconds(now)), b.successor)
 	batches := make(map[string][]bronzelink.CopyItem)
 	for _, w := range items {
 		if peer := b.successor(w.hash); peer != "" {
--- a/bronzecore/message.go
+++ b/bronzecore/message.go
@@ -101,7 +101,7 @@
 		return out
 	}
 	m := mapping(p.Key, e)
-	for i, name := range b.knowers(v, &attempt{hash: p.Key.Hash()}) {
+	for i, name := range b.knowers(v, &attempt{hash: p.Key.Hash(), widened: true}) {
 		if name == b.Name {
 			continue
 		}
--- a/bronzecore/recover.go
+++ b/bronzecore/recover.go
@@ -45,7 +45,7 @@
 	if a == nil {
 		return append(out, Action{Kind: Drop, Packet: *p, Reason: Recovering})
 	}
-	a.belief = e
+	a.belief, a.widened = e, true
 	out = b.query(a, now, out)
 	if len(a.asked) == 0 {
 		return b.unanswered(s, a, now, out)
@@ -73,17 +73,18 @@
 	return out
 }
 
-// openQueries is how many former owners are asked about an opening.
-const openQueries = 2
+// formerQueries is how many former owners are asked at first.
+const formerQueries = 2
 
 // knowers returns the nodes that may know the flow of an attempt. An opening
-// that is not established is known to the flow's former owner alone; an
-// established flow to all that may have learned it, of which a large fleet
-// asks the next in the flow's order and the former owners.
+// that is not established is known to the flow's former owner alone. So is
+// nearly every established flow after a planned change; if it isn't, those are
+// asked that may have learned it: in a large fleet the next in the flow's order
+// and the former owners, in a small one all.
 func (b *Balancer) knowers(v *bronzefleet.View, a *attempt) []string {
 	former, n := v.Previous(a.hash)
-	if a.isOpen() {
-		return former[:min(n, openQueries)]
+	if a.isOpen() || !a.widened && n > 0 {
+		return former[:min(n, formerQueries)]
 	}
 	if len(v.Members) <= smallFleet {
 		return slices.Collect(maps.Keys(v.Members))
@@ -197,9 +198,14 @@
 		return b.adopt(&a.held, a.hash, mapping(a.key, a.belief), now, out)
 	case a.isOpen():
 		return b.place(s, st, a, 0, now, out)
-	default:
-		return b.probe(s, a, now, out)
+	case !a.widened:
+		a.widened = true
+		out = b.query(a, now, out)
+		if len(a.asked) > 0 {
+			return out
+		}
 	}
+	return b.probe(s, a, now, out)
 }
 
 // probe asks further candidates whether they know the flow: first the one
