Bound polls in every fleet, and pass leaving servers on once

Now 10 a second at most, in every fleet; of the sizes of today (18 servers, 6 to 9 nodes) none needs more. - Where a round of polls takes longer than two intervals, a leaving server's report was dropped between two polls, and each time that was news that goes to all nodes at once and over the byte budget. Now it stands until the next answer, and the others hold the server as long as the load stands, which in a large fleet is sent again much later than their hold of ten seconds ends. - A server that tells no connections was passed on as one that has none.

--- a/bronzenode/reports.go
+++ b/bronzenode/reports.go
@@ -21,18 +21,22 @@
 	// would leave it unasked for seconds when that node dies.
 	pollers = 2
 	// pollsPerInterval bounds the reports that one node asks for in one
-	// interval. A poll costs about 250 bytes, so all pollers together keep
-	// inside the nodes' control budgets however many servers there are; with
-	// more, each server is asked less often.
-	pollsPerInterval = 4
+	// interval. A poll costs about 250 bytes, so a node's polls take at most
+	// two fifths of its control budget however many servers there are. Those
+	// beyond it are asked in the next intervals; with up to 10 servers for each
+	// node a round takes two.
+	pollsPerInterval = 10
 	// pollsAtOnce bounds the reports that one node asks for at a time.
 	pollsAtOnce = 32
 	// maxReport is the longest report that is read, in bytes.
 	maxReport = 4096
 	// leavingHold is for how long a server that said that it is leaving gets
-	// no new flows, unless it says so again: several polls and
-	// loads, so that a lost one doesn't bring it back.
+	// no new flows, unless it says so again: several polls, so that a lost one
+	// doesn't bring it back.
 	leavingHold = 10 * time.Second
+	// lostRounds is how many rounds of polls may fail before a server that is
+	// leaving is no longer passed on as such.
+	lostRounds = 2
 )
 
 // The reasons for which a poll gave nothing.
@@ -59,16 +63,26 @@
 
 	mu sync.Mutex
 	// latest holds what the last polls said.
-	latest map[bronzeflow.ServerID]bronzepool.Report
+	latest map[bronzeflow.ServerID]latestReport
 	// asking are the servers whose answer is outstanding.
 	asking map[bronzeflow.ServerID]bool
+	// round is how long it takes to ask all servers once.
+	round time.Duration
+}
+
+// latestReport is a report with what it left out.
+type latestReport struct {
+	bronzepool.Report
+	// counted is set if the server told its connections. Passed on as none,
+	// they would draw flows to a server that tells nothing.
+	counted bool
 }
 
 func newReports(n *Node) *reports {
 	return &reports{
 		node:   n,
 		pool:   pond.NewPool(pollsAtOnce, pond.WithQueueSize(maxQueuedPolls), pond.WithNonBlocking(true)),
-		latest: make(map[bronzeflow.ServerID]bronzepool.Report),
+		latest: make(map[bronzeflow.ServerID]latestReport),
 		asking: make(map[bronzeflow.ServerID]bool),
 	}
 }
@@ -80,23 +94,24 @@
 func (r *reports) run(ctx context.Context) error {
 	defer r.pool.StopAndWait()
 	var due dueServers
-	next := 0
-	return r.node.every(ctx, r.node.cfg.PollInterval, func() {
-		list := due.of(r.node)
-		for range min(len(list), r.perInterval()) {
-			next = (next + 1) % len(list)
-			r.start(ctx, list[next])
-		}
-	})
+	return r.node.every(ctx, r.node.cfg.PollInterval, func() { r.askDue(ctx, &due) })
 }
 
-// perInterval returns how many servers are asked in one interval. A small
-// deployment's few servers are all asked each time.
-func (r *reports) perInterval() int {
-	if r.node.balancer.Shared() {
-		return len(r.node.tunnels.Load().ids)
+// askDue asks the servers that are next.
+func (r *reports) askDue(ctx context.Context, due *dueServers) {
+	list := due.of(r.node)
+	r.setRound(len(list))
+	for range min(len(list), pollsPerInterval) {
+		due.last = (due.last + 1) % len(list)
+		r.start(ctx, list[due.last])
 	}
-	return pollsPerInterval
+}
+
+// setRound notes how long a round of n polls takes.
+func (r *reports) setRound(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.round = time.Duration((n+pollsPerInterval-1)/pollsPerInterval) * r.node.cfg.PollInterval
 }
 
 // start asks b, unless the last answer is still outstanding.
@@ -145,10 +160,13 @@
 
 func (r *reports) observe(id bronzeflow.ServerID, report ServerReport) {
 	r.node.gate.pass()
-	seen := bronzepool.Report{Server: id, Leaving: report.Leaving, At: time.Now()}
-	if report.Connections != nil {
+	seen := latestReport{
+		Report:  bronzepool.Report{Server: id, Leaving: report.Leaving, At: time.Now()},
+		counted: report.Connections != nil,
+	}
+	if seen.counted {
 		seen.Connections = *report.Connections
-		r.node.balancer.Observe(seen)
+		r.node.balancer.Observe(seen.Report)
 	}
 	if report.Leaving {
 		r.node.balancer.SetLeaving(id, leavingHold)
@@ -159,13 +177,13 @@
 }
 
 // recent returns the reports that are young enough to be passed on.
-func (r *reports) recent() map[bronzeflow.ServerID]bronzepool.Report {
+func (r *reports) recent() map[bronzeflow.ServerID]latestReport {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	list := make(map[bronzeflow.ServerID]bronzepool.Report, len(r.latest))
+	list := make(map[bronzeflow.ServerID]latestReport, len(r.latest))
 	for id, report := range r.latest {
-		if now.Sub(report.At) > reportsFor*r.node.cfg.PollInterval {
+		if now.Sub(report.At) > r.passedOnFor(report.Leaving) {
 			delete(r.latest, id)
 			continue
 		}
@@ -174,6 +192,16 @@
 	return list
 }
 
+// passedOnFor returns for how long a report is passed on. One that says that
+// its server is leaving is until the next one: dropped in between, it would be
+// news to all nodes twice a round, and such news goes out over the budget.
+func (r *reports) passedOnFor(leaving bool) time.Duration {
+	if leaving {
+		return leavingHold + lostRounds*r.round
+	}
+	return reportsFor * r.node.cfg.PollInterval
+}
+
 // fetchReport asks the endpoint at url; reason tells what failed.
 func fetchReport(ctx context.Context, client *http.Client, url string) (report ServerReport, reason string, err error) {
 	defer annotate(&err, "ask for the report at "+url)
@@ -209,6 +237,8 @@
 	members *members
 	tunnels *tunnels
 	servers []*bronzeconf.BackendServer
+	// last is the index of the server that was asked last.
+	last int
 }
 
 func (d *dueServers) of(n *Node) []*bronzeconf.BackendServer {
--- a/bronzenode/shares.go
+++ b/bronzenode/shares.go
@@ -11,8 +11,13 @@
 	"bronzeusher.example/bronzeusher/bronzepool"
 )
 
-// reportsFor is for how many poll intervals a report is passed on.
-const reportsFor = 2
+const (
+	// reportsFor is for how many poll intervals a report is passed on.
+	reportsFor = 2
+	// renewEvery is how often what the other nodes' loads say of servers that
+	// are leaving is put in force again.
+	renewEvery = leavingHold / 4
+)
 
 // shares tells the other nodes what this one owns and was reported, and takes
 // in what they tell. The zero shares is ready.
@@ -20,6 +25,9 @@
 	mu sync.Mutex
 	// heard is what each origin last passed on of each server.
 	heard map[string]map[bronzeflow.ServerID]heardReport
+	// leaving are the servers that each origin's newest load names as such.
+	leaving map[string][]bronzeflow.ServerID
+	renewed time.Time
 }
 
 // heardReport is a report that another node passed on.
@@ -30,7 +38,20 @@
 
 // share tells the fleet this node's load. The fleet sends the newest one as
 // often as its byte budget allows.
-func (n *Node) share() { n.fleet.Share(n.load()) }
+func (n *Node) share() {
+	n.fleet.Share(n.load())
+	n.renewLeaving()
+}
+
+// renewLeaving holds the servers that the other nodes know to be leaving. A
+// load stands until its origin sends another, which in a large fleet takes
+// longer than any hold if nothing has changed; without this, servers that
+// leave for hours would get new flows in between.
+func (n *Node) renewLeaving() {
+	for _, id := range n.shares.dueLeaving(time.Now()) {
+		n.balancer.SetLeaving(id, leavingHold)
+	}
+}
 
 // load returns this node's present load.
 func (n *Node) load() (load bronzelink.Load) {
@@ -44,7 +65,9 @@
 			// that arrive too late to be of use.
 			continue
 		}
-		load.Reported = append(load.Reported, bronzelink.LoadItem{Server: id, Count: uint32(report.Connections)})
+		if report.counted {
+			load.Reported = append(load.Reported, bronzelink.LoadItem{Server: id, Count: uint32(report.Connections)})
+		}
 		if report.Leaving {
 			load.Leaving = append(load.Leaving, id)
 		}
@@ -96,14 +119,32 @@
 	}
 	if s.heard == nil {
 		s.heard = make(map[string]map[bronzeflow.ServerID]heardReport)
+		s.leaving = make(map[string][]bronzeflow.ServerID)
 	}
 	s.heard[l.Origin] = heard
+	s.leaving[l.Origin] = l.Leaving
 	return list
 }
 
+// dueLeaving returns the servers that the other nodes know to be leaving, if
+// it is time to put that in force again.
+func (s *shares) dueLeaving(now time.Time) (ids []bronzeflow.ServerID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.renewed) < renewEvery {
+		return nil
+	}
+	s.renewed = now
+	for _, list := range s.leaving {
+		ids = append(ids, list...)
+	}
+	return ids
+}
+
 // forget drops what origin told.
 func (s *shares) forget(origin string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.heard, origin)
+	delete(s.leaving, origin)
 }
