Share files and ticks of plots between the measuring commands

Cause: bronzefrontier and bronzematrix wrote data files and plots, and labelled axes, each on its own. Conclusion: how a data file is written stands once for the two.

--- a/bronzereport/doc.go
+++ b/bronzereport/doc.go
@@ -1,6 +1,6 @@
 // Package bronzereport holds what the measuring commands share: where and of
-// which revision a figure was measured, data files, Markdown tables, and the
-// sections of a page that a command writes.
+// which revision a figure was measured, data files, Markdown tables, the
+// sections of a page that a command writes, and the ticks of plots.
 //
 // A figure on a page is never typed in. A command writes it to a data file
 // together with its Source, and writes the page's Section from that file, so
--- a/bronzereport/report_test.go
+++ b/bronzereport/report_test.go
@@ -52,3 +52,11 @@
 	table := Table{Head: []string{"a"}, Rows: [][]string{{"x|y\nz"}}}
 	require.Equal(t, "| a |\n| --- |\n| x\\|y z |\n", table.Markdown())
 }
+
+func TestTicksHaveTheSameDecimals(t *testing.T) {
+	for _, tick := range Ticks("%.1f").Ticks(0, 3) {
+		if !tick.IsMinor() {
+			require.Regexp(t, `^\d\.\d$`, tick.Label)
+		}
+	}
+}
--- /dev/null
+++ b/bronzereport/ticks.go
@@ -0,0 +1,21 @@
+package bronzereport
+
+import (
+	"fmt"
+
+	"gonum.org/v1/plot"
+)
+
+// Ticks returns a plot's usual ticks with labels in the given format of
+// package fmt, so that all labels of an axis have the same decimals.
+func Ticks(format string) plot.Ticker {
+	return plot.TickerFunc(func(low, high float64) []plot.Tick {
+		marks := plot.DefaultTicks{}.Ticks(low, high)
+		for i := range marks {
+			if !marks[i].IsMinor() {
+				marks[i].Label = fmt.Sprintf(format, marks[i].Value)
+			}
+		}
+		return marks
+	})
+}
--- a/cmd/bronzefrontier/plot.go
+++ b/cmd/bronzefrontier/plot.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"image/color"
-	"os"
 
 	"github.com/pkg/errors"
 	"gonum.org/v1/plot"
@@ -12,6 +11,8 @@
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgsvg"
+
+	"bronzeusher.example/bronzeusher/bronzereport"
 )
 
 // The size of one panel.
@@ -59,34 +60,7 @@
 			rows[i][j].Draw(dc)
 		}
 	}
-	return writeCanvas(name, canvas)
-}
-
-func writeCanvas(name string, canvas *vgsvg.Canvas) (err error) {
-	f, err := os.Create(name)
-	if err != nil {
-		return err
-	}
-	defer func() {
-		if e := f.Close(); err == nil {
-			err = e
-		}
-	}()
-	_, err = canvas.WriteTo(f)
-	return err
-}
-
-// ticks returns the usual ticks with labels in the given format.
-func ticks(format string) plot.TickerFunc {
-	return func(low, high float64) []plot.Tick {
-		marks := plot.DefaultTicks{}.Ticks(low, high)
-		for i := range marks {
-			if !marks[i].IsMinor() {
-				marks[i].Label = fmt.Sprintf(format, marks[i].Value)
-			}
-		}
-		return marks
-	}
+	return bronzereport.Save(name, canvas)
 }
 
 // panels returns the row of a service, nil if it has no points.
@@ -105,8 +79,8 @@
 		p.Title.Text = fmt.Sprintf("%s %s, %d servers", w.Deployment, w.Service, w.Servers)
 		p.X.Label.Text = "exceptions (% of new flows)"
 		p.Y.Label.Text = a.label
-		p.X.Tick.Marker = ticks("%.0f")
-		p.Y.Tick.Marker = ticks("%.2f")
+		p.X.Tick.Marker = bronzereport.Ticks("%.0f")
+		p.Y.Tick.Marker = bronzereport.Ticks("%.2f")
 		p.Legend.Top = true
 		p.Add(plotter.NewGrid())
 		for i, flows := range flowsPerServer {
--- a/cmd/bronzefrontier/write.go
+++ b/cmd/bronzefrontier/write.go
@@ -1,11 +1,11 @@
 package main
 
 import (
-	"encoding/json"
-	"os"
 	"path/filepath"
 
 	"github.com/pkg/errors"
+
+	"bronzeusher.example/bronzeusher/bronzereport"
 )
 
 // Frontier is the content of frontier.json.
@@ -35,15 +35,7 @@
 		CopiesPerSecond: copyPace,
 		Points:          points,
 	}
-	b, err := json.MarshalIndent(&f, "", "  ")
-	if err != nil {
-		return err
-	}
-	dir := filepath.Join(opts.Out, "data")
-	if err = os.MkdirAll(dir, 0o755); err != nil {
-		return err
-	}
-	if err = os.WriteFile(filepath.Join(dir, "frontier.json"), append(b, '\n'), 0o644); err != nil {
+	if err = bronzereport.SaveJSON(filepath.Join(opts.Out, "data", "frontier.json"), &f); err != nil {
 		return err
 	}
 	return writePlot(filepath.Join(opts.Out, "frontier.svg"), points)
--- a/cmd/bronzematrix/plot.go
+++ b/cmd/bronzematrix/plot.go
@@ -82,8 +82,10 @@
 func panel(title string, runs []Run) (p *plot.Plot, err error) {
 	p = plot.New()
 	p.Title.Text = title
-	p.Y.Label.Text = "broken flows, mean of the seeds"
+	p.Y.Label.Text = "broken flows"
+	p.Y.Tick.Marker = bronzereport.Ticks("%.0f")
 	p.Legend.Top = true
+	p.Legend.Left = true
 	disturbances := distinct(runs, func(r *Run) string { return r.Disturb })
 	p.NominalX(disturbances...)
 	for i, kind := range kinds {
