Believe a death from this side of a partition only

TestZoneIsCutOffAndComesBack failed once in a run with the race detector: when the sides met, a member that news of the other side had made suspect for seconds was held dead by the next such news, and its flows moved.

--- a/bronzefleet/bytes_test.go
+++ b/bronzefleet/bytes_test.go
@@ -140,6 +140,7 @@
 // longer than three seconds, though 40 balancers have byte budget for one Load
 // each in eight seconds only.
 func TestLeavingServerIsKnownSoon(t *testing.T) {
+	t.Parallel()
 	bubble(t, func(t *testing.T, n *network) {
 		nodes := n.prime(40)
 		known := 0 // guarded by n.mu
@@ -152,7 +153,12 @@
 		}
 		shareLoads(nodes, 30*time.Second)
 		nodes[5].Share(testLoad(5, 30))
-		for time.Since(nodes[5].load.ownSent) > 200*time.Millisecond {
+		ownSent := func() time.Time {
+			nodes[5].load.mu.Lock()
+			defer nodes[5].load.mu.Unlock()
+			return nodes[5].load.ownSent
+		}
+		for time.Since(ownSent()) > 200*time.Millisecond {
 			time.Sleep(100 * time.Millisecond)
 		}
 		load := testLoad(5, 31)
--- a/bronzefleet/detect.go
+++ b/bronzefleet/detect.go
@@ -330,6 +330,7 @@
 	f.count(CountSuspected)
 	claim := e.m
 	claim.Status = bronzelink.Suspect
+	claim.Accuser = f.self.Name
 	if e.m.Status == bronzelink.Leaving {
 		claim.Status = bronzelink.Dead // it owns nothing, so a mistake moves nothing
 	}
@@ -354,6 +355,7 @@
 		f.count(CountDied)
 		claim := e.m
 		claim.Status = bronzelink.Dead
+		claim.Accuser = f.self.Name
 		f.accept(e, claim, now)
 	}
 }
--- a/bronzefleet/fleet_test.go
+++ b/bronzefleet/fleet_test.go
@@ -184,7 +184,9 @@
 	views := p.seen()
 	for i := 1; i < len(views); i++ {
 		for name := range views[i-1].Members {
-			require.Contains(t, views[i].Members, name)
+			if _, ok := views[i].Members[name]; !ok {
+				require.Fail(t, "member went away", "%s at %s", name, p.Self.Name)
+			}
 		}
 	}
 }
--- a/bronzefleet/member.go
+++ b/bronzefleet/member.go
@@ -28,6 +28,7 @@
 	since     time.Time // when Status became what it is
 	heard     time.Time // the last message from the member itself
 	until     time.Time // when a suspect is declared dead
+	back      time.Time // when it was last found alive after it was dead
 	saidLeave bool
 	differs   int // heartbeats in a row with another digest
 }
@@ -94,7 +95,7 @@
 			return false
 		}
 	case bronzelink.Dead:
-		if owns(e.m.Status) && !f.confirms(e, now) {
+		if owns(e.m.Status) && !f.confirms(e, claim, now) {
 			f.doubt(e, claim, now)
 			return false
 		}
@@ -103,8 +104,7 @@
 	return false
 }
 
-// doubt takes a claim of death as a suspicion, with more time to refute it than
-// others get: after a partition there are many of them at once.
+// doubt takes a claim of death as a suspicion.
 func (f *Fleet) doubt(e *entry, claim bronzelink.Member, now time.Time) {
 	f.count(CountHearsay)
 	if e.m.Status == bronzelink.Suspect && claim.Incarnation == e.m.Incarnation {
@@ -112,15 +112,28 @@
 	}
 	claim.Status = bronzelink.Suspect
 	f.accept(e, claim, now)
-	e.until = now.Add(4 * f.deadAfter())
 }
 
 // confirms reports whether e has been suspect here for long enough to believe
-// that it is dead. The other side of a partition that heals holds each member
-// of this side dead; believing it would move every flow twice. As a suspicion
-// it is refuted by the member within a round trip.
-func (f *Fleet) confirms(e *entry, now time.Time) bool {
-	return e.m.Status == bronzelink.Suspect && now.Sub(e.since) >= f.deadAfter()/2
+// a credible claim that it is dead. The other side of a partition that heals
+// holds each member of this side dead; believing it would move every flow twice.
+// As a suspicion it is refuted by the member.
+func (f *Fleet) confirms(e *entry, claim bronzelink.Member, now time.Time) bool {
+	return e.m.Status == bronzelink.Suspect && now.Sub(e.since) >= f.deadAfter()/2 && f.credible(claim, now)
+}
+
+// incredible is how long the claims of a member that came back are in doubt.
+const incredible = time.Minute
+
+// credible reports whether the member that made a claim was on this side all
+// the time: one that was dead here until a moment ago couldn't reach others
+// that this node could.
+func (f *Fleet) credible(claim bronzelink.Member, now time.Time) bool {
+	if claim.Accuser == f.self.Name {
+		return true
+	}
+	e := f.entries[claim.Accuser]
+	return e != nil && e.live() && (e.back.IsZero() || now.Sub(e.back) >= incredible)
 }
 
 // tellSubject passes a claim on to the member that it is about, so that it can
@@ -141,13 +154,16 @@
 	if claim.Status != e.m.Status {
 		e.since = now
 	}
+	if e.m.Status == bronzelink.Dead && claim.Status < bronzelink.Dead {
+		e.back = now
+	}
 	if life(claim.Incarnation) != life(e.m.Incarnation) {
 		e.saidLeave = false
 		e.heard = now
 	}
 	switch claim.Status {
 	case bronzelink.Suspect:
-		e.until = now.Add(2 * f.deadAfter()) // the accuser speaks first
+		e.until = now.Add(f.refuteWithin(claim, now))
 	case bronzelink.Leaving, bronzelink.Left:
 		e.saidLeave = true
 	}
@@ -160,6 +176,16 @@
 	f.spread(claim.Name)
 }
 
+// refuteWithin returns how long this node waits for the refutation of a claim of
+// another. A credible accuser speaks first. After a partition there are many
+// claims of others at once, so they get more time.
+func (f *Fleet) refuteWithin(claim bronzelink.Member, now time.Time) time.Duration {
+	if f.credible(claim, now) {
+		return 2 * f.deadAfter()
+	}
+	return 4 * f.deadAfter()
+}
+
 // applySelf takes a claim about this node.
 func (f *Fleet) applySelf(claim bronzelink.Member, from string, now time.Time) {
 	f.noteDeath(claim)
--- a/bronzefleet/step_test.go
+++ b/bronzefleet/step_test.go
@@ -90,6 +90,7 @@
 		f, _ := lone(testMember(1), testMember(2))
 		dead := testMember(1)
 		dead.Status = bronzelink.Suspect
+		dead.Accuser = testMember(2).Name
 		time.Sleep(2 * time.Second)
 		f.Handle(testMember(2).Name, membersMessage(dead))
 		for range 200 {
@@ -116,6 +117,7 @@
 		f.lastTick = time.Now()
 		suspect := testMember(1)
 		suspect.Status = bronzelink.Suspect
+		suspect.Accuser = testMember(2).Name
 		f.Handle(testMember(2).Name, membersMessage(suspect))
 		f.entries[suspect.Name].until = time.Now().Add(time.Second)
 		time.Sleep(1200 * time.Millisecond)
@@ -153,3 +155,28 @@
 		require.LessOrEqual(t, messages, newsPerInterval*2*targetCount+len(others)*2)
 	})
 }
+
+// Two sides of a partition have met, and news of deaths from the other side still
+// goes around when this side has suspected a member for seconds because of it.
+// Who made the claim was cut off from here until now, so it moves no flow; the
+// same claim by a member of this side does.
+func TestDeathIsBelievedFromThisSideOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, _ := lone(testMember(1), testMember(2), testMember(3))
+		time.Sleep(2 * time.Second)
+		f.lastTick = time.Now()
+		f.entries[testMember(3).Name].back = time.Now()
+		claim := testMember(1)
+		claim.Status, claim.Accuser = bronzelink.Suspect, testMember(3).Name
+		f.Handle(testMember(3).Name, membersMessage(claim))
+		require.Equal(t, bronzelink.Suspect, f.View().Members[claim.Name].Status)
+		time.Sleep(f.deadAfter())
+		f.lastTick = time.Now()
+		claim.Status = bronzelink.Dead
+		f.Handle(testMember(3).Name, membersMessage(claim))
+		require.Contains(t, f.View().Members, claim.Name)
+		claim.Accuser = testMember(2).Name
+		f.Handle(testMember(3).Name, membersMessage(claim))
+		require.NotContains(t, f.View().Members, claim.Name)
+	})
+}
--- a/bronzelink/message.go
+++ b/bronzelink/message.go
@@ -31,6 +31,8 @@
 	ControlAddress   string `cbor:",omitempty"` // host:port of the WebSocket listener
 	DataAddress      string `cbor:",omitempty"` // host:port of the UDP socket for relays
 	Revision         uint64 `cbor:",omitempty"` // the configuration revision in force there
+	// Accuser is the name of the member that found this one Suspect or Dead.
+	Accuser string `cbor:",omitempty"`
 }
 
 // Hello opens a link. A node that finds no common version, another fleet, or
