--- a/cmd/bronzematrix/tables.go
+++ b/cmd/bronzematrix/tables.go
@@ -17,56 +17,58 @@
 type column struct {
 	head string
 	cell func(*Run) string
+	// given tells that the case has it, also where the run couldn't be made.
+	given bool
 }
 
 func integer[T int | int64](n T) string { return strconv.FormatInt(int64(n), 10) }
 
 // caseColumns tell which run it is.
 var caseColumns = []column{
-	{"deployment", func(r *Run) string { return r.Deployment }},
-	{"disturbance", func(r *Run) string { return r.Disturb }},
-	{"seed", func(r *Run) string { return strconv.FormatUint(r.Seed, 10) }},
+	{"deployment", func(r *Run) string { return r.Deployment }, true},
+	{"disturbance", func(r *Run) string { return r.Disturb }, true},
+	{"seed", func(r *Run) string { return strconv.FormatUint(r.Seed, 10) }, true},
 }
 
-var sizeColumn = column{"balancers", func(r *Run) string { return integer(r.Balancers) }}
+var sizeColumn = column{"balancers", func(r *Run) string { return integer(r.Balancers) }, true}
 
 var brokenColumns = []column{
-	{"BrokenFlows", func(r *Run) string { return integer(r.BrokenFlows) }},
-	{"HashAloneBroken", func(r *Run) string { return integer(r.HashAloneBroken) }},
+	{"BrokenFlows", func(r *Run) string { return integer(r.BrokenFlows) }, false},
+	{"HashAloneBroken", func(r *Run) string { return integer(r.HashAloneBroken) }, false},
 }
 
 var promiseColumns = slices.Concat(
 	caseColumns,
 	[]column{
-		{"Flows", func(r *Run) string { return integer(r.Flows) }},
-		{"Requests", func(r *Run) string { return integer(r.Requests) }},
+		{"Flows", func(r *Run) string { return integer(r.Flows) }, false},
+		{"Requests", func(r *Run) string { return integer(r.Requests) }, false},
 	},
 	brokenColumns,
 	[]column{
-		{"CutFlows", func(r *Run) string { return integer(r.CutFlows) }},
-		{"RefusedFlows", func(r *Run) string { return integer(r.RefusedFlows) }},
-		{"UnopenedFlows", func(r *Run) string { return integer(r.UnopenedFlows) }},
-		{"Misdelivered", func(r *Run) string { return integer(r.Misdelivered) }},
-		{"DoubleRuns", func(r *Run) string { return integer(r.DoubleRuns) }},
-		{"FalseRefusals", func(r *Run) string { return integer(r.FalseRefusals) }},
-		{"WrongAnswers", func(r *Run) string { return integer(r.WrongAnswers) }},
-		{"NewFlowsOnLeaving", func(r *Run) string { return integer(r.NewFlowsOnLeaving) }},
+		{"CutFlows", func(r *Run) string { return integer(r.CutFlows) }, false},
+		{"RefusedFlows", func(r *Run) string { return integer(r.RefusedFlows) }, false},
+		{"UnopenedFlows", func(r *Run) string { return integer(r.UnopenedFlows) }, false},
+		{"Misdelivered", func(r *Run) string { return integer(r.Misdelivered) }, false},
+		{"DoubleRuns", func(r *Run) string { return integer(r.DoubleRuns) }, false},
+		{"FalseRefusals", func(r *Run) string { return integer(r.FalseRefusals) }, false},
+		{"WrongAnswers", func(r *Run) string { return integer(r.WrongAnswers) }, false},
+		{"NewFlowsOnLeaving", func(r *Run) string { return integer(r.NewFlowsOnLeaving) }, false},
 	},
 )
 
 var trafficColumns = []column{
-	{"RelayedShare", func(r *Run) string { return fmt.Sprintf("%.1f%%", 100*r.RelayedShare) }},
-	{"control B/s", func(r *Run) string { return fmt.Sprintf("%.0f", r.ControlBytesPerSecond) }},
-	{"flow-message B/s", func(r *Run) string { return fmt.Sprintf("%.0f", r.FlowMessageBytesPerSecond) }},
+	{"RelayedShare", func(r *Run) string { return fmt.Sprintf("%.1f%%", 100*r.RelayedShare) }, false},
+	{"control B/s", func(r *Run) string { return fmt.Sprintf("%.0f", r.ControlBytesPerSecond) }, false},
+	{"flow-message B/s", func(r *Run) string { return fmt.Sprintf("%.0f", r.FlowMessageBytesPerSecond) }, false},
 }
 
 var costColumns = slices.Concat(
 	caseColumns,
-	[]column{{"Imbalance (hash alone)", (*Run).imbalances}},
+	[]column{{"Imbalance (hash alone)", (*Run).imbalances, false}},
 	trafficColumns,
 	[]column{
-		{"retries/opens", func(r *Run) string { return fmt.Sprintf("%d/%d", r.FurtherServers, r.OpensTried) }},
-		{"ConfigSeconds", func(r *Run) string { return fmt.Sprintf("%.2f", r.ConfigSeconds) }},
+		{"retries/opens", func(r *Run) string { return fmt.Sprintf("%d/%d", r.FurtherServers, r.OpensTried) }, false},
+		{"ConfigSeconds", func(r *Run) string { return fmt.Sprintf("%.2f", r.ConfigSeconds) }, false},
 	},
 )
 
@@ -96,9 +98,8 @@
 }
 
 func newRow(columns []column, r *Run) (cells []string) {
-	for i, c := range columns {
-		identity := i < len(caseColumns) || c.head == sizeColumn.head
-		if r.Failed && !identity {
+	for _, c := range columns {
+		if r.Failed && !c.given {
 			cells = append(cells, "-")
 			continue
 		}
