Work the target out for placing by the hash alone

Cause: the model still had shared counts, their memory and their exceptions at 490 nodes, and polls each second. It now takes what the code does there: no counts, exceptions by changed pools only, ten polls a second, Learn messages, openings and flows asked of former owners, copies by message and item. Shared counts are measured where they are shared, by pairs of node and host.

The test on the paused clock also counts what a node sends without shared counts, and how long a server's own word that it is leaving takes to all. At the sizes that the test runs by itself 3 s are a bound.

--- a/cmd/bronzecost/deployment_test.go
+++ b/cmd/bronzecost/deployment_test.go
@@ -24,6 +24,9 @@
 // today up to the target.
 var deployments = []deployment{{4, 18}, {20, 320}, {100, 1600}, {320, 5100}}
 
+// sharing are sizes at which a node shares its counts.
+var sharing = []deployment{{4, 18}, {20, 320}, {100, 1600}, {300, 4900}}
+
 // largest is the deployment of the target.
 var largest = deployments[len(deployments)-1]
 
@@ -165,3 +168,14 @@
 	runtime.KeepAlive(kept)
 	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
 }
+
+// benchHeap reports the heap of what build returns.
+func benchHeap[T any](b *testing.B, name string, build func() T) {
+	b.Run(name, func(b *testing.B) {
+		heap := 0.0
+		for b.Loop() {
+			heap = heapOf(build)
+		}
+		b.ReportMetric(heap, "B-heap")
+	})
+}
--- a/cmd/bronzecost/report.go
+++ b/cmd/bronzecost/report.go
@@ -24,7 +24,9 @@
 	Modified bool
 	Date     time.Time
 	// Quick tells that the runs were short, so that timings are rough.
-	Quick  bool
+	Quick bool
+	// Runs is how often each benchmark ran; the values are medians.
+	Runs   int
 	Series []Series
 }
 
--- a/cmd/bronzecost/tables.go
+++ b/cmd/bronzecost/tables.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 
-	"bronzeusher.example/bronzeusher/bronzecore"
 	"bronzeusher.example/bronzeusher/bronzefleet"
+	"bronzeusher.example/bronzeusher/bronzepool"
 )
 
 // table is a table of the page.
@@ -43,10 +43,14 @@
 		t.add(fmt.Sprintf("control and flow table, at %s packet/s of a flow each way", number(p)),
 			megabytes(all), megabytes(budgetMemory), verdict(all, budgetMemory))
 	}
-	interval, stale := m.loadInterval(targetNodes), staleShare*meanLife
-	t.add("time from one Load of an owner to its next", seconds(interval), "at most "+seconds(stale), verdict(interval, stale))
-	t.add("busiest host over the mean, with old counts of the others", number(m.at(costHeardOnceBusiest, targetNodes)),
-		number(m.at(costHashBusiest, targetNodes))+", hash alone", verdict(m.at(costHeardOnceBusiest, targetNodes), m.at(costHashBusiest, targetNodes)))
+	t.add("busiest host over the mean, of a service of mean size", number(m.at(costHashBusiest, targetNodes)), number(imbalanceBound),
+		verdict(m.at(costHashBusiest, targetNodes), imbalanceBound))
+	t.add(fmt.Sprintf("flows on a host that a service needs for %.2f", imbalanceBound), number(m.leastFlows()),
+		number(boundFlows), verdict(m.leastFlows(), boundFlows))
+	t.add("a server's own word that it is leaving, to all nodes, mean", seconds(m.leaveMean()), seconds(leaveWithinTarget), verdict(m.leaveMean(), leaveWithinTarget))
+	t.add("the same, at most", seconds(m.leaveMost()), seconds(leaveWithinTarget), verdict(m.leaveMost(), leaveWithinTarget))
+	join := m.joinBytes(fewPackets)
+	t.add("questions of a node that joins, in its first second, at 1 packet/s of a flow each way", kilobytes(join), kilobytes(budgetBytes), verdict(join, budgetBytes))
 	t.add("change of the configuration, to all", seconds(m.changeSeconds()), seconds(changeWithinTarget), verdict(m.changeSeconds(), changeWithinTarget))
 	return t
 }
@@ -70,14 +74,11 @@
 	opening := m.at(costOpening, poolHosts)
 	t.add("owner", "openings, processor (packets, not control)", fmt.Sprintf("%s/s × %s", number(nodeOpens), duration(opening)),
 		percent(nodeOpens*opening/1e9), "`bronzecore.Balancer.FromCaller`, `bronzepool.Pool.Choose`")
-	t.add("owner", "exceptions, with old counts of the others", "measured at 490", percent(m.exceptions()), "`bronzepool.Pool.Choose`")
-	t.add("owner", "exceptions, with none, just after its start", "measured at 490", percent(m.at(costUnheard, targetNodes)/100), "`bronzepool.Pool.Choose`")
-	t.add("owner", "copies and their ends", fmt.Sprintf("2 × %s/s × %s", number(nodeOpens), percent(m.exceptions())),
-		number(m.copyRate())+" a second", "`bronzecore` copier")
-	t.add("owner", "own counts collected", fmt.Sprintf("4/s × %s", duration(m.at(costOwned, targetHosts))), percent(m.ownedCore()),
-		"`bronzecore.Balancer.Owned`")
-	t.add("owner", "one Load", fmt.Sprintf("%s hosts with flows", number(hostsWithFlows(targetHosts))),
-		kilobytes(m.at(costLoadBytes, hostsWithFlows(targetHosts))), "`bronzefleet.Fleet.Share`")
+	t.add("owner", "pairs of node and host", "490 × 5,100", number(targetNodes*targetHosts), "over `bronzepool.MaxSharedPairs`: no counts are shared")
+	t.add("owner", "exceptions for load", "-", "none", "`bronzepool.Pool.SetShared`, `Pool.Choose`")
+	t.add("owner", "exceptions by new hosts, at most", fmt.Sprintf("%s changes/s × %s / 320 / %s", number(changes), number(nodeFlows), number(poolHosts+1)),
+		number(newExceptions)+" a second", "`bronzecore.Balancer.Tick`, the sweep after a change")
+	t.add("owner", "copies and their ends", fmt.Sprintf("2 × %s/s", number(newExceptions)), number(m.copyRate())+" a second", "`bronzecore` copier")
 }
 
 func (m *model) relayRows(t *table) {
@@ -96,15 +97,17 @@
 }
 
 func (m *model) successorRows(t *table) {
-	copies := nodeFlows * m.exceptions()
-	t.add("successor", "copies held", fmt.Sprintf("%s × %s", number(nodeFlows), percent(m.exceptions())), number(copies), "`bronzecore` copyStore")
-	t.add("successor", "memory of copies", fmt.Sprintf("%s × %s B", number(copies), number(m.slope(costCopyHeap))), megabytes(m.copyMemory()), "`bronzecore` copyStore")
+	t.add("successor", "copies held", fmt.Sprintf("%s/s × %s s", number(newExceptions), number(meanLife)), number(heldExceptions), "`bronzecore` copyStore")
+	t.add("successor", "memory of copies", fmt.Sprintf("%s × %s B", number(heldExceptions), number(m.slope(costCopyHeap))), kilobytes(m.copyMemory()), "`bronzecore` copyStore")
 	t.add("owner and successor", "copies and acknowledgements sent", fmt.Sprintf("%s/s × %s B", number(m.copyRate()), number(m.at(costCopyBytes, 1))),
 		kilobytes(m.copyBytes())+" a second", "`bronzecore` sendCopies, copied")
 }
 
 func (m *model) pollerRows(t *table) {
-	t.add("poller", "polls", "2 × 5,100 / 490", number(nodePolls)+" a second", "`bronzenode` reports, ranks")
+	t.add("poller", "hosts to ask", "2 × 5,100 / 490", number(duePolls), "`bronzenode` ranks")
+	t.add("poller", "polls", fmt.Sprintf("min(%s, %d)", number(duePolls), pollsPerSecond), number(nodePolls)+" a second", "`bronzenode` reports, pollsPerInterval")
+	t.add("poller", "a round of polls", fmt.Sprintf("%s / %s a second", number(duePolls), number(nodePolls)), seconds(duePolls/nodePolls), "each host is asked by two nodes")
+	t.add("poller", "news that a server is leaving", "measured at 490", seconds(m.at(costLeavingSeconds, targetNodes)/1e3)+" to all", "`bronzefleet.Fleet.Share`, the first ring")
 	t.add("poller", "bytes of polls, both ways", fmt.Sprintf("%s/s × %s B", number(nodePolls), number(m.slope(costPollBytes))),
 		kilobytes(m.pollBytes())+" a second", "HTTP, without TCP and IP")
 	t.add("poller", "processor for polls", fmt.Sprintf("%s/s × %s", number(nodePolls), duration(m.slope(costPoll))), percent(m.pollCore()), "both ends, so an upper bound")
@@ -115,12 +118,12 @@
 
 func (m *model) memberRows(t *table) {
 	t.add("member", "membership, processor", duration(m.at(costSecond, targetNodes))+" a second", percent(m.memberCore()), "`bronzefleet.Fleet`, 4 monitored, at most 8 neighbours")
-	t.add("member", "membership and Loads, sent", "measured at 490", kilobytes(m.at(costMemberBytes, targetNodes))+" a second", "`bronzefleet` rings, byte budget of Loads")
+	t.add("member", "membership and Loads without counts, sent", "measured at 490", kilobytes(m.at(costUnsharedBytes, targetNodes))+" a second", "`bronzefleet` rings")
 	t.add("member", "a replacement elsewhere", duration(m.at(costReplace, targetNodes))+" each", percent(m.replaceCore()), "`bronzefleet.NewView`")
 	t.add("member", "sweep of the table after a change", fmt.Sprintf("%s + %s", duration(m.at(costSweep, nodeFlows)), duration(m.at(costSweepLearned, m.learned(manyPackets)))),
 		percent(m.sweepCore(manyPackets)), "`bronzecore.Balancer.Tick`, three of 256 shards every 10 ms")
 	t.add("member", "views held", fmt.Sprintf("2 × %s", megabytes(m.at(costViewHeap, targetNodes))), megabytes(m.viewMemory()), "`bronzefleet.View`")
-	t.add("member", "counts of the other nodes held", "in pools, and as Loads", megabytes(m.sharedMemory()), "`bronzepool.Pool.SetOwned`, `bronzefleet` loads")
+	t.add("member", "Loads of the other nodes held", "measured at 490", megabytes(m.at(costEmptyLoadsHeap, targetNodes)), "`bronzefleet` loads")
 }
 
 func (m *model) readerRows(t *table) {
@@ -141,11 +144,14 @@
 func (m *model) bytesTable() *table {
 	t := &table{head: []string{"sent by a node", "bytes a second", "share of the budget"}}
 	sum := func(what string, x float64) { t.add(what, number(x), percent(x/budgetBytes)) }
-	sum("membership and Loads", m.at(costMemberBytes, targetNodes))
+	sum("membership and Loads without counts", m.at(costUnsharedBytes, targetNodes))
+	sum("Learn messages, at most", learnBytes)
 	sum("copies and acknowledgements", m.copyBytes())
 	sum("polls of backend servers, both ways", m.pollBytes())
 	sum("records, 1,300 changes a day", changes*m.changeBytes())
 	sum("recoveries, 1,807 nodes a day", m.recoveryBytes())
+	sum("openings that former owners are asked about", m.openingBytes())
+	sum("news of replaced members, at most", m.newsBytes())
 	sum("**all**", m.bytes())
 	return t
 }
@@ -159,7 +165,6 @@
 	sum("sweeps of the table", m.sweepCore(manyPackets))
 	sum("polls", m.pollCore())
 	sum("who polls whom", m.rankCore())
-	sum("own counts collected", m.ownedCore())
 	sum("changes of the configuration", m.changeCore())
 	sum("**all**", m.core())
 	return t
@@ -172,7 +177,7 @@
 	sum("views", m.viewMemory())
 	sum("configuration and pools", m.at(costConfigHeap, targetHosts))
 	sum("copies held as a successor", m.copyMemory())
-	sum("counts of the other nodes", m.sharedMemory())
+	sum("Loads of the other nodes", m.at(costEmptyLoadsHeap, targetNodes))
 	sum("**control**", m.controlMemory())
 	sum("flow table, at 1 packet/s of a flow each way", m.tableMemory(fewPackets))
 	sum("flow table, at 10 packet/s of a flow each way", m.tableMemory(manyPackets))
@@ -182,50 +187,47 @@
 // events tells what each kind of event puts at risk.
 func (m *model) events() *table {
 	t := &table{head: []string{"event", "how often", "flows that move", "not copied yet, or copy lost", "bytes of recovery at each other node"}}
-	risk := nodeOpens * m.exceptions() * copyDelay
 	zone := float64(targetNodes) / targetZones
-	row := func(what, often string, nodes, lost float64) {
-		moved := nodes * nodeFlows
-		t.add(what, often, number(moved), number(lost),
-			kilobytes(moved*m.at(costRecoveryBytes, targetNodes)/(targetNodes-nodes)))
+	row := func(what, often string, nodes, moves, queries, lost float64) {
+		moved := moves * nodeFlows
+		t.add(what, often, number(moved), number(lost), kilobytes(moved*queries*m.queryBytes()/(targetNodes-nodes)))
 	}
-	lost := func(nodes float64) float64 {
-		copied := nodes * nodeFlows * m.exceptions()
-		return nodes*risk + copied*(nodes-1)/(targetNodes-1)
+	failure := func(what, often string, nodes float64) {
+		lost := nodes * (newExceptions*copyDelay + heldExceptions*(nodes-1)/(targetNodes-1))
+		row(what, often, nodes, nodes, recoveryQueries, lost)
 	}
-	row("planned replacement", "1,800 a day", 1, 0)
-	row("failure of a VM", "7 a day", 1, lost(1))
-	row(fmt.Sprintf("rack of %d", rackNodes), "weekly", rackNodes, lost(rackNodes))
-	row("availability zone", "every other month", zone, lost(zone))
-	row("region cut off, at one side", "several a year", targetNodes/targetRegions, lost(targetNodes/targetRegions))
+	row("planned replacement, a leave and a join", "1,800 a day", 1, 2, 1, 0)
+	failure("failure of a VM", "7 a day", 1)
+	failure(fmt.Sprintf("rack of %d", rackNodes), "weekly", rackNodes)
+	failure("availability zone", "every other month", zone)
+	failure("region cut off, at one side", "several a year", targetNodes/targetRegions)
 	return t
 }
 
 // limits tells up to which size each mechanism reaches.
 func (m *model) limits() *table {
 	t := &table{head: []string{"mechanism", "reaches", "at 490"}}
-	t.add("Loads of all owners to all, not older than a tenth of a flow's mean life", number(float64(m.largestShared()))+" nodes, with 10.4 hosts for each",
-		seconds(m.loadInterval(targetNodes))+" between two Loads")
-	t.add("copies as they are sent, inside 2,048 B/s", fmt.Sprintf("%s exceptions: %d nodes, with the target's openings for each",
-		percent(m.mostExceptions()), m.largestCopied()),
-		fmt.Sprintf("%s exceptions, %s just after a start", percent(m.exceptions()), percent(m.at(costUnheard, targetNodes)/100)))
-	hosts := budgetBytes / 2 / (pollers * m.slope(costPollBytes))
-	t.add("polls inside half of the budget of bytes", number(hosts)+" hosts for each node", number(targetHosts/float64(targetNodes)))
-	pace := float64(bronzecore.DefaultCopyBytesPerSecond) / copyItemBytes
-	t.add("pace of copies, by its own measure of 20 bytes each", number(pace)+" a second",
-		fmt.Sprintf("%s a second, %s bytes each", number(m.copyRate()), number(m.at(costCopyBytes, 1))))
-	t.add("counts of the others in memory, half the budget", number(m.largestKept())+" nodes at 5,100 hosts", megabytes(m.sharedMemory()))
+	pairs := number(bronzepool.MaxSharedPairs)
+	shared := largestShared()
+	t.add("shared counts, up to "+pairs+" pairs of node and host",
+		fmt.Sprintf("7 nodes with %d hosts, 9 with %d, %s with 10.4 for each, 82 with %d",
+			bronzepool.MaxSharedPairs/7, bronzepool.MaxSharedPairs/9, number(shared), bronzepool.MaxSharedPairs/82),
+		number(targetNodes*targetHosts)+" pairs: by the hash alone")
+	t.add(fmt.Sprintf("shared counts not older than a tenth of a flow's mean life, %s", seconds(staleShare*meanLife)),
+		fmt.Sprintf("%s nodes with 10.4 hosts for each; %s at %s", number(m.largestYoung()), seconds(m.loadInterval(shared)), number(shared)),
+		seconds(m.loadInterval(targetNodes))+", if counts were shared")
+	t.add("memory of shared counts, at "+pairs+" pairs",
+		megabytes(bronzepool.MaxSharedPairs*(m.slope(costOwnersHeap)+m.slope(costLoadsHeap))), "none")
+	t.add(fmt.Sprintf("hash alone with at most %.2f", imbalanceBound), number(m.leastFlows())+" flows on a host and more", number(targetFlows/targetHosts)+" on average")
+	t.add("polls, each host once a second", number(float64(pollsPerSecond)/pollers)+" hosts for each node", fmt.Sprintf("%s, once in %s", number(hostsPerNode), seconds(duePolls/nodePolls)))
+	t.add("servers that may say at once that they leave, by the bytes that may be sent of it in 3 s", number(m.leaversAtOnce()), "-")
+	t.add(fmt.Sprintf("pace of copies, each alone, of %d bytes", copyMessageBytes+copyItemBytes), fmt.Sprintf("%s a second: %s of the target's openings", number(lonePace), percent(mostExceptions)),
+		number(m.copyRate())+" a second")
 	t.add("learned flows below the table's capacity", number(m.mostPackets())+" packet/s of a flow each way", number(tableCapacity)+" entries")
-	t.add("failure noticed", "-", seconds(detectIntervals*bronzefleet.DefaultLargeInterval.Seconds()))
+	t.add("failure of a node noticed", "-", seconds(detectIntervals*bronzefleet.DefaultLargeInterval.Seconds()))
 	return t
 }
 
-// largestKept returns up to how many nodes' counts fit into half the budget.
-func (m *model) largestKept() float64 {
-	each := m.slope(costOwnersHeap) + m.slope(costLoadsHeap)
-	return budgetMemory / 2 / each
-}
-
 // mostPackets returns at how many packets a second of each flow the table is
 // full.
 func (m *model) mostPackets() float64 {
@@ -257,7 +259,7 @@
 	}
 	t.add("revision", revision)
 	t.add("date", r.Date.Format("2006-01-02 15:04 MST"))
-	runs := "medians of 5"
+	runs := fmt.Sprintf("medians of %d", r.Runs)
 	if r.Quick {
 		runs = "one short run each: a trial"
 	}
