--- a/cmd/bronzecost/doc.go
+++ b/cmd/bronzecost/doc.go
@@ -11,8 +11,9 @@
 //
 //	go run ./cmd/bronzecost --out docs/data/cost.json --page docs/CAPACITY.md
 //
-// measures everything, which takes some minutes on a quiet machine, prints a
-// table, writes the data file, and rewrites the marked tables of the page.
+// measures everything, which takes about five minutes on a quiet machine,
+// prints a table, writes the data file, and rewrites the marked tables of the
+// page.
 //
 //	go run ./cmd/bronzecost --quick
 //	go run ./cmd/bronzecost --name Opening
