Take the counts of the mesh under its lock

Cause: the counts that the test of changes got a moment ago were read without the lock; -race showed it.

--- a/cmd/bronzecost/change_test.go
+++ b/cmd/bronzecost/change_test.go
@@ -41,14 +41,12 @@
 
 // mesh joins nodes by in-memory links.
 type mesh struct {
-	t        *testing.T
-	nodes    map[string]*meshNode // by control address
-	names    map[string]*meshNode
-	running  sync.WaitGroup
-	mu       sync.Mutex
-	requests int
-	sent     float64 // bytes on control links
-	told     int     // nodes that know of a server that leaves
+	t       *testing.T
+	nodes   map[string]*meshNode // by control address
+	names   map[string]*meshNode
+	running sync.WaitGroup
+	mu      sync.Mutex
+	tally   tally
 }
 
 // meshNode is a Fleet with a Store that are joined as in a node.
@@ -109,9 +107,7 @@
 	if err != nil {
 		return err
 	}
-	n.mu.Lock()
-	n.sent += float64(len(b) + linkBytes)
-	n.mu.Unlock()
+	n.count(func(t *tally) { t.sent += float64(len(b) + linkBytes) })
 	delay := nearDelay
 	if target.self.Region != n.self.Region {
 		delay = farDelay
@@ -130,9 +126,7 @@
 }
 
 func (n *meshNode) askForRecords(peer bronzelink.Member) {
-	n.mu.Lock()
-	n.requests++
-	n.mu.Unlock()
+	n.count(func(t *tally) { t.requests++ })
 	_ = n.send(peer, recordsRequest(n.store.Have()))
 }
 
@@ -158,10 +152,8 @@
 }
 
 func (n *meshNode) takeLoad(l *bronzelink.Load) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
 	if len(l.Leaving) > 0 {
-		n.told++
+		n.count(func(t *tally) { t.told++ })
 	}
 }
 
@@ -204,15 +196,35 @@
 	return time.Since(begun)
 }
 
+// tally is what a mesh counts.
+type tally struct {
+	requests int     // for records
+	sent     float64 // bytes on control links
+	told     int     // nodes that know of a server that leaves
+}
+
+// count changes the counts.
+func (m *mesh) count(change func(*tally)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	change(&m.tally)
+}
+
+// counted returns the counts since the last call, and begins anew.
+func (m *mesh) counted() (t tally) {
+	m.count(func(now *tally) { t, *now = *now, tally{} })
+	return t
+}
+
 // steady returns the bytes that a node sends in a second while nothing
 // happens.
 func (m *mesh) steady() float64 {
 	time.Sleep(settling)
 	synctest.Wait()
-	m.sent = 0
+	m.counted()
 	time.Sleep(steadyTime)
 	synctest.Wait()
-	return m.sent / steadyTime.Seconds() / float64(len(m.nodes))
+	return m.counted().sent / steadyTime.Seconds() / float64(len(m.nodes))
 }
 
 // leave lets one node know that a server is leaving, and returns how long it
@@ -223,9 +235,10 @@
 		n.fleet.Share(leavingLoad(1))
 		break
 	}
-	for m.told < len(m.nodes)-1 && time.Since(begun) < leaveMost {
+	for told := 0; told < len(m.nodes)-1 && time.Since(begun) < leaveMost; {
 		time.Sleep(nearDelay)
 		synctest.Wait()
+		told += m.counted().told
 	}
 	return time.Since(begun)
 }
@@ -268,9 +281,9 @@
 			defer cancel()
 			m.start(ctx)
 			m.await()
-			m.requests = 0
+			m.counted()
 			took := m.change()
-			requests := float64(m.requests) / float64(size)
+			requests := float64(m.counted().requests) / float64(size)
 			require.LessOrEqual(t, took, changeWithin)
 			require.False(t, m.behind())
 			require.LessOrEqual(t, requests, float64(maxRequests))
