--- a/bronzecore/failure_test.go
+++ b/bronzecore/failure_test.go
@@ -266,6 +266,24 @@
 	})
 }
 
+// The path from a flow's owner to its server has lost track of the flow, and
+// the caller's packets enter by a node that relays them to the owner. The
+// caller sends its request again; the owner sees that, and tells the others
+// where the flow is. The next try goes to the same server by another path.
+func TestSilentPathIsGoneAround(t *testing.T) {
+	inBubble(t, 3, 4, func(w *world) {
+		f := w.open()
+		f.pause = true
+		w.settle(500 * time.Millisecond)
+		owner := w.ownerOf(f)
+		w.cut = func(from, to string) bool { return from == owner && w.nodes[to] == nil }
+		f.via = slices.DeleteFunc(w.names(), func(n string) bool { return n == owner })[:1]
+		f.pause = false
+		w.settle(2 * time.Second)
+		w.checkGoingOn([]int{0})
+	})
+}
+
 // The owner hears the others, but what it sends to them is lost. Relayed
 // openings reach their server, whose acceptance enters anywhere and is
 // relayed to the owner, which lets it through itself.
--- a/bronzecore/harness_test.go
+++ b/bronzecore/harness_test.go
@@ -282,7 +282,9 @@
 		f.request = w.rng.Uint64() | 1
 	}
 	raw := binary.BigEndian.AppendUint64(nil, f.request)
-	w.fromCaller(f, bronzeflow.Packet{Key: f.key, Kind: bronzeflow.Data, Payload: len(raw), Echo: f.echo, Raw: raw})
+	w.fromCaller(f, bronzeflow.Packet{
+		Key: f.key, Kind: bronzeflow.Data, Payload: len(raw), Echo: f.echo, Sequence: uint32(f.request), Raw: raw,
+	})
 }
 
 // spray picks the node that the fabric hands a flow's packet to.
