Hold one decision of bronzecore in a struct

Cause: the slow-path functions passed up to eight parameters along (shard, service, packet, hash, entry, clock, actions), so what a step did was hard to see among what it handed on. A decision now holds them, steps are its methods, and frequent actions have a method each. Public signatures and tests are as they were. The package's tests, its failure tests with -race, and cmd/bronzecost's counts are green.

--- a/bronzecore/attempt.go
+++ b/bronzecore/attempt.go
@@ -89,10 +89,6 @@
 	attempts map[bronzeflow.Key]*attempt
 }
 
-func (b *Balancer) shard(hash uint64) *attemptShard {
-	return &b.shards[hash%attemptShards]
-}
-
 // add starts an attempt for a packet, or returns nil if there is no room.
 func (s *attemptShard) add(p *bronzeflow.Packet, hash uint64, now time.Time) *attempt {
 	if len(s.attempts) >= maxAttempts {
--- /dev/null
+++ b/bronzecore/entry.go
@@ -0,0 +1,128 @@
+package bronzecore
+
+import (
+	"time"
+
+	"bronzeusher.example/bronzeusher/bronzeflow"
+	"bronzeusher.example/bronzeusher/bronzelink"
+)
+
+// touch notes that a flow is in use, once a second at most. An entry that is
+// not trusted is never touched, which would make it look trusted.
+func (d *decision) touch(e bronzeflow.Entry) {
+	if s := d.seconds(d.now); e.Used != s {
+		d.table.Touch(&d.packet.Key, d.hash, s)
+	}
+}
+
+// trusted reports whether an entry may be acted on without asking anyone.
+func (b *Balancer) trusted(e bronzeflow.Entry, now time.Time) bool {
+	s := b.seconds(now)
+	if e.Flags&bronzeflow.Owned != 0 {
+		// After a pause another node may have taken the flow over, ended it
+		// and placed a new one under the same key. Entries from before the
+		// pause are checked once; a caller sees one retransmission.
+		return e.Used >= b.woke.Load() && (s-e.Used <= 1 || !b.fenced(b.view.Load(), now))
+	}
+	// The owner remembers a closed flow for longer than Learned, so a key
+	// that is used again can't have moved while this entry was trusted.
+	return s-e.Used <= toSeconds(b.Timing.Learned) && s-e.Opened <= toSeconds(b.Timing.Refresh)
+}
+
+// inForce reports whether server id is in the pool of the service that claims
+// the flow's destination. An instance that moved to another service's pool,
+// or whose address another Customer uses by now, is not: packets of the flow
+// would reach a service that they are not meant for.
+func (b *Balancer) inForce(id bronzeflow.ServerID, key *bronzeflow.Key) bool {
+	s := b.snapshot.Load()
+	svc, _, ok := s.Server(id)
+	return ok && svc == s.Match(key)
+}
+
+// ownedEntry returns a new entry of the flow for this node as its owner;
+// derivable tells whether any node can compute that the flow is at server id.
+func (d *decision) ownedEntry(id bronzeflow.ServerID, state bronzeflow.State, derivable bool) bronzeflow.Entry {
+	e := bronzeflow.Entry{
+		Server: id,
+		Used:   d.seconds(d.now),
+		Opened: d.seconds(d.now),
+		State:  state,
+		Flags:  bronzeflow.Owned,
+	}
+	if !derivable {
+		e.Flags |= bronzeflow.Exception
+	}
+	return e
+}
+
+// putLearned remembers a flow that another node owns.
+func (d *decision) putLearned(e bronzeflow.Entry) {
+	e.Used = d.seconds(d.now)
+	e.Opened = e.Used
+	e.State = bronzeflow.Established
+	e.Flags &^= bronzeflow.Owned | bronzeflow.Copied | bronzeflow.Exception
+	d.table.Put(&d.packet.Key, d.hash, e)
+}
+
+// dropLearned forgets an entry that another node told or showed.
+func (d *decision) dropLearned(e bronzeflow.Entry) {
+	if e.Flags&bronzeflow.Owned == 0 {
+		d.table.Delete(&d.packet.Key, d.hash)
+	}
+}
+
+// dropEntry drops the flow's entry with all it holds.
+func (d *decision) dropEntry() {
+	if e, ok := d.table.Delete(&d.packet.Key, d.hash); ok {
+		d.release(&d.packet.Key, e)
+	}
+}
+
+// markEnded records an end in the flow's entry. A flow whose both sides have
+// closed is Closed, and gives its place at the server back.
+func (d *decision) markEnded(side bronzeflow.Flags, whole bool) {
+	const both = bronzeflow.CallerClosed | bronzeflow.ServerClosed
+	var freed bronzeflow.Entry
+	d.table.Update(&d.packet.Key, d.hash, func(e *bronzeflow.Entry) {
+		e.Flags |= side
+		if e.State == bronzeflow.Closed || (!whole && e.Flags&both != both) {
+			return
+		}
+		freed = *e
+		e.State = bronzeflow.Closed
+	})
+	if freed.State != 0 {
+		d.release(&d.packet.Key, freed)
+	}
+}
+
+// release gives back what a flow held at its server and in the limits.
+func (b *Balancer) release(key *bronzeflow.Key, e bronzeflow.Entry) {
+	if e.Flags&bronzeflow.Owned == 0 || e.State == bronzeflow.Closed {
+		return
+	}
+	if e.Flags&bronzeflow.Copied != 0 {
+		b.copier.gone(key.Hash(), e.Server)
+	}
+	b.uncount(key, e)
+}
+
+// uncount takes a flow out of the counts of its server and its service.
+func (b *Balancer) uncount(key *bronzeflow.Key, e bronzeflow.Entry) {
+	svc, _, ok := b.snapshot.Load().Server(e.Server)
+	if !ok {
+		svc = b.snapshot.Load().Match(key)
+	}
+	if st := b.services.Load().of(svc); st != nil {
+		st.ended(e)
+	}
+}
+
+// evicted is called by the table when it makes room.
+func (b *Balancer) evicted(key bronzeflow.Key, e bronzeflow.Entry) {
+	b.release(&key, e)
+}
+
+func mapping(key bronzeflow.Key, e bronzeflow.Entry) bronzelink.Mapping {
+	return bronzelink.Mapping{Key: key, Server: e.Server, State: e.State, Flags: e.Flags, Echo: e.Echo}
+}
--- a/bronzecore/message.go
+++ b/bronzecore/message.go
@@ -11,45 +11,37 @@
 // lost, doubled and late; each is idempotent.
 func (b *Balancer) Message(m *bronzelink.FlowMessage, peer string, out []Action) []Action {
 	b.init()
-	now := time.Now()
+	d := decision{Balancer: b, now: time.Now(), out: out}
 	switch {
 	case m.Learn != nil:
-		b.learned(m.Learn, now)
+		d.about(&m.Learn.Key)
+		d.learned(m.Learn)
 	case m.Query != nil:
-		return b.queried(m.Query, peer, now, out)
+		d.about(&m.Query.Key)
+		d.queried(peer)
 	case m.Answer != nil:
-		return b.answered(m.Answer, peer, now, out)
+		d.about(&m.Answer.Key)
+		d.answered(m.Answer, peer)
 	case m.Forget != nil:
-		b.forgotten(m.Forget)
+		d.about(m.Forget)
+		d.forgotten()
 	case m.Copies != nil:
 		return b.copied(m.Copies, peer, out)
 	case m.CopyAcks != nil:
 		b.acknowledged(m.CopyAcks)
 	}
-	return out
+	return d.out
 }
 
 // learned takes in where the owner of a flow has pinned it.
-func (b *Balancer) learned(m *bronzelink.Mapping, now time.Time) {
-	hash := m.Key.Hash()
-	e, ok := b.table.Get(&m.Key, hash)
-	if ok && e.Flags&bronzeflow.Owned != 0 {
+func (d *decision) learned(m *bronzelink.Mapping) {
+	if e, ok := d.entry(); ok && e.Flags&bronzeflow.Owned != 0 {
 		return
 	}
-	if m.State != bronzeflow.Established || !b.inForce(m.Server, &m.Key) {
+	if m.State != bronzeflow.Established || !d.inForce(m.Server, &m.Key) {
 		return
 	}
-	e = bronzeflow.Entry{Server: m.Server, Echo: m.Echo, Flags: m.Flags}
-	b.putLearned(&m.Key, hash, e, now)
-}
-
-// putLearned remembers a flow that another node owns.
-func (b *Balancer) putLearned(key *bronzeflow.Key, hash uint64, e bronzeflow.Entry, now time.Time) {
-	e.Used = b.seconds(now)
-	e.Opened = e.Used
-	e.State = bronzeflow.Established
-	e.Flags &^= bronzeflow.Owned | bronzeflow.Copied | bronzeflow.Exception
-	b.table.Put(key, hash, e)
+	d.putLearned(bronzeflow.Entry{Server: m.Server, Echo: m.Echo, Flags: m.Flags})
 }
 
 // The pace of Learn messages. Almost all is learned from the servers'
@@ -65,29 +57,30 @@
 	rescueBurst          = 64 << 10
 )
 
-// teach tells a node that relayed a packet where its flow is pinned.
-func (b *Balancer) teach(p *bronzeflow.Packet, e bronzeflow.Entry, peer string, now time.Time, out []Action) []Action {
+// teach tells a node that relayed the packet where its flow is pinned.
+func (d *decision) teach(e bronzeflow.Entry, peer string) {
 	if peer == "" || e.State != bronzeflow.Established {
-		return out
+		return
 	}
-	if p.Payload > 0 && p.Sequence != 0 && b.repeated(p, e) {
-		return b.teachAll(p, e, now, out)
+	if d.packet.Payload > 0 && d.packet.Sequence != 0 && d.repeated(e) {
+		d.teachAll(e)
+		return
 	}
-	if b.seconds(now)-e.Opened < toSeconds(b.Timing.CopyAge) || !b.teacher.AllowN(now, learnBytes) {
-		return out
+	if d.seconds(d.now)-e.Opened < toSeconds(d.Timing.CopyAge) || !d.teacher.AllowN(d.now, learnBytes) {
+		return
 	}
-	m := mapping(p.Key, e)
-	return append(out, Action{Kind: Send, Peer: peer, Message: &bronzelink.FlowMessage{Learn: &m}})
+	m := mapping(d.packet.Key, e)
+	d.send(peer, &bronzelink.FlowMessage{Learn: &m})
 }
 
 // repeated notes a relayed piece of payload, and reports whether it is the
 // same as the last one.
-func (b *Balancer) repeated(p *bronzeflow.Packet, e bronzeflow.Entry) bool {
-	last := uint16(p.Sequence)
+func (d *decision) repeated(e bronzeflow.Entry) bool {
+	last := uint16(d.packet.Sequence)
 	if e.Last == last {
 		return true
 	}
-	b.table.Update(&p.Key, p.Key.Hash(), func(e *bronzeflow.Entry) { e.Last = last })
+	d.table.Update(&d.packet.Key, d.hash, func(e *bronzeflow.Entry) { e.Last = last })
 	return false
 }
 
@@ -95,93 +88,89 @@
 // the same again: the path from here to the server may have lost track of the
 // flow, while the others' paths work. The caller's next try then goes by one
 // of those, to the same server.
-func (b *Balancer) teachAll(p *bronzeflow.Packet, e bronzeflow.Entry, now time.Time, out []Action) []Action {
-	v := b.view.Load()
+func (d *decision) teachAll(e bronzeflow.Entry) {
+	v := d.view.Load()
 	if v == nil {
-		return out
+		return
 	}
-	m := mapping(p.Key, e)
-	for i, name := range b.knowers(v, &attempt{hash: p.Key.Hash(), widened: true}) {
-		if name == b.Name {
+	m := mapping(d.packet.Key, e)
+	known := &attempt{hash: d.hash, widened: true}
+	for i, name := range known.knowers(v) {
+		if name == d.Name {
 			continue
 		}
-		if i >= smallFleet || !b.rescuer.AllowN(now, learnBytes) {
+		if i >= smallFleet || !d.rescuer.AllowN(d.now, learnBytes) {
 			break
 		}
-		out = append(out, Action{Kind: Send, Peer: name, Message: &bronzelink.FlowMessage{Learn: &m}})
+		d.send(name, &bronzelink.FlowMessage{Learn: &m})
 	}
-	return out
 }
 
 // queried answers a node that owns a flow and doesn't know it.
-func (b *Balancer) queried(q *bronzelink.Query, peer string, now time.Time, out []Action) []Action {
-	hash := q.Key.Hash()
-	s := b.shard(hash)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	m := b.known(s, q, hash, now)
-	if m.Server != 0 && b.owner(b.view.Load(), hash) != b.Name {
-		b.handOver(s, &q.Key, hash)
-	}
-	return append(out, Action{Kind: Send, Peer: peer, Message: &bronzelink.FlowMessage{Answer: &m}})
+func (d *decision) queried(peer string) {
+	d.lock()
+	defer d.shard.mu.Unlock()
+	m := d.known()
+	if m.Server != 0 && d.owner(d.view.Load(), d.hash) != d.Name {
+		d.handOver()
+	}
+	d.send(peer, &bronzelink.FlowMessage{Answer: &m})
 }
 
-// known returns what this node knows of a flow.
-func (b *Balancer) known(s *attemptShard, q *bronzelink.Query, hash uint64, now time.Time) bronzelink.Mapping {
-	e, ok := b.table.Get(&q.Key, hash)
-	if ok && b.trusted(e, now) {
-		return mapping(q.Key, e)
+// known returns what this node knows of the flow.
+func (d *decision) known() bronzelink.Mapping {
+	key := d.packet.Key
+	if e, ok := d.entry(); ok && d.trusted(e, d.now) {
+		return mapping(key, e)
 	}
-	if a, ok := s.attempts[q.Key]; ok && a.belief.Server != 0 {
-		return bronzelink.Mapping{Key: q.Key}
+	if a, ok := d.shard.attempts[key]; ok && a.belief.Server != 0 {
+		return bronzelink.Mapping{Key: key}
 	}
-	if id, ok := b.copies.get(hash); ok {
-		return bronzelink.Mapping{Key: q.Key, Server: id, State: bronzeflow.Established}
+	if id, ok := d.copies.get(d.hash); ok {
+		return bronzelink.Mapping{Key: key, Server: id, State: bronzeflow.Established}
 	}
-	return bronzelink.Mapping{Key: q.Key}
+	return bronzelink.Mapping{Key: key}
 }
 
-// handOver makes a flow another owner's: it is no longer counted here, and a
+// handOver makes the flow another owner's: it is no longer counted here, and a
 // pending attempt is no longer retried here, so that only one owner tries.
-func (b *Balancer) handOver(s *attemptShard, key *bronzeflow.Key, hash uint64) {
-	e, ok := b.table.Get(key, hash)
+func (d *decision) handOver() {
+	e, ok := d.entry()
 	if !ok || e.Flags&bronzeflow.Owned == 0 {
 		return
 	}
-	if a, ok := s.attempts[*key]; ok {
-		s.remove(a)
+	key := &d.packet.Key
+	if a, ok := d.shard.attempts[*key]; ok {
+		d.shard.remove(a)
 	}
-	b.table.Delete(key, hash)
-	b.uncount(key, e)
+	d.table.Delete(key, d.hash)
+	d.uncount(key, e)
 	if e.State == bronzeflow.Pending {
 		return
 	}
 	e.Flags &^= bronzeflow.Owned | bronzeflow.Copied | bronzeflow.Exception
 	e.Opened = e.Used
-	b.table.Put(key, hash, e)
+	d.table.Put(key, d.hash, e)
 }
 
-// forget tells all nodes that a key no longer meets the server that they may
-// have learned for it.
-func (b *Balancer) forget(key bronzeflow.Key, out []Action) []Action {
-	v := b.view.Load()
+// forget tells all nodes that the flow's key no longer meets the server that
+// they may have learned for it.
+func (d *decision) forget() {
+	v := d.view.Load()
 	if v == nil {
-		return out
+		return
 	}
+	key := d.packet.Key
 	for name := range v.Members {
-		if name == b.Name {
+		if name == d.Name {
 			continue
 		}
-		out = append(out, Action{Kind: Send, Peer: name, Message: &bronzelink.FlowMessage{Forget: &key}})
+		d.send(name, &bronzelink.FlowMessage{Forget: &key})
 	}
-	return out
 }
 
-func (b *Balancer) forgotten(key *bronzeflow.Key) {
-	hash := key.Hash()
-	e, ok := b.table.Get(key, hash)
-	if !ok || e.Flags&bronzeflow.Owned != 0 {
-		return
+func (d *decision) forgotten() {
+	if e, ok := d.entry(); ok {
+		d.dropLearned(e)
 	}
-	b.table.Delete(key, hash)
 }
--- /dev/null
+++ b/bronzecore/probe.go
@@ -0,0 +1,94 @@
+package bronzecore
+
+import (
+	"bronzeusher.example/bronzeusher/bronzeflow"
+	"bronzeusher.example/bronzeusher/bronzelink"
+)
+
+const (
+	// askAgain is after how many times Timing.Query nodes are asked again
+	// about a flow that is still unknown.
+	askAgain = 8
+	// maxProbes bounds how many servers are asked about one unknown flow.
+	maxProbes = 16
+)
+
+// probe asks further candidates whether they know the flow: first the one
+// that it most likely is at, then the others together. A server without the
+// connection answers a probe with a reset and runs nothing.
+func (d *decision) probe(a *attempt) {
+	if !d.match() {
+		d.discard(a, NoService)
+		return
+	}
+	a.phase = probing
+	a.due = d.now.Add(d.Timing.Probe)
+	switch {
+	case d.probeNext(a):
+	case a.refused >= len(a.tried):
+		d.unknown(a)
+	default:
+		d.queryAgain(a)
+	}
+}
+
+// probeNext probes the next candidates, and reports whether there were any.
+func (d *decision) probeNext(a *attempt) (sent bool) {
+	n := 1
+	if len(a.tried) > 0 {
+		n = maxProbes
+	}
+	var buf [maxProbes]bronzeflow.ServerID
+	for _, id := range d.service.pool.Candidates(a.hash, n, buf[:0]) {
+		if a.wasTried(id) {
+			continue
+		}
+		a.tried = append(a.tried, id)
+		d.add(Action{Kind: Probe, Server: id, Packet: a.held})
+		sent = true
+	}
+	return sent
+}
+
+// queryAgain asks the nodes again while probes are out. A server that was
+// asked is silent: it may be the one, or its answer entered by a node that has
+// learned the flow, and went on to the caller. Such a node can tell.
+func (d *decision) queryAgain(a *attempt) {
+	d.query(a)
+	a.phase = probing
+	a.due = d.now.Add(askAgain * d.Timing.Query)
+}
+
+// unknown ends the flow of an attempt that nobody knows. While the fleet is
+// split the other side may know it, and it may go on there or after the heal:
+// then its packets are dropped, and its caller's timeout ends it.
+func (d *decision) unknown(a *attempt) {
+	if a.disputed || d.split() {
+		d.discard(a, UnknownFlow)
+		return
+	}
+	d.shard.remove(a)
+	d.add(d.abortion(&a.held, UnknownFlow))
+}
+
+// probed takes in a server's packet while its flow is being looked for.
+func (d *decision) probed(a *attempt, id bronzeflow.ServerID) {
+	if d.packet.Kind == bronzeflow.Refuse {
+		a.refused++
+		d.drop(Recovering)
+		if a.refused >= len(a.tried) {
+			d.probe(a)
+		}
+		return
+	}
+	d.shard.remove(a)
+	answer := d.packet
+	d.resume(a)
+	d.adopt(bronzelink.Mapping{Server: id, State: bronzeflow.Established, Flags: bronzeflow.Confirmed})
+	d.packet = answer
+	if answer.Payload == 0 && answer.Kind == bronzeflow.Data {
+		d.drop(Recovering)
+		return
+	}
+	d.reply(id)
+}
--- a/bronzecore/service.go
+++ b/bronzecore/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"bronzeusher.example/bronzeusher/bronzeconf"
 	"bronzeusher.example/bronzeusher/bronzeflow"
@@ -105,3 +106,30 @@
 func (st *service) admit() Reason {
 	return denialReasons[st.account.Admit()]
 }
+
+// usable returns id if the server may take new work, otherwise 0.
+func (st *service) usable(id bronzeflow.ServerID) bronzeflow.ServerID {
+	if st.pool.Available(id) {
+		return id
+	}
+	return 0
+}
+
+// derivable reports whether any node can compute that the flow is at server
+// id. A flow of datagrams can't be asked for at its server: if that is leaving,
+// a node that doesn't know the flow would take it for a new one.
+func (st *service) derivable(key *bronzeflow.Key, hash uint64, id bronzeflow.ServerID) bool {
+	var buf [1]bronzeflow.ServerID
+	c := st.pool.Candidates(hash, 1, buf[:0])
+	if len(c) != 1 || c[0] != id {
+		return false
+	}
+	return key.Protocol != bronzeflow.UDP || st.pool.Available(id)
+}
+
+func (st *service) openDeadline() time.Duration {
+	if st.conf.OpenDeadline > 0 {
+		return st.conf.OpenDeadline
+	}
+	return bronzeconf.DefaultOpenDeadline
+}
--- a/bronzecore/tick.go
+++ b/bronzecore/tick.go
@@ -1,244 +1,59 @@
 package bronzecore
 
-import (
-	"sync"
-	"time"
-
-	"bronzeusher.example/bronzeusher/bronzeconf"
-	"bronzeusher.example/bronzeusher/bronzefleet"
-	"bronzeusher.example/bronzeusher/bronzeflow"
-)
+import "time"
 
 // Tick does what is due: deadlines, retries, copies, expiry. The driver
 // calls it every TickInterval.
 func (b *Balancer) Tick(out []Action) []Action {
 	b.init()
-	now := time.Now()
-	if b.fenced(b.view.Load(), now) {
+	d := decision{Balancer: b, now: time.Now(), out: out}
+	if d.fenced(d.view.Load(), d.now) {
 		return out
 	}
-	for i := range b.shards {
-		out = b.tickShard(&b.shards[i], now, out)
+	for i := range d.shards {
+		d.tickShard(&d.shards[i])
 	}
-	b.sweepSome(now)
-	return b.sendCopies(now, out)
+	d.sweepSome(d.now)
+	return d.sendCopies(d.now, d.out)
 }
 
-func (b *Balancer) tickShard(s *attemptShard, now time.Time, out []Action) []Action {
+func (d *decision) tickShard(s *attemptShard) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	d.shard = s
 	for _, a := range s.attempts {
-		if now.Before(a.due) && now.Before(a.deadline) {
+		if d.now.Before(a.due) && d.now.Before(a.deadline) {
 			continue
 		}
-		out = b.timedOut(s, a, now, out)
+		d.resume(a)
+		d.timedOut(a)
 	}
-	return out
 }
 
 // timedOut goes on with an attempt whose phase has lasted too long.
-func (b *Balancer) timedOut(s *attemptShard, a *attempt, now time.Time, out []Action) []Action {
-	switch a.phase {
-	case querying:
-		return b.unanswered(s, a, now, out)
-	case probing:
-		if !now.Before(a.deadline) {
-			return b.unknown(s, a, out)
-		}
-		return b.probe(s, a, now, out)
+func (d *decision) timedOut(a *attempt) {
+	switch {
+	case a.phase == querying:
+		d.unanswered(a)
+	case a.phase == opening:
+		d.silent(a)
+	case !d.now.Before(a.deadline):
+		d.unknown(a)
 	default:
-		return b.silent(s, a, now, out)
+		d.probe(a)
 	}
 }
 
 // silent goes on with an attempt whose server doesn't answer. It is told that
 // the attempt is given up, before the caller or another server hears of it.
-func (b *Balancer) silent(s *attemptShard, a *attempt, now time.Time, out []Action) []Action {
-	if !b.inForce(a.server(), &a.key) {
-		out = b.withdraw(s, a, out)
-		return append(out, b.final(a, ServerGone))
-	}
-	st := b.services.Load().of(b.snapshot.Load().Match(&a.key))
-	out = append(out, Action{Kind: Cancel, Server: a.server(), Packet: a.held, Reason: ServerSilent})
-	st.pool.Refused(a.server(), true)
-	return b.retry(s, st, a, ServerSilent, now, out)
-}
-
-// The pace of the sweep through the table, in shards a tick: a slow round for
-// expiry, a fast one after a change of the configuration or of the fleet.
-const (
-	slowSweepTicks  = 4 // a shard every so many ticks
-	fastSweepShards = 3
-)
-
-// sweeper walks through the flow table, a few shards a tick.
-type sweeper struct {
-	mu    sync.Mutex
-	next  int
-	ticks int
-	// left is how many shards the fast round still has to see.
-	left int
-	// view is the one under which the last fast round was completed; during
-	// the round it is still the old one.
-	view *bronzefleet.View
-}
-
-// again starts a fast round.
-func (w *sweeper) again() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.left = bronzeflow.Shards
-}
-
-// sweepSome sweeps the shards that are due.
-func (b *Balancer) sweepSome(now time.Time) {
-	w := &b.sweep
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.ticks++
-	n := 0
-	if w.ticks%slowSweepTicks == 0 {
-		n = 1
-	}
-	fast := w.left > 0
-	if fast {
-		n = min(fastSweepShards, w.left)
-		w.left -= n
-	}
-	for range n {
-		b.sweepShard(w.next, fast, now)
-		w.next = (w.next + 1) % bronzeflow.Shards
-	}
-	if fast && w.left == 0 {
-		w.view = b.view.Load()
-		b.pruneCopies()
-	}
-}
-
-// flagChange is a change of an entry's flags that a sweep found due.
-type flagChange struct {
-	key        bronzeflow.Key
-	entry      bronzeflow.Entry
-	set, clear bronzeflow.Flags
-}
-
-// sweepShard expires entries and, in a fast round, finds the exceptions that
-// a change of the pool or of the fleet has made.
-func (b *Balancer) sweepShard(i int, fast bool, now time.Time) {
-	var expired []flagChange
-	var changes []flagChange
-	b.table.RangeShard(i, func(k *bronzeflow.Key, e bronzeflow.Entry) (keep bool) {
-		if b.expired(k, e, now) {
-			expired = append(expired, flagChange{key: *k, entry: e})
-			return false
-		}
-		if fast && e.Flags&bronzeflow.Owned != 0 && e.State == bronzeflow.Established {
-			if c, ok := b.reflag(k, e); ok {
-				changes = append(changes, c)
-			}
-		}
-		return true
-	})
-	for i := range expired {
-		b.release(&expired[i].key, expired[i].entry)
-	}
-	for i := range changes {
-		b.applyChange(&changes[i])
-	}
-}
-
-// expired reports whether an entry has outlived its use.
-func (b *Balancer) expired(k *bronzeflow.Key, e bronzeflow.Entry, now time.Time) bool {
-	idle := b.seconds(now) - e.Used
-	switch {
-	case e.State == bronzeflow.Closed:
-		return idle > toSeconds(b.Timing.Closed)
-	case e.Flags&bronzeflow.Owned == 0:
-		return !b.trusted(e, now)
-	case e.State == bronzeflow.Pending:
-		return false // its attempt ends it
-	}
-	svc := b.snapshot.Load().Match(k)
-	if svc == nil {
-		return idle > toSeconds(b.Timing.Closed)
-	}
-	// Packets that go straight through other nodes are seen here once in
-	// Timing.Refresh.
-	return idle > toSeconds(idleTimeout(svc.IdleTimeout)+b.Timing.Refresh)
-}
-
-func idleTimeout(d time.Duration) time.Duration {
-	if d > 0 {
-		return d
-	}
-	return bronzeconf.DefaultIdleTimeout
-}
-
-// reflag tells how the flags of an owned flow have to change.
-func (b *Balancer) reflag(k *bronzeflow.Key, e bronzeflow.Entry) (c flagChange, ok bool) {
-	st := b.services.Load().of(b.snapshot.Load().Match(k))
-	if st == nil {
-		return c, false
-	}
-	hash := k.Hash()
-	c = flagChange{key: *k, entry: e}
-	first := b.derivable(st, k, hash, e.Server)
-	switch exception := e.Flags&bronzeflow.Exception != 0; {
-	case first && exception:
-		c.clear = bronzeflow.Exception | bronzeflow.Copied
-	case !first && !exception:
-		c.set = bronzeflow.Exception
-	case !first && e.Flags&bronzeflow.Copied != 0 && b.successorChanged(hash):
-		c.clear = bronzeflow.Copied
-	default:
-		return c, false
-	}
-	return c, true
-}
-
-// successorChanged reports whether the copy of a flow is held by a node that
-// is no longer its successor. The sweep's lock is held.
-func (b *Balancer) successorChanged(hash uint64) bool {
-	v := b.view.Load()
-	if v == nil || v == b.sweep.view {
-		return false
-	}
-	return successorIn(v, b.Name, hash) != successorIn(b.sweep.view, b.Name, hash)
-}
-
-func (b *Balancer) applyChange(c *flagChange) {
-	hash := c.key.Hash()
-	if c.clear&bronzeflow.Exception != 0 && c.entry.Flags&bronzeflow.Copied != 0 {
-		b.copier.gone(hash, c.entry.Server)
-	}
-	var after bronzeflow.Entry
-	b.table.Update(&c.key, hash, func(e *bronzeflow.Entry) {
-		if e.Server != c.entry.Server {
-			return
-		}
-		e.Flags |= c.set
-		e.Flags &^= c.clear
-		after = *e
-	})
-	if after.Flags&bronzeflow.Exception != 0 {
-		b.copier.add(c.key, hash, after.Opened)
-	}
-}
-
-// pruneCopies drops the copies of flows that this node is no longer in line
-// for: their owner has copied them elsewhere.
-func (b *Balancer) pruneCopies() {
-	v := b.view.Load()
-	if v == nil {
+func (d *decision) silent(a *attempt) {
+	if !d.inForce(a.server(), &a.key) {
+		d.withdraw(a)
+		d.add(d.final(a, ServerGone))
 		return
 	}
-	b.copies.prune(func(hash uint64) bool {
-		names, n := v.Order(hash)
-		for _, name := range names[:n] {
-			if name == b.Name {
-				return true
-			}
-		}
-		return false
-	})
+	d.match()
+	d.cancel(a, ServerSilent)
+	d.service.pool.Refused(a.server(), true)
+	d.retry(a, ServerSilent)
 }
