--- a/cmd/bronzecost/doc.go
+++ b/cmd/bronzecost/doc.go
@@ -11,7 +11,7 @@
 //
 //	go run ./cmd/bronzecost --out docs/data/cost.json --page docs/CAPACITY.md
 //
-// measures everything, which takes about five minutes on a quiet machine,
+// measures everything, which takes three to five minutes on a quiet machine,
 // prints a table, writes the data file, and rewrites the marked tables of the
 // page.
 //
