Look services up in one configuration for a whole decision

A decision now loads one value, which has both. Conclusion: a change of the configuration can't crash a node.

--- a/bronzecore/balancer.go
+++ b/bronzecore/balancer.go
@@ -49,7 +49,6 @@
 
 	once     sync.Once
 	started  time.Time
-	snapshot atomic.Pointer[bronzeconf.Snapshot]
 	services atomic.Pointer[serviceSet]
 	view     atomic.Pointer[bronzefleet.View]
 	woke     atomic.Uint32
@@ -157,11 +156,11 @@
 	b.init()
 	b.update.Lock()
 	defer b.update.Unlock()
-	if old := b.snapshot.Load(); old != nil && s.Revision < old.Revision {
+	set := b.services.Load()
+	if old := set.snapshot; old != nil && s.Revision < old.Revision {
 		return
 	}
-	b.services.Store(b.services.Load().next(s, &b.limits, b.owners(), b.AvailabilityZone))
-	b.snapshot.Store(s)
+	b.services.Store(set.next(s, &b.limits, b.owners(), b.AvailabilityZone))
 	b.sweep.again()
 }
 
--- a/bronzecore/caller.go
+++ b/bronzecore/caller.go
@@ -15,7 +15,7 @@
 // FromPeer decides on a caller's packet that the node peer relayed.
 func (b *Balancer) FromPeer(p *bronzeflow.Packet, peer string, out []Action) []Action {
 	b.init()
-	d := decision{Balancer: b, now: time.Now(), packet: *p, hash: p.Key.Hash(), out: out}
+	d := decision{Balancer: b, now: time.Now(), packet: *p, hash: p.Key.Hash(), out: out, set: b.services.Load()}
 	d.fromCaller(peer)
 	return d.out
 }
@@ -44,7 +44,7 @@
 // that relayed it, if that may be taught.
 func (d *decision) pinned(e bronzeflow.Entry, peer string) {
 	p := &d.packet
-	if !d.inForce(e.Server, &p.Key) {
+	if !d.inForce(e.Server) {
 		d.serverGone()
 		return
 	}
@@ -87,8 +87,7 @@
 // unpinned decides on a caller's packet whose flow is not known here, or
 // whose entry may not be trusted.
 func (d *decision) unpinned(e bronzeflow.Entry, known bool) {
-	svc := d.snapshot.Load().Match(&d.packet.Key)
-	if svc == nil {
+	if !d.match() {
 		d.drop(NoService)
 		return
 	}
@@ -108,7 +107,6 @@
 		d.drop(NotReady)
 		return
 	}
-	d.service = d.services.Load().of(svc)
 	d.own()
 }
 
--- a/bronzecore/decision.go
+++ b/bronzecore/decision.go
@@ -21,6 +21,8 @@
 	service *service
 	// out is what the driver will have to do.
 	out []Action
+	// set is the configuration in force when the call came.
+	set *serviceSet
 }
 
 // about makes the flow of a message the one that is decided on.
@@ -43,10 +45,19 @@
 
 // match sets the service, and reports whether one is in force.
 func (d *decision) match() bool {
-	d.service = d.services.Load().of(d.snapshot.Load().Match(&d.packet.Key))
+	d.service = d.set.match(&d.packet.Key)
 	return d.service != nil
 }
 
+// inForce reports whether server id is in the pool of the service that claims
+// the flow's destination. An instance that moved to another service's pool,
+// or whose address another Customer uses by now, is not: packets of the flow
+// would reach a service that they are not meant for.
+func (d *decision) inForce(id bronzeflow.ServerID) bool {
+	svc, _, ok := d.set.snapshot.Server(id)
+	return ok && svc == d.set.snapshot.Match(&d.packet.Key)
+}
+
 // entry returns what the table holds of the flow.
 func (d *decision) entry() (e bronzeflow.Entry, ok bool) {
 	return d.table.Get(&d.packet.Key, d.hash)
--- a/bronzecore/entry.go
+++ b/bronzecore/entry.go
@@ -29,16 +29,6 @@
 	return s-e.Used <= toSeconds(b.Timing.Learned) && s-e.Opened <= toSeconds(b.Timing.Refresh)
 }
 
-// inForce reports whether server id is in the pool of the service that claims
-// the flow's destination. An instance that moved to another service's pool,
-// or whose address another Customer uses by now, is not: packets of the flow
-// would reach a service that they are not meant for.
-func (b *Balancer) inForce(id bronzeflow.ServerID, key *bronzeflow.Key) bool {
-	s := b.snapshot.Load()
-	svc, _, ok := s.Server(id)
-	return ok && svc == s.Match(key)
-}
-
 // ownedEntry returns a new entry of the flow for this node as its owner;
 // derivable tells whether any node can compute that the flow is at server id.
 func (d *decision) ownedEntry(id bronzeflow.ServerID, state bronzeflow.State, derivable bool) bronzeflow.Entry {
@@ -109,11 +99,12 @@
 
 // uncount takes a flow out of the counts of its server and its service.
 func (b *Balancer) uncount(key *bronzeflow.Key, e bronzeflow.Entry) {
-	svc, _, ok := b.snapshot.Load().Server(e.Server)
+	set := b.services.Load()
+	svc, _, ok := set.snapshot.Server(e.Server)
 	if !ok {
-		svc = b.snapshot.Load().Match(key)
+		svc = set.snapshot.Match(key)
 	}
-	if st := b.services.Load().of(svc); st != nil {
+	if st := set.of(svc); st != nil {
 		st.ended(e)
 	}
 }
--- a/bronzecore/message.go
+++ b/bronzecore/message.go
@@ -11,7 +11,7 @@
 // lost, doubled and late; each is idempotent.
 func (b *Balancer) Message(m *bronzelink.FlowMessage, peer string, out []Action) []Action {
 	b.init()
-	d := decision{Balancer: b, now: time.Now(), out: out}
+	d := decision{Balancer: b, now: time.Now(), out: out, set: b.services.Load()}
 	switch {
 	case m.Learn != nil:
 		d.about(&m.Learn.Key)
@@ -38,7 +38,7 @@
 	if e, ok := d.entry(); ok && e.Flags&bronzeflow.Owned != 0 {
 		return
 	}
-	if m.State != bronzeflow.Established || !d.inForce(m.Server, &m.Key) {
+	if m.State != bronzeflow.Established || !d.inForce(m.Server) {
 		return
 	}
 	d.putLearned(bronzeflow.Entry{Server: m.Server, Echo: m.Echo, Flags: m.Flags})
--- a/bronzecore/owner.go
+++ b/bronzecore/owner.go
@@ -11,7 +11,7 @@
 	d.lock()
 	defer d.shard.mu.Unlock()
 	if a, ok := d.shard.attempts[d.packet.Key]; ok {
-		if a.phase != opening || d.inForce(a.server(), &d.packet.Key) {
+		if a.phase != opening || d.inForce(a.server()) {
 			d.again(a)
 			return
 		}
@@ -95,7 +95,7 @@
 // reopen handles a packet of a flow that the owner has a trusted entry of:
 // an Open, whose key is in use or was until lately.
 func (d *decision) reopen(e bronzeflow.Entry) {
-	if !d.inForce(e.Server, &d.packet.Key) {
+	if !d.inForce(e.Server) {
 		d.serverGone()
 		return
 	}
@@ -132,7 +132,7 @@
 		return
 	}
 	id, copied := d.copies.get(d.hash)
-	if copied && d.packet.Kind == bronzeflow.Datagram && d.inForce(id, &d.packet.Key) {
+	if copied && d.packet.Kind == bronzeflow.Datagram && d.inForce(id) {
 		d.shard.remove(a)
 		d.adopt(bronzelink.Mapping{Server: id, State: bronzeflow.Established})
 		return
--- a/bronzecore/recover.go
+++ b/bronzecore/recover.go
@@ -20,7 +20,7 @@
 // recover starts to find the server of an established flow that this owner
 // doesn't know, because the flow's former owner is gone or new here.
 func (d *decision) recover() {
-	if id, ok := d.copies.get(d.hash); ok && d.inForce(id, &d.packet.Key) {
+	if id, ok := d.copies.get(d.hash); ok && d.inForce(id) {
 		d.adopt(bronzelink.Mapping{Server: id, State: bronzeflow.Established})
 		return
 	}
@@ -92,7 +92,7 @@
 // adopt pins the flow to the server that somebody knows it to be at, and
 // forwards the packet.
 func (d *decision) adopt(m bronzelink.Mapping) {
-	if !d.match() || !d.inForce(m.Server, &d.packet.Key) {
+	if !d.match() || !d.inForce(m.Server) {
 		d.abort(ServerGone)
 		return
 	}
--- a/bronzecore/server.go
+++ b/bronzecore/server.go
@@ -11,29 +11,31 @@
 // tunnel endpoint has one of the given identifiers (one address may serve
 // several services of a Customer).
 func (b *Balancer) FromServer(p *bronzeflow.Packet, ids []bronzeflow.ServerID, out []Action) []Action {
+	b.init()
+	d := decision{Balancer: b, now: time.Now(), packet: *p, hash: p.Key.Hash(), out: out, set: b.services.Load()}
 	for _, id := range ids {
-		if b.inForce(id, &p.Key) {
-			return b.fromServer(p, id, out)
+		if d.inForce(id) {
+			d.fromServer(id)
+			return d.out
 		}
 	}
-	return append(out, Action{Kind: Drop, Packet: *p, Reason: ForeignServer})
+	d.drop(ForeignServer)
+	return d.out
 }
 
 // ReplyFromPeer decides on a packet of server id that another node relayed.
 func (b *Balancer) ReplyFromPeer(p *bronzeflow.Packet, id bronzeflow.ServerID, out []Action) []Action {
-	if !b.inForce(id, &p.Key) {
-		return append(out, Action{Kind: Drop, Packet: *p, Reason: ForeignServer})
-	}
-	return b.fromServer(p, id, out)
-}
-
-func (b *Balancer) fromServer(p *bronzeflow.Packet, id bronzeflow.ServerID, out []Action) []Action {
 	b.init()
-	d := decision{Balancer: b, now: time.Now(), packet: *p, hash: p.Key.Hash(), out: out}
+	d := decision{Balancer: b, now: time.Now(), packet: *p, hash: p.Key.Hash(), out: out, set: b.services.Load()}
+	if !d.inForce(id) {
+		d.drop(ForeignServer)
+		return d.out
+	}
 	d.fromServer(id)
 	return d.out
 }
 
+// fromServer decides on a packet of server id, which is in force.
 func (d *decision) fromServer(id bronzeflow.ServerID) {
 	if d.packet.Hops&bronzeflow.Noted != 0 {
 		d.markEnded(bronzeflow.ServerClosed, false)
@@ -110,7 +112,7 @@
 	if p.Payload == 0 || p.Kind != bronzeflow.Data && p.Kind != bronzeflow.Datagram {
 		return false
 	}
-	svc := d.snapshot.Load().Match(&p.Key)
+	svc := d.set.snapshot.Match(&p.Key)
 	return svc != nil && !svc.Retry.Idempotent
 }
 
@@ -238,7 +240,7 @@
 // does so only on a connection that the caller has confirmed, and the owners
 // let no two servers' acceptances through.
 func (d *decision) adoptReply(id bronzeflow.ServerID) {
-	d.match()
+	d.match() // id is in force, so its service is
 	derivable := d.service.derivable(&d.packet.Key, d.hash, id)
 	e := d.ownedEntry(id, bronzeflow.Established, derivable)
 	e.Flags |= bronzeflow.Confirmed
--- a/bronzecore/service.go
+++ b/bronzecore/service.go
@@ -18,10 +18,14 @@
 	account *bronzepool.Account
 }
 
-// serviceSet holds the services of one snapshot. It is immutable.
+// serviceSet holds the services of one snapshot. It is immutable. Snapshot and
+// services are one value: looked up in two, a service of the former snapshot
+// would have no state while a new one is put in force, and the first packet
+// that opens a flow at that moment would crash the node.
 type serviceSet struct {
-	byConf map[*bronzeconf.Service]*service
-	byName map[string]*service
+	snapshot *bronzeconf.Snapshot
+	byConf   map[*bronzeconf.Service]*service
+	byName   map[string]*service
 	// servers is how many backend servers there are in all pools.
 	servers int
 	// shared is set when the nodes share the counts of their flows.
@@ -33,6 +37,12 @@
 	return s.byConf[conf]
 }
 
+// match returns the state of the service that claims a flow's destination, or
+// nil.
+func (s *serviceSet) match(key *bronzeflow.Key) *service {
+	return s.of(s.snapshot.Match(key))
+}
+
 func serviceName(conf *bronzeconf.Service) string {
 	return conf.Customer + "/" + conf.Name
 }
@@ -41,8 +51,9 @@
 // counts.
 func (s *serviceSet) next(snap *bronzeconf.Snapshot, limits *bronzepool.Admission, owners int, zone string) *serviceSet {
 	n := &serviceSet{
-		byConf: make(map[*bronzeconf.Service]*service, len(snap.Services)),
-		byName: make(map[string]*service, len(snap.Services)),
+		snapshot: snap,
+		byConf:   make(map[*bronzeconf.Service]*service, len(snap.Services)),
+		byName:   make(map[string]*service, len(snap.Services)),
 	}
 	for _, conf := range snap.Services {
 		name := serviceName(conf)
--- a/bronzecore/status.go
+++ b/bronzecore/status.go
@@ -49,14 +49,15 @@
 		st.Attempts += len(s.attempts)
 		s.mu.Unlock()
 	}
-	snap := b.snapshot.Load()
+	set := b.services.Load()
+	snap := set.snapshot
 	if snap == nil {
 		return st
 	}
 	st.Revision = snap.Revision
 	st.Refusals = snap.Refusals
 	for _, conf := range snap.Services {
-		s := b.services.Load().of(conf)
+		s := set.of(conf)
 		if s == nil {
 			continue
 		}
@@ -132,9 +133,10 @@
 }
 
 func (b *Balancer) serviceOf(id bronzeflow.ServerID) *service {
-	svc, _, ok := b.snapshot.Load().Server(id)
+	set := b.services.Load()
+	svc, _, ok := set.snapshot.Server(id)
 	if !ok {
 		return nil
 	}
-	return b.services.Load().of(svc)
+	return set.of(svc)
 }
--- a/bronzecore/sweep.go
+++ b/bronzecore/sweep.go
@@ -103,7 +103,7 @@
 	case e.State == bronzeflow.Pending:
 		return false // its attempt ends it
 	}
-	svc := b.snapshot.Load().Match(k)
+	svc := b.services.Load().snapshot.Match(k)
 	if svc == nil {
 		return idle > toSeconds(b.Timing.Closed)
 	}
@@ -121,7 +121,7 @@
 
 // reflag tells how the flags of an owned flow have to change.
 func (b *Balancer) reflag(k *bronzeflow.Key, e bronzeflow.Entry) (c flagChange, ok bool) {
-	st := b.services.Load().of(b.snapshot.Load().Match(k))
+	st := b.services.Load().match(k)
 	if st == nil {
 		return c, false
 	}
--- a/bronzecore/tick.go
+++ b/bronzecore/tick.go
@@ -6,7 +6,7 @@
 // calls it every TickInterval.
 func (b *Balancer) Tick(out []Action) []Action {
 	b.init()
-	d := decision{Balancer: b, now: time.Now(), out: out}
+	d := decision{Balancer: b, now: time.Now(), out: out, set: b.services.Load()}
 	if d.fenced(d.view.Load(), d.now) {
 		return out
 	}
@@ -47,12 +47,12 @@
 // silent goes on with an attempt whose server doesn't answer. It is told that
 // the attempt is given up, before the caller or another server hears of it.
 func (d *decision) silent(a *attempt) {
-	if !d.inForce(a.server(), &a.key) {
+	if !d.inForce(a.server()) {
 		d.withdraw(a)
 		d.add(d.final(a, ServerGone))
 		return
 	}
-	d.match()
+	d.match() // its server is in force, so the service is
 	d.cancel(a, ServerSilent)
 	d.service.pool.Refused(a.server(), true)
 	d.retry(a, ServerSilent)
