Decide a packet of an established flow under 200 ns again

Cause: on a quiet machine a decision took 226 ns at 1,000 flows and 273 at 10,000, one core. A profile showed reading both clocks, and hashing the destination a second time to see that the server is in force for it. Now the monotonic clock alone is read, and a service's few endpoints are compared. A test that saw a packet before its counter failed in 2 of 60 runs: a batch is now counted before it is sent.

--- a/bronzeconf/build.go
+++ b/bronzeconf/build.go
@@ -108,26 +108,31 @@
 	own := *svc
 	own.Pool = b.pool(f, svc)
 	b.snapshot.Services = append(b.snapshot.Services, &own)
+	claims := new([]matchKey)
 	for i := range own.Pool {
 		s := &own.Pool[i]
-		b.snapshot.servers[s.ID] = serverRef{service: &own, server: s}
+		b.snapshot.servers[s.ID] = serverRef{service: &own, server: s, claims: claims}
 	}
 	for i, a := range own.Addresses {
 		for j, r := range own.Rules {
-			b.claimEndpoint(f, &own, i, j, matchKey{a.As16(), r.Port, r.Protocol})
+			key := matchKey{a.As16(), r.Port, r.Protocol}
+			if b.claimEndpoint(f, &own, i, j, key) {
+				*claims = append(*claims, key)
+			}
 		}
 	}
 }
 
-func (b *builder) claimEndpoint(f *faults, svc *Service, address, rule int, key matchKey) {
+func (b *builder) claimEndpoint(f *faults, svc *Service, address, rule int, key matchKey) (ok bool) {
 	if other, taken := b.endpoints[key]; taken {
 		field := element("Addresses", address) + " " + element("Rules", rule)
 		f.add(field, "%v %v port %d is taken by record %q",
 			svc.Addresses[address], key.protocol, key.port, other)
-		return
+		return false
 	}
 	b.endpoints[key] = f.record
 	b.snapshot.match[key] = svc
+	return true
 }
 
 // pool returns the servers of svc that no earlier record has claimed.
--- a/bronzeconf/build_test.go
+++ b/bronzeconf/build_test.go
@@ -113,6 +113,11 @@
 				got = name{svc.Customer, svc.Name}
 			}
 			require.Equal(t, owner[key], got)
+			for _, svc := range s.Services {
+				for _, b := range svc.Pool {
+					require.Equal(t, s.Match(&key) == svc, s.Serves(b.ID, &key))
+				}
+			}
 		}
 		tunnels := make(map[netip.AddrPort]string)
 		for _, svc := range s.Services {
--- a/bronzeconf/record_test.go
+++ b/bronzeconf/record_test.go
@@ -85,4 +85,5 @@
 	require.Nil(t, s.Match(&bronzeflow.Key{}))
 	_, _, ok := s.Server(1)
 	require.False(t, ok)
+	require.False(t, s.Serves(1, &bronzeflow.Key{}))
 }
--- a/bronzeconf/service.go
+++ b/bronzeconf/service.go
@@ -134,6 +134,36 @@
 type serverRef struct {
 	service *Service
 	server  *BackendServer
+	// claims are the endpoints that the service has, shared by all servers of
+	// its pool.
+	claims *[]matchKey
+}
+
+// fewClaims is up to how many endpoints are compared one by one, which is
+// faster than to hash the destination.
+const fewClaims = 8
+
+// Serves reports whether the server with the given identifier is in the pool
+// of the service that claims the destination of key. It is asked for each
+// packet of a flow.
+func (s *Snapshot) Serves(id bronzeflow.ServerID, key *bronzeflow.Key) bool {
+	if s == nil {
+		return false
+	}
+	r, ok := s.servers[id]
+	if !ok {
+		return false
+	}
+	if len(*r.claims) > fewClaims {
+		return s.Match(key) == r.service
+	}
+	for i := range *r.claims {
+		c := &(*r.claims)[i]
+		if c.port == key.ServicePort && c.protocol == key.Protocol && c.address == key.Service {
+			return true
+		}
+	}
+	return false
 }
 
 // Refusal tells why a record is not in force as published. Field is the path
--- a/bronzecore/balancer.go
+++ b/bronzecore/balancer.go
@@ -142,6 +142,13 @@
 	})
 }
 
+// clock returns the time since the first use as a time. It reads only the
+// monotonic clock, which takes half as long as to read both; it must not be
+// compared with a time of the wall clock, such as the lease.
+func (b *Balancer) clock() time.Time {
+	return b.started.Add(time.Since(b.started))
+}
+
 // seconds returns the table's clock: seconds since the first use, from 1.
 func (b *Balancer) seconds(now time.Time) uint32 {
 	return uint32(now.Sub(b.started)/time.Second) + 1
@@ -171,7 +178,7 @@
 	defer b.update.Unlock()
 	old := b.view.Load()
 	if old != nil && old.Fenced && !v.Fenced {
-		b.woke.Store(b.seconds(time.Now()))
+		b.woke.Store(b.seconds(b.clock()))
 	}
 	b.view.Store(v)
 	b.services.Load().setOwners(b.owners())
@@ -197,13 +204,13 @@
 
 // fenced reports whether this node has to check its beliefs with its peers
 // before it acts as an owner.
-func (b *Balancer) fenced(v *bronzefleet.View, now time.Time) bool {
+func (b *Balancer) fenced(v *bronzefleet.View) bool {
 	if v != nil && v.Fenced {
 		return true
 	}
 	// A process that was stopped may handle a packet before its membership
 	// has had a chance to notice. The lease tells, because time went on.
-	return b.Lease != nil && now.After(b.Lease())
+	return b.Lease != nil && time.Now().After(b.Lease())
 }
 
 // owner returns the flow's owner as this node sees it.
--- a/bronzecore/caller.go
+++ b/bronzecore/caller.go
@@ -1,8 +1,6 @@
 package bronzecore
 
 import (
-	"time"
-
 	"bronzeusher.example/bronzeusher/bronzefleet"
 	"bronzeusher.example/bronzeusher/bronzeflow"
 )
@@ -15,7 +13,7 @@
 // FromPeer decides on a caller's packet that the node peer relayed.
 func (b *Balancer) FromPeer(p *bronzeflow.Packet, peer string, out []Action) []Action {
 	b.init()
-	d := decision{Balancer: b, now: time.Now(), packet: *p, hash: p.Key.Hash(), out: out, set: b.services.Load()}
+	d := decision{Balancer: b, now: b.clock(), packet: *p, hash: p.Key.Hash(), out: out, set: b.services.Load()}
 	d.fromCaller(peer)
 	return d.out
 }
@@ -92,7 +90,7 @@
 		return
 	}
 	v := d.view.Load()
-	if d.fenced(v, d.now) {
+	if d.fenced(v) {
 		d.drop(Fenced)
 		return
 	}
--- a/bronzecore/decision.go
+++ b/bronzecore/decision.go
@@ -54,8 +54,7 @@
 // or whose address another Customer uses by now, is not: packets of the flow
 // would reach a service that they are not meant for.
 func (d *decision) inForce(id bronzeflow.ServerID) bool {
-	svc, _, ok := d.set.snapshot.Server(id)
-	return ok && svc == d.set.snapshot.Match(&d.packet.Key)
+	return d.set.snapshot.Serves(id, &d.packet.Key)
 }
 
 // entry returns what the table holds of the flow.
--- a/bronzecore/entry.go
+++ b/bronzecore/entry.go
@@ -22,7 +22,7 @@
 		// After a pause another node may have taken the flow over, ended it
 		// and placed a new one under the same key. Entries from before the
 		// pause are checked once; a caller sees one retransmission.
-		return e.Used >= b.woke.Load() && (s-e.Used <= 1 || !b.fenced(b.view.Load(), now))
+		return e.Used >= b.woke.Load() && (s-e.Used <= 1 || !b.fenced(b.view.Load()))
 	}
 	// The owner remembers a closed flow for longer than Learned, so a key
 	// that is used again can't have moved while this entry was trusted.
--- a/bronzecore/message.go
+++ b/bronzecore/message.go
@@ -1,8 +1,6 @@
 package bronzecore
 
 import (
-	"time"
-
 	"bronzeusher.example/bronzeusher/bronzeflow"
 	"bronzeusher.example/bronzeusher/bronzelink"
 )
@@ -11,7 +9,7 @@
 // lost, doubled and late; each is idempotent.
 func (b *Balancer) Message(m *bronzelink.FlowMessage, peer string, out []Action) []Action {
 	b.init()
-	d := decision{Balancer: b, now: time.Now(), out: out, set: b.services.Load()}
+	d := decision{Balancer: b, now: b.clock(), out: out, set: b.services.Load()}
 	switch {
 	case m.Learn != nil:
 		d.about(&m.Learn.Key)
--- a/bronzecore/server.go
+++ b/bronzecore/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"bronzeusher.example/bronzeusher/bronzeflow"
 )
@@ -12,7 +11,7 @@
 // several services of a Customer).
 func (b *Balancer) FromServer(p *bronzeflow.Packet, ids []bronzeflow.ServerID, out []Action) []Action {
 	b.init()
-	d := decision{Balancer: b, now: time.Now(), packet: *p, hash: p.Key.Hash(), out: out, set: b.services.Load()}
+	d := decision{Balancer: b, now: b.clock(), packet: *p, hash: p.Key.Hash(), out: out, set: b.services.Load()}
 	for _, id := range ids {
 		if d.inForce(id) {
 			d.fromServer(id)
@@ -26,7 +25,7 @@
 // ReplyFromPeer decides on a packet of server id that another node relayed.
 func (b *Balancer) ReplyFromPeer(p *bronzeflow.Packet, id bronzeflow.ServerID, out []Action) []Action {
 	b.init()
-	d := decision{Balancer: b, now: time.Now(), packet: *p, hash: p.Key.Hash(), out: out, set: b.services.Load()}
+	d := decision{Balancer: b, now: b.clock(), packet: *p, hash: p.Key.Hash(), out: out, set: b.services.Load()}
 	if !d.inForce(id) {
 		d.drop(ForeignServer)
 		return d.out
@@ -61,7 +60,7 @@
 		d.elsewhere(id, e, known, owner)
 		return
 	}
-	if d.fenced(v, d.now) {
+	if d.fenced(v) {
 		d.drop(Fenced)
 		return
 	}
--- a/bronzecore/tick.go
+++ b/bronzecore/tick.go
@@ -1,13 +1,11 @@
 package bronzecore
 
-import "time"
-
 // Tick does what is due: deadlines, retries, copies, expiry. The driver
 // calls it every TickInterval.
 func (b *Balancer) Tick(out []Action) []Action {
 	b.init()
-	d := decision{Balancer: b, now: time.Now(), out: out, set: b.services.Load()}
-	if d.fenced(d.view.Load(), d.now) {
+	d := decision{Balancer: b, now: b.clock(), out: out, set: b.services.Load()}
+	if d.fenced(d.view.Load()) {
 		return out
 	}
 	for i := range d.shards {
--- a/bronzenode/path.go
+++ b/bronzenode/path.go
@@ -159,14 +159,15 @@
 	w.node.counters.reason(countMalformed, bronzewire.Reason(err)).add(1)
 }
 
-// flush sends what the batch has led to and adds up its counts.
+// flush adds up the batch's counts and sends what it has led to, in this order:
+// whoever sees a packet finds it counted.
 func (w *worker) flush() (err error) {
+	w.count()
 	err = w.edge.flush()
 	if dataErr := w.data.flush(); err == nil {
 		err = dataErr
 	}
 	w.built = w.built[:0]
-	w.count()
 	return err
 }
 
