--- a/bronzenode/config.go
+++ b/bronzenode/config.go
@@ -65,7 +65,8 @@
 	// first peer; 0 means the fleet's defaults.
 	Heartbeat time.Duration
 	JoinWait  time.Duration
-	// PollInterval is how often a backend server's report is asked for.
+	// PollInterval is how often backend servers' reports are asked for, at
+	// most pollsPerInterval of them each time.
 	PollInterval time.Duration
 	// ShareInterval is the least time between two loads that other nodes are
 	// told. The fleet's byte budget makes it longer.
--- a/bronzepool/pool.go
+++ b/bronzepool/pool.go
@@ -92,9 +92,9 @@
 }
 
 // MaxSharedPairs is for how many pairs of owner and server the owners' counts
-// can be shared while they are young: a Load item takes about 8 bytes, so at
-// the 2 KB a second that a node may spend on it a round takes 20 s. Older
-// counts place worse than the hash alone does, which is even where services
+// can be shared while they are young: a Load item takes about 11 bytes, so at
+// the 1.4 KB a second that go to a node's own part of the pace a round takes
+// up to 36 s (docs/CAPACITY.md). Older counts place worse than the hash alone does, which is even where services
 // are large, and cost bytes and memory.
 const MaxSharedPairs = 5000
 
