Settle on the one server that has not denied a flow

Ruled out: lost messages (the peers asked had all answered). Now an owner settles on the only server that hasn't denied the flow; and a server that denies twice counts once.

--- a/bronzecore/attempt.go
+++ b/bronzecore/attempt.go
@@ -32,8 +32,8 @@
 	// tried are the servers that were sent the opening, the last one being
 	// the current; or the servers that were probed.
 	tried []bronzeflow.ServerID
-	// refused counts the probed servers that don't know the flow.
-	refused int
+	// denied are the probed servers that don't know the flow.
+	denied []bronzeflow.ServerID
 	// asked are the nodes whose answer is outstanding.
 	asked map[string]struct{}
 	// widened is set once more nodes than the former owners are asked.
@@ -58,6 +58,20 @@
 	return a.tried[len(a.tried)-1]
 }
 
+// silent returns the probed server that has not answered, if there is one
+// only. Otherwise it returns 0.
+func (a *attempt) silent() (id bronzeflow.ServerID) {
+	if len(a.denied) != len(a.tried)-1 {
+		return 0
+	}
+	for _, t := range a.tried {
+		if !slices.Contains(a.denied, t) {
+			return t
+		}
+	}
+	return 0
+}
+
 func (a *attempt) wasTried(id bronzeflow.ServerID) bool {
 	return slices.Contains(a.tried, id)
 }
--- a/bronzecore/failure_test.go
+++ b/bronzecore/failure_test.go
@@ -141,6 +141,26 @@
 	})
 }
 
+// In a fleet too large to ask every node, one node has learned a flow whose
+// owner dies. The new owner's probe is answered by way of just that node, which
+// takes the answer for the caller's. All other servers deny the flow; the new
+// owner settles on the one that is left, and doesn't end the flow.
+func TestProbeAnswerIsTakenForTheCallers(t *testing.T) {
+	inBubble(t, 18, 4, func(w *world) {
+		f := w.open()
+		order, _ := w.nodes["vm-0"].view.Order(f.key.Hash())
+		others := slices.DeleteFunc(w.names(), func(n string) bool { return slices.Contains(order[:], n) })
+		f.via, f.back = order[:1], others[:1]
+		w.settle(time.Second)
+		w.kill(order[0])
+		w.setViews(w.names())
+		mark := w.mark()
+		f.via = others[1:2]
+		w.settle(5 * time.Second)
+		w.checkGoingOn(mark)
+	})
+}
+
 // The owner of flows that no other node has learned is gone, but so far only
 // suspected. Their callers would give up before it is declared dead. The next
 // node in line finds their servers meanwhile; openings wait.
--- a/bronzecore/probe.go
+++ b/bronzecore/probe.go
@@ -1,6 +1,8 @@
 package bronzecore
 
 import (
+	"slices"
+
 	"bronzeusher.example/bronzeusher/bronzeflow"
 	"bronzeusher.example/bronzeusher/bronzelink"
 )
@@ -25,8 +27,10 @@
 	a.due = d.now.Add(d.Timing.Probe)
 	switch {
 	case d.probeNext(a):
-	case a.refused >= len(a.tried):
+	case len(a.denied) >= len(a.tried):
 		d.unknown(a)
+	case a.silent() != 0:
+		d.settleOn(a, a.silent())
 	default:
 		d.queryAgain(a)
 	}
@@ -71,20 +75,30 @@
 	d.add(d.abortion(&a.held, UnknownFlow))
 }
 
+// settleOn ends an attempt: its flow is at server id. That may be the only
+// server that has not denied it, whose answer entered by a node that has
+// learned the flow and went on to the caller. If it doesn't know the flow
+// either, it answers the payload with a reset, and nothing has run.
+func (d *decision) settleOn(a *attempt, id bronzeflow.ServerID) {
+	d.shard.remove(a)
+	d.resume(a)
+	d.adopt(bronzelink.Mapping{Server: id, State: bronzeflow.Established, Flags: bronzeflow.Confirmed})
+}
+
 // probed takes in a server's packet while its flow is being looked for.
 func (d *decision) probed(a *attempt, id bronzeflow.ServerID) {
 	if d.packet.Kind == bronzeflow.Refuse {
-		a.refused++
+		if !slices.Contains(a.denied, id) {
+			a.denied = append(a.denied, id)
+		}
 		d.drop(Recovering)
-		if a.refused >= len(a.tried) {
+		if len(a.denied) >= len(a.tried) {
 			d.probe(a)
 		}
 		return
 	}
-	d.shard.remove(a)
 	answer := d.packet
-	d.resume(a)
-	d.adopt(bronzelink.Mapping{Server: id, State: bronzeflow.Established, Flags: bronzeflow.Confirmed})
+	d.settleOn(a, id)
 	d.packet = answer
 	if answer.Payload == 0 && answer.Kind == bronzeflow.Data {
 		d.drop(Recovering)
