Let the cost command use what the measuring commands share

Cause: cmd/bronzecost had its own copies of bronzereport's machine, revision and Markdown table, written before that package.

--- a/cmd/bronzecost/page.go
+++ b/cmd/bronzecost/page.go
@@ -3,9 +3,10 @@
 import (
 	"os"
 	"regexp"
-	"strings"
 
 	"github.com/pkg/errors"
+
+	"bronzeusher.example/bronzeusher/bronzereport"
 )
 
 // marked finds a table of the page with the marks around it.
@@ -56,21 +57,7 @@
 	return text, err
 }
 
-// markdown writes the table.
+// markdown returns the table in Markdown.
 func (t *table) markdown() string {
-	var b strings.Builder
-	row(&b, t.head)
-	rule := make([]string, len(t.head))
-	for i := range rule {
-		rule[i] = "---"
-	}
-	row(&b, rule)
-	for _, cells := range t.rows {
-		row(&b, cells)
-	}
-	return b.String()
-}
-
-func row(b *strings.Builder, cells []string) {
-	b.WriteString("| " + strings.Join(cells, " | ") + " |\n")
+	return (&bronzereport.Table{Head: t.head, Rows: t.rows}).Markdown()
 }
--- a/cmd/bronzecost/report.go
+++ b/cmd/bronzecost/report.go
@@ -1,28 +1,23 @@
 package main
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"os"
 	"os/exec"
-	"runtime"
 	"strings"
 	"text/tabwriter"
-	"time"
 
 	"github.com/pkg/errors"
+
+	"bronzeusher.example/bronzeusher/bronzereport"
 )
 
 // Report is the content of the data file.
 type Report struct {
-	Machine  Machine
-	Revision string
-	// Modified tells that the tree had changes beside Revision.
-	Modified bool
-	Date     time.Time
+	bronzereport.Source
 	// Quick tells that the runs were short, so that timings are rough.
 	Quick bool
 	// Runs is how often each benchmark ran; the values are medians.
@@ -30,15 +25,6 @@
 	Series []Series
 }
 
-// Machine is where the costs were measured.
-type Machine struct {
-	Processor string
-	Cores     int
-	GoVersion string
-	// Load is the load average of the last minute before the start.
-	Load string
-}
-
 // Series is one cost at several sizes, with the line fitted to it.
 type Series struct {
 	Name   string
@@ -56,26 +42,11 @@
 }
 
 func newReport(ctx context.Context, quick bool) (r *Report, err error) {
-	revision, err := output(ctx, "git", "rev-parse", "--short", "HEAD")
-	if err != nil {
-		return nil, err
-	}
-	status, err := output(ctx, "git", "status", "--porcelain", "--untracked-files=no", "--", "*.go", "go.mod")
+	source, err := bronzereport.NewSource(ctx)
 	if err != nil {
 		return nil, err
 	}
-	return &Report{
-		Machine: Machine{
-			Processor: processor(),
-			Cores:     runtime.NumCPU(),
-			GoVersion: runtime.Version(),
-			Load:      loadAverage(),
-		},
-		Revision: revision,
-		Modified: status != "",
-		Date:     time.Now().UTC().Truncate(time.Second),
-		Quick:    quick,
-	}, nil
+	return &Report{Source: source, Quick: quick}, nil
 }
 
 // output returns what a command prints, without the space around it.
@@ -91,30 +62,6 @@
 	return output(ctx, "go", "list", "-m", "-f", "{{.Dir}}")
 }
 
-// processor returns the model's name where Linux tells it.
-func processor() string {
-	f, err := os.Open("/proc/cpuinfo")
-	if err != nil {
-		return runtime.GOARCH
-	}
-	defer func() { _ = f.Close() }()
-	for lines := bufio.NewScanner(f); lines.Scan(); {
-		if key, value, ok := strings.Cut(lines.Text(), ":"); ok && strings.TrimSpace(key) == "model name" {
-			return strings.TrimSpace(value)
-		}
-	}
-	return runtime.GOARCH
-}
-
-func loadAverage() string {
-	b, err := os.ReadFile("/proc/loadavg")
-	if err != nil {
-		return "unknown"
-	}
-	load, _, _ := strings.Cut(string(b), " ")
-	return load
-}
-
 func readReport(path string) (r *Report, err error) {
 	defer func() {
 		if err != nil {
