Steer by tokens on the platform: the thin whole path

Cause: the product had no way to run where packets carry what the system writes into them, servers register themselves, and nothing lasts.

--- /dev/null
+++ b/bronzeedge/config.go
@@ -0,0 +1,131 @@
+package bronzeedge
+
+import (
+	"encoding/json"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bronzeusher.example/bronzeusher/bronzerecord"
+	"bronzeusher.example/bronzeusher/bronzeroute"
+	"bronzeusher.example/bronzeusher/bronzesteer"
+)
+
+// Defaults of Config's fields.
+const (
+	// DefaultGrace is how long a leaving node may take where nothing else is
+	// said.
+	DefaultGrace = 6 * time.Second
+)
+
+// Config is what an Edge is told at its start, as JSON with the fields' names.
+type Config struct {
+	Name             string
+	Region           string
+	AvailabilityZone string
+	// Regions names the region of each availability zone.
+	Regions map[string]string
+	// DataAddress takes callers' packets (UDP). Packets to callers go to the
+	// port of the same number.
+	DataAddress netip.AddrPort
+	// ReadyAddress answers whether this node takes packets (HTTP).
+	ReadyAddress netip.AddrPort
+	// ControlAddress takes the links of other nodes (TCP).
+	ControlAddress netip.AddrPort
+	// MetricsAddress serves metrics and the node's state (HTTP), none if zero.
+	MetricsAddress netip.AddrPort
+	// Peers are control addresses of nodes to join through.
+	Peers []string
+	// Store is where the store of records listens.
+	Store string
+	// GraceSeconds is how long the node may take to leave.
+	GraceSeconds float64
+}
+
+// FieldError is a fault of one field of a Config.
+type FieldError struct {
+	Field  string
+	Reason string
+}
+
+// Error names the field.
+func (e *FieldError) Error() string { return e.Field + ": " + e.Reason }
+
+// ReadConfig reads a Config from a file and checks it. An error about a field
+// is a *FieldError.
+func ReadConfig(path string) (cfg Config, err error) {
+	defer func() { err = errors.Wrapf(err, "settings %s", path) }()
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return cfg, err
+	}
+	return ParseConfig(b)
+}
+
+// ParseConfig reads and checks a Config.
+func ParseConfig(b []byte) (cfg Config, err error) {
+	if err = json.Unmarshal(b, &cfg); err != nil {
+		var mismatch *json.UnmarshalTypeError
+		if errors.As(err, &mismatch) && mismatch.Field != "" {
+			return cfg, &FieldError{Field: mismatch.Field, Reason: "is a " + mismatch.Value + ", not a " + mismatch.Type.String()}
+		}
+		return cfg, err
+	}
+	return cfg, cfg.Check()
+}
+
+// Check returns a *FieldError for the first field that can't be used.
+func (c *Config) Check() error {
+	switch {
+	case c.Name == "":
+		return &FieldError{Field: "Name", Reason: "is missing"}
+	case c.AvailabilityZone == "":
+		return &FieldError{Field: "AvailabilityZone", Reason: "is missing"}
+	case !c.DataAddress.IsValid():
+		return &FieldError{Field: "DataAddress", Reason: "is missing"}
+	case !c.ReadyAddress.IsValid():
+		return &FieldError{Field: "ReadyAddress", Reason: "is missing"}
+	case c.Store == "":
+		return &FieldError{Field: "Store", Reason: "is missing"}
+	case c.GraceSeconds < 0:
+		return &FieldError{Field: "GraceSeconds", Reason: "is below 0"}
+	}
+	return nil
+}
+
+func (c *Config) grace() time.Duration {
+	if c.GraceSeconds == 0 {
+		return DefaultGrace
+	}
+	return time.Duration(c.GraceSeconds * float64(time.Second))
+}
+
+// Seams are what the daemon speaks to the outside by.
+type Seams struct {
+	Wire    Wire
+	Source  bronzerecord.Source
+	Decoder Decoder
+	// ReadyPath is the path that is asked whether the node is ready.
+	ReadyPath string
+}
+
+// Wire is the form of packets.
+type Wire struct {
+	// MaxDatagram is the longest datagram in bytes.
+	MaxDatagram int
+	Parse       func(b []byte) (bronzesteer.Packet, error)
+	// AppendForward appends what takes the packet b to a server.
+	AppendForward func(dst, b []byte, incarnation uint64, token uint32) []byte
+	// AppendReset appends what ends the flow of p for its caller.
+	AppendReset func(dst []byte, p *bronzesteer.Packet) []byte
+}
+
+// Decoder reads records.
+type Decoder struct {
+	IsTable    func(name string) bool
+	ServerName func(name string) (instance string, ok bool)
+	Table      func(r bronzerecord.Record) (*bronzeroute.Table, error)
+	Server     func(r bronzerecord.Record, now time.Time) (bronzeroute.Server, error)
+}
--- /dev/null
+++ b/bronzeedge/edge.go
@@ -0,0 +1,165 @@
+package bronzeedge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/pkg/errors"
+
+	"bronzeusher.example/bronzeusher/bronzerecord"
+	"bronzeusher.example/bronzeusher/bronzesteer"
+	"bronzeusher.example/bronzeusher/bronzewire"
+)
+
+const (
+	// tickInterval is how often timers of the decisions and of the directory
+	// are looked at.
+	tickInterval = 100 * time.Millisecond
+	// headerTimeout bounds how long a connection may take to ask.
+	headerTimeout = 5 * time.Second
+)
+
+// Edge is the daemon of one entry VM. New makes one; Run runs it once.
+type Edge struct {
+	cfg      Config
+	seams    Seams
+	log      *Log
+	started  time.Time
+	steerer  bronzesteer.Steerer
+	records  bronzerecord.Set
+	follower bronzerecord.Follower
+	book     book
+	held     held
+
+	data  *bronzewire.Socket
+	ready net.Listener
+
+	known     chan struct{} // closed at the first view
+	knownOnce sync.Once
+	leaving   chan struct{} // closed by Leave
+	leaveOnce sync.Once
+	// packetAt is when the last packet of a caller came, since started.
+	packetAt atomic.Int64
+}
+
+// New opens the addresses of cfg.
+func New(cfg Config, seams Seams, log *Log) (e *Edge, err error) {
+	defer func() { err = errors.Wrap(err, "make an edge") }()
+	if err = cfg.Check(); err != nil {
+		return nil, err
+	}
+	e = &Edge{
+		cfg: cfg, seams: seams, log: log, started: time.Now(),
+		known: make(chan struct{}), leaving: make(chan struct{}),
+	}
+	e.steerer.AvailabilityZone = cfg.AvailabilityZone
+	e.steerer.Region = cfg.Region
+	e.steerer.Regions = cfg.Regions
+	e.steerer.OnEvent = e.onServerEvent
+	e.records.OnChange = e.onRecords
+	e.follower = bronzerecord.Follower{Source: seams.Source, Set: &e.records, OnEvent: e.onStoreEvent}
+	if e.ready, err = net.Listen("tcp", cfg.ReadyAddress.String()); err != nil {
+		return nil, errors.Wrap(err, "ReadyAddress")
+	}
+	if e.data, err = bronzewire.Listen(cfg.DataAddress.String()); err != nil {
+		_ = e.ready.Close()
+		return nil, errors.Wrap(err, "DataAddress")
+	}
+	return e, nil
+}
+
+// Run serves until ctx is done or Leave has ended it.
+func (e *Edge) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrap(err, "run "+e.cfg.Name) }()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	e.log.Line("Started", F{"Name": e.cfg.Name, "AvailabilityZone": e.cfg.AvailabilityZone})
+	pool := pond.NewPool(0, pond.WithoutPanicRecovery())
+	server := &http.Server{Handler: e.readyHandler(), ReadHeaderTimeout: headerTimeout}
+	pool.Submit(func() { _ = server.Serve(e.ready) })
+	pool.Submit(func() { _ = e.follower.Run(ctx) })
+	pool.Submit(func() { e.tick(ctx) })
+	pool.Submit(func() { e.readPackets(ctx) })
+	pool.Submit(func() { e.releaseHeld(ctx) })
+	select {
+	case <-ctx.Done():
+	case <-e.leaving:
+		e.waitUntilQuiet(ctx)
+	}
+	cancel()
+	_ = server.Close()
+	_ = e.data.Close()
+	pool.StopAndWait()
+	e.log.Line("Stopped", F{"Name": e.cfg.Name})
+	return nil
+}
+
+// Leave makes the node not ready for good and ends it when no more packets
+// come, or its grace is over.
+func (e *Edge) Leave() {
+	e.leaveOnce.Do(func() {
+		e.log.Line("Leaving", F{"Name": e.cfg.Name})
+		close(e.leaving)
+	})
+}
+
+const (
+	// quietFor is how long no packet may have come before a leaving node
+	// ends. Routers take a node out after two misses half a second apart, and
+	// callers repeat themselves after 200 ms.
+	quietFor = 700 * time.Millisecond
+	// leaveLeast is the least time of leaving: routers must have asked twice.
+	leaveLeast = 1200 * time.Millisecond
+	// leaveMargin is how long before the end of its grace a node ends by
+	// itself.
+	leaveMargin = 500 * time.Millisecond
+)
+
+func (e *Edge) waitUntilQuiet(ctx context.Context) {
+	begun := time.Now()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		passed := time.Since(begun)
+		quiet := time.Since(e.started) - time.Duration(e.packetAt.Load())
+		if passed >= e.cfg.grace()-leaveMargin || passed >= leaveLeast && quiet >= quietFor {
+			return
+		}
+	}
+}
+
+// isLeaving reports whether Leave was called.
+func (e *Edge) isLeaving() bool {
+	select {
+	case <-e.leaving:
+		return true
+	default:
+		return false
+	}
+}
+
+// tick looks at timers until ctx is done.
+func (e *Edge) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := time.Now()
+		e.steerer.Sweep(now)
+		e.advance(now)
+	}
+}
--- /dev/null
+++ b/bronzeedge/knowledge.go
@@ -0,0 +1,117 @@
+package bronzeedge
+
+import (
+	"sync"
+	"time"
+
+	"bronzeusher.example/bronzeusher/bronzerecord"
+	"bronzeusher.example/bronzeusher/bronzeroute"
+	"bronzeusher.example/bronzeusher/bronzesteer"
+)
+
+// book is the directory under its lock.
+type book struct {
+	mu        sync.Mutex
+	directory bronzeroute.Directory
+}
+
+// onRecords takes in what changed in the records.
+func (e *Edge) onRecords(c bronzerecord.Change) {
+	now := time.Now()
+	e.book.mu.Lock()
+	defer e.book.mu.Unlock()
+	changed := false
+	for _, r := range c.Changed {
+		changed = e.takeRecord(r, now) || changed
+	}
+	for _, name := range c.Removed {
+		instance, ok := e.seams.Decoder.ServerName(name)
+		if !ok {
+			continue
+		}
+		e.book.directory.Unregister(instance, now)
+		e.log.Line("Unregistered", F{"Instance": instance, "Revision": c.Revision})
+		changed = true
+	}
+	if changed {
+		e.publish()
+	}
+}
+
+// takeRecord puts one record in force. A record with faults leaves what was
+// in force.
+func (e *Edge) takeRecord(r bronzerecord.Record, now time.Time) (changed bool) {
+	if e.seams.Decoder.IsTable(r.Name) {
+		return e.takeTable(r, now)
+	}
+	if _, ok := e.seams.Decoder.ServerName(r.Name); !ok {
+		return false
+	}
+	s, err := e.seams.Decoder.Server(r, now)
+	if err != nil {
+		e.log.Line("RecordRefused", F{"Record": r.Name, "Revision": r.Revision, "Error": err.Error()})
+		return false
+	}
+	e.book.directory.Register(s)
+	e.log.Line("Registered", F{
+		"Instance": s.Instance, "Pool": s.Pool, "Address": s.Address.String(), "AvailabilityZone": s.AvailabilityZone,
+		"Draining": s.Draining, "ColdMS": s.Cold.Milliseconds(), "Revision": r.Revision,
+	})
+	return true
+}
+
+func (e *Edge) takeTable(r bronzerecord.Record, now time.Time) (changed bool) {
+	t, err := e.seams.Decoder.Table(r)
+	if err != nil {
+		e.log.Line("RecordRefused", F{"Record": r.Name, "Revision": r.Revision, "Error": err.Error()})
+		return false
+	}
+	if !e.book.directory.SetTable(t, now) {
+		return false
+	}
+	e.log.Line("TableInForce", F{"Version": t.Version, "Routes": len(t.Routes), "Refused": t.Refusals, "Revision": r.Revision})
+	return true
+}
+
+// advance lets time pass in the directory.
+func (e *Edge) advance(now time.Time) {
+	e.book.mu.Lock()
+	defer e.book.mu.Unlock()
+	if e.book.directory.Advance(now) {
+		e.publish()
+	}
+}
+
+// publish hands the directory's view to the decisions; the caller holds the
+// lock.
+func (e *Edge) publish() {
+	v := e.book.directory.View()
+	if v == nil {
+		return
+	}
+	e.steerer.SetView(v)
+	e.knownOnce.Do(func() {
+		e.log.Line("Ready", F{"AfterMS": time.Since(e.started).Milliseconds(), "Version": v.Table.Version, "Servers": len(v.Servers)})
+		close(e.known)
+	})
+}
+
+// onServerEvent logs what this node believes of a server.
+func (e *Edge) onServerEvent(ev bronzesteer.Event) {
+	e.log.Line("Server"+ev.Kind.String(), F{
+		"Instance": ev.Instance, "AvailabilityZone": ev.AvailabilityZone, "Unanswered": ev.Unanswered,
+		"SilenceMS": ev.Silence.Milliseconds(), "ForMS": ev.For.Milliseconds(),
+	})
+}
+
+// onStoreEvent logs what the store answers.
+func (e *Edge) onStoreEvent(ev bronzerecord.Event) {
+	fields := F{
+		"Kind": ev.Kind, "Revision": ev.Revision, "Changed": ev.Changed, "Removed": ev.Removed,
+		"TookMS": ev.Took.Milliseconds(),
+	}
+	if ev.Err != nil {
+		fields["Error"] = ev.Err.Error()
+	}
+	e.log.Line("Store", fields)
+}
--- /dev/null
+++ b/bronzeedge/packets.go
@@ -0,0 +1,160 @@
+package bronzeedge
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bronzeusher.example/bronzeusher/bronzesteer"
+	"bronzeusher.example/bronzeusher/bronzewire"
+)
+
+const (
+	// batchSize is how many datagrams are read at once.
+	batchSize = 32
+	// maxHeld bounds the packets that wait for the first view.
+	maxHeld = 512
+)
+
+// worker handles packets of one goroutine.
+type worker struct {
+	edge *Edge
+	in   []bronzewire.Datagram
+	out  []bronzewire.Datagram
+}
+
+// held are the packets that came before the first view.
+type held struct {
+	mu      sync.Mutex
+	packets [][]byte
+}
+
+func (e *Edge) newWorker() *worker {
+	return &worker{edge: e, out: make([]bronzewire.Datagram, 0, batchSize)}
+}
+
+// readPackets handles callers' packets until the socket is closed.
+func (e *Edge) readPackets(ctx context.Context) {
+	w := e.newWorker()
+	w.in = make([]bronzewire.Datagram, batchSize)
+	for i := range w.in {
+		w.in[i].Buf = make([]byte, e.seams.Wire.MaxDatagram)
+	}
+	for ctx.Err() == nil {
+		n, err := e.data.ReadBatch(w.in)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			e.log.Line("ReadFailed", F{"Error": err.Error()})
+			continue
+		}
+		now := time.Now()
+		e.packetAt.Store(int64(now.Sub(e.started)))
+		for i := range w.in[:n] {
+			w.handle(w.in[i].Buf[:w.in[i].N], now)
+		}
+		w.flush()
+	}
+}
+
+// handle decides on one packet.
+func (w *worker) handle(b []byte, now time.Time) {
+	e := w.edge
+	p, err := e.seams.Wire.Parse(b)
+	if err != nil {
+		e.log.Count("Malformed")
+		return
+	}
+	d := e.steerer.Decide(&p, now)
+	switch d.Kind {
+	case bronzesteer.Forward:
+		to := w.next(d.Server.Address)
+		to.Buf = e.seams.Wire.AppendForward(to.Buf[:0], b, d.Server.Incarnation, d.Token)
+		to.N = len(to.Buf)
+	case bronzesteer.End:
+		caller := p.Key.CallerAddrPort()
+		to := w.next(netip.AddrPortFrom(caller.Addr(), e.cfg.DataAddress.Port()))
+		to.Buf = e.seams.Wire.AppendReset(to.Buf[:0], &p)
+		to.N = len(to.Buf)
+	case bronzesteer.Wait:
+		w.hold(b)
+	}
+	e.logDecision(&p, &d)
+}
+
+// logDecision logs what is decided of a flow's beginning and end.
+func (e *Edge) logDecision(p *bronzesteer.Packet, d *bronzesteer.Decision) {
+	if d.Reason == bronzesteer.Steered || d.Reason == bronzesteer.NoView {
+		return
+	}
+	fields := F{
+		"Caller": p.Key.CallerAddrPort().String(), "Service": p.Key.ServiceAddrPort().String(),
+		"Decision": d.Kind.String(), "Reason": d.Reason.String(), "Open": p.Open, "Copy": p.Copy,
+	}
+	if d.Server != nil {
+		fields["Server"] = d.Server.Instance
+	}
+	e.log.Line("Flow", fields)
+}
+
+// next returns an empty datagram to send, with a buffer of an earlier one.
+func (w *worker) next(to netip.AddrPort) *bronzewire.Datagram {
+	if len(w.out) == cap(w.out) {
+		w.flush()
+	}
+	w.out = w.out[:len(w.out)+1]
+	d := &w.out[len(w.out)-1]
+	d.Addr = to
+	if d.Buf == nil {
+		d.Buf = make([]byte, 0, w.edge.seams.Wire.MaxDatagram)
+	}
+	return d
+}
+
+// flush sends what is to be sent. A datagram that can't be sent is lost, as
+// any may be.
+func (w *worker) flush() {
+	for out := w.out; len(out) > 0; {
+		n, err := w.edge.data.WriteBatch(out)
+		if err == nil {
+			break
+		}
+		w.edge.log.Count("SendFailed")
+		out = out[min(n+1, len(out)):]
+	}
+	w.out = w.out[:0]
+}
+
+// hold keeps a packet until there is a view: dropped, its caller would repeat
+// it only after 200 ms or more.
+func (w *worker) hold(b []byte) {
+	h := &w.edge.held
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.packets) < maxHeld {
+		h.packets = append(h.packets, append([]byte(nil), b...))
+	}
+}
+
+// releaseHeld handles the packets that waited, once there is a view.
+func (e *Edge) releaseHeld(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-e.known:
+	}
+	e.held.mu.Lock()
+	packets := e.held.packets
+	e.held.packets = nil
+	e.held.mu.Unlock()
+	w := e.newWorker()
+	for _, b := range packets {
+		w.handle(b, time.Now())
+	}
+	w.flush()
+}
--- /dev/null
+++ b/bronzerecord/doc.go
@@ -0,0 +1,20 @@
+// Package bronzerecord keeps a copy of all records that a read-only store
+// holds, and knows up to which revision of the store the copy is complete.
+//
+// A Set takes whole contents and deltas, from the store or from a peer's Set,
+// and never goes back to an older revision. A Follower keeps a Set up to date
+// by one long poll over all records; its Source is three functions, so the
+// package knows no protocol.
+//
+// # Usage
+//
+//	var set bronzerecord.Set
+//	set.OnChange = func(c bronzerecord.Change) { ... }
+//	f := bronzerecord.Follower{Source: source, Set: &set}
+//	err := f.Run(ctx)
+//
+// Bring a set to the state of a peer's:
+//
+//	delta, ok := peer.Since(set.Revision())
+//	set.Apply(delta)
+package bronzerecord
--- /dev/null
+++ b/bronzerecord/follower.go
@@ -0,0 +1,197 @@
+package bronzerecord
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Errors that a Source returns.
+var (
+	// ErrCompacted says that the store no longer has the history after the
+	// revision that was asked for.
+	ErrCompacted = errors.New("history is compacted")
+	// ErrThrottled says that the store has answered that it is asked too much.
+	ErrThrottled = errors.New("store asks to be asked less")
+	// ErrUnavailable says that the store has answered that it can't.
+	ErrUnavailable = errors.New("store is unavailable")
+)
+
+// Source reads a store. Its functions return when ctx is done.
+type Source struct {
+	// Load returns the whole contents.
+	Load func(ctx context.Context) (Delta, error)
+	// Watch returns what changed after a revision, as soon as something has,
+	// or an empty Delta after a wait of its own choice.
+	Watch func(ctx context.Context, after uint64) (Delta, error)
+}
+
+// Event is something that a Follower reports.
+type Event struct {
+	// Kind is one of the Event constants.
+	Kind string
+	// Revision is that of the Set then.
+	Revision uint64
+	// Changed and Removed count records.
+	Changed, Removed int
+	Took             time.Duration
+	Err              error
+}
+
+// The kinds of events.
+const (
+	// Loaded: the whole contents were read.
+	Loaded = "Loaded"
+	// Watched: a watch was answered.
+	Watched = "Watched"
+	// Compacted: the history was gone, so the contents are read again.
+	Compacted = "Compacted"
+	// Failed: a call failed.
+	Failed = "Failed"
+	// Regressed: the store showed an older revision than is known.
+	Regressed = "Regressed"
+)
+
+const (
+	// minBackoff and maxBackoff bound the pause after a failure. The longest
+	// lets a node that could not reach the store be up to date well within the
+	// four seconds that it has after an outage.
+	minBackoff = 40 * time.Millisecond
+	maxBackoff = 600 * time.Millisecond
+	// DefaultGather is the pause after an answer with news, in which further
+	// changes gather for the next: a rolling replacement changes the store
+	// several times a second, and each answer is a call that is paid for.
+	DefaultGather = 700 * time.Millisecond
+	// standbyInterval is how often a follower that isn't active looks whether
+	// it has become so.
+	standbyInterval = 100 * time.Millisecond
+)
+
+// Follower keeps a Set up to date from a store. While the store is away, the
+// Set stays as it is.
+type Follower struct {
+	Source Source
+	Set    *Set
+	// Gather is the pause after an answer with news, DefaultGather if 0.
+	Gather time.Duration
+	// Active says whether this node is one of those that read the store; nil
+	// means always. The others get the records from their peers.
+	Active func() bool
+	// OnEvent is called with each event.
+	OnEvent func(Event)
+
+	backoff time.Duration
+	// reload asks for the whole contents next.
+	reload bool
+	// contact is when the store last answered.
+	contact atomic.Pointer[time.Time]
+}
+
+// Contact returns when the store last answered, the zero time if never.
+func (f *Follower) Contact() time.Time {
+	if at := f.contact.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+// Run follows until ctx is done and returns the cause.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause(ctx, f.step(ctx))
+	}
+	return context.Cause(ctx)
+}
+
+// step makes one call and returns for how long to pause before the next.
+func (f *Follower) step(ctx context.Context) time.Duration {
+	if f.Active != nil && !f.Active() {
+		return standbyInterval
+	}
+	revision := f.Set.Revision()
+	whole := revision == 0 || f.reload
+	begun := time.Now()
+	d, err := f.call(ctx, whole, revision)
+	took := time.Since(begun)
+	if ctx.Err() != nil {
+		return 0
+	}
+	if errors.Is(err, ErrCompacted) {
+		f.reload = true
+		f.heard()
+		f.event(Event{Kind: Compacted, Took: took, Err: err})
+		return 0
+	}
+	if err != nil {
+		f.event(Event{Kind: Failed, Took: took, Err: err})
+		return f.failed()
+	}
+	f.backoff = 0
+	f.heard()
+	return f.take(d, whole, took)
+}
+
+func (f *Follower) call(ctx context.Context, whole bool, revision uint64) (d Delta, err error) {
+	if whole {
+		return f.Source.Load(ctx)
+	}
+	return f.Source.Watch(ctx, revision)
+}
+
+// take applies an answer.
+func (f *Follower) take(d Delta, whole bool, took time.Duration) time.Duration {
+	kind := Watched
+	if whole {
+		kind = Loaded
+	}
+	if d.To < f.Set.Revision() {
+		// A replica that lags: what it shows was in force before.
+		f.event(Event{Kind: Regressed, Took: took})
+		return f.failed()
+	}
+	f.reload = false
+	f.Set.Apply(d)
+	f.event(Event{Kind: kind, Changed: len(d.Changed), Removed: len(d.Removed), Took: took})
+	if whole || len(d.Changed)+len(d.Removed) == 0 {
+		return 0
+	}
+	if f.Gather != 0 {
+		return f.Gather
+	}
+	return DefaultGather
+}
+
+// failed returns a pause that grows with each failure in a row, half of it at
+// random, so that nodes don't come back to the store all at once.
+func (f *Follower) failed() time.Duration {
+	f.backoff = min(max(2*f.backoff, minBackoff), maxBackoff)
+	half := f.backoff / 2
+	return half + rand.N(half)
+}
+
+func (f *Follower) heard() {
+	now := time.Now()
+	f.contact.Store(&now)
+}
+
+func (f *Follower) event(e Event) {
+	if f.OnEvent != nil {
+		e.Revision = f.Set.Revision()
+		f.OnEvent(e)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/bronzeroute/directory.go
@@ -0,0 +1,199 @@
+package bronzeroute
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"bronzeusher.example/bronzeusher/bronzetoken"
+)
+
+const (
+	// MissingFor is how long a registration that disappeared may come back
+	// before the server counts as gone. Registrations lost in an outage are
+	// back about two seconds after it, and new flows must keep away from a
+	// server that is gone within three.
+	MissingFor = 2300 * time.Millisecond
+	// RememberFor is how long a server that is gone keeps its token and
+	// address known. No flow lives longer than a minute.
+	RememberFor = 75 * time.Second
+	// RememberRoutesFor is how long a route that was withdrawn is remembered,
+	// so that its open flows are ended and not taken for unknown ones.
+	RememberRoutesFor = 75 * time.Second
+)
+
+// Directory keeps the table in force and the servers. The zero Directory is
+// empty and ready. It is not safe for concurrent use; its Views are.
+type Directory struct {
+	table     *Table
+	servers   map[string]*entry
+	withdrawn map[netip.AddrPort]time.Time
+	// allowed are the pools that any table named for an endpoint.
+	allowed map[netip.AddrPort][]string
+}
+
+// entry is a server with the times of its disappearance.
+type entry struct {
+	server  Server
+	missing time.Time
+	gone    time.Time
+}
+
+// SetTable puts a table in force unless it is older than the one that is.
+func (d *Directory) SetTable(t *Table, now time.Time) (changed bool) {
+	if d.table != nil && t.Version <= d.table.Version {
+		return false
+	}
+	if d.withdrawn == nil {
+		d.withdrawn = make(map[netip.AddrPort]time.Time)
+		d.allowed = make(map[netip.AddrPort][]string)
+	}
+	if d.table != nil {
+		for i := range d.table.Routes {
+			d.withdrawn[d.table.Routes[i].Service] = now
+		}
+	}
+	for i := range t.Routes {
+		delete(d.withdrawn, t.Routes[i].Service)
+		d.allow(&t.Routes[i])
+	}
+	d.table = t
+	return true
+}
+
+// allow remembers the pools of a route. An open flow stays with its server
+// when a later table no longer names the server's pool for new flows.
+func (d *Directory) allow(r *Route) {
+	pools := d.allowed[r.Service]
+	for _, s := range r.Shares {
+		if !slices.Contains(pools, s.Pool) {
+			pools = append(slices.Clip(pools), s.Pool)
+		}
+	}
+	d.allowed[r.Service] = pools
+}
+
+// Register adds a server or takes in what it now says of itself.
+func (d *Directory) Register(s Server) {
+	if d.servers == nil {
+		d.servers = make(map[string]*entry)
+	}
+	e := d.servers[s.Instance]
+	if e == nil {
+		e = &entry{}
+		d.servers[s.Instance] = e
+	}
+	e.missing, e.gone = time.Time{}, time.Time{}
+	e.server = s
+}
+
+// Unregister notes that a registration has disappeared. A server that had
+// said it would leave is gone; another one is missing first.
+func (d *Directory) Unregister(instance string, now time.Time) {
+	e := d.servers[instance]
+	if e == nil || !e.missing.IsZero() || !e.gone.IsZero() {
+		return
+	}
+	if e.server.Draining {
+		e.gone = now
+		return
+	}
+	e.missing = now
+}
+
+// Instances returns the names of the servers that are registered.
+func (d *Directory) Instances() (names []string) {
+	for name, e := range d.servers {
+		if e.missing.IsZero() && e.gone.IsZero() {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Advance moves missing servers to gone and forgets what is old. It reports
+// whether a View made before is out of date.
+func (d *Directory) Advance(now time.Time) (changed bool) {
+	for name, e := range d.servers {
+		switch {
+		case !e.gone.IsZero() && now.Sub(e.gone) > RememberFor:
+			delete(d.servers, name)
+			changed = true
+		case !e.missing.IsZero() && e.gone.IsZero() && now.Sub(e.missing) > MissingFor:
+			e.gone = now
+			changed = true
+		}
+	}
+	for service, at := range d.withdrawn {
+		if now.Sub(at) > RememberRoutesFor {
+			delete(d.withdrawn, service)
+			delete(d.allowed, service)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// View returns what is known now, nil before the first table.
+func (d *Directory) View() *View {
+	if d.table == nil {
+		return nil
+	}
+	v := &View{
+		Table:     d.table,
+		routes:    make(map[netip.AddrPort]*Route, len(d.table.Routes)),
+		withdrawn: make(map[netip.AddrPort]struct{}, len(d.withdrawn)),
+		allowed:   make(map[netip.AddrPort][]string, len(d.allowed)),
+		pools:     make(map[string][]*Server),
+	}
+	for i := range d.table.Routes {
+		v.routes[d.table.Routes[i].Service] = &d.table.Routes[i]
+	}
+	for service := range d.withdrawn {
+		v.withdrawn[service] = struct{}{}
+	}
+	for service, pools := range d.allowed {
+		v.allowed[service] = pools
+	}
+	d.addServers(v)
+	return v
+}
+
+func (d *Directory) addServers(v *View) {
+	names := make([]bronzetoken.Holder, 0, len(d.servers))
+	for name, e := range d.servers {
+		names = append(names, bronzetoken.Holder{Name: name, Since: e.server.Registered})
+	}
+	v.tokens = bronzetoken.NewSet(names)
+	v.Servers = make([]*Server, 0, len(d.servers))
+	v.byName = make(map[string]*Server, len(d.servers))
+	for name, e := range d.servers {
+		s := e.server
+		s.Status = e.status()
+		s.Token = v.tokens.Token(name)
+		v.byName[name] = &s
+		v.Servers = append(v.Servers, &s)
+		if s.Status != Gone {
+			v.pools[s.Pool] = append(v.pools[s.Pool], &s)
+		}
+	}
+	byInstance := func(a, b *Server) int { return cmp.Compare(a.Instance, b.Instance) }
+	slices.SortFunc(v.Servers, byInstance)
+	for _, pool := range v.pools {
+		slices.SortFunc(pool, byInstance)
+	}
+}
+
+func (e *entry) status() Status {
+	switch {
+	case !e.gone.IsZero():
+		return Gone
+	case !e.missing.IsZero():
+		return Missing
+	case e.server.Draining:
+		return Draining
+	default:
+		return Serving
+	}
+}
--- /dev/null
+++ b/bronzeroute/server.go
@@ -0,0 +1,59 @@
+package bronzeroute
+
+import (
+	"time"
+
+	"bronzeusher.example/bronzeusher/bronzeconf"
+)
+
+// Status is how far a server's registration is to be believed.
+type Status uint8
+
+const (
+	// Serving servers take new flows.
+	Serving Status = iota
+	// Draining servers keep their flows and take no new ones.
+	Draining
+	// Missing servers were registered until just now and never said that they
+	// would leave. They keep their flows, and take new ones only where no
+	// other server of the pool can.
+	Missing
+	// Gone servers are no more.
+	Gone
+)
+
+var statusNames = [...]string{"Serving", "Draining", "Missing", "Gone"}
+
+// String returns the status's name.
+func (s Status) String() string {
+	if int(s) < len(statusNames) {
+		return statusNames[s]
+	}
+	return "Unknown"
+}
+
+// Server is one start of a BackendServer that registered itself.
+type Server struct {
+	bronzeconf.BackendServer
+	// Pool is the name of the pool that it serves.
+	Pool string
+	// Incarnation is the number that the server checks on each packet, which
+	// keeps a packet from a later user of its address.
+	Incarnation uint64
+	// Registered is the revision at which it first registered.
+	Registered uint64
+	// Cold is how much longer it is slow, counted from Heard.
+	Cold  time.Duration
+	Heard time.Time
+	// Draining says that it announced to leave.
+	Draining bool
+	// Token is what stands for it in packets; the Directory sets it.
+	Token uint32
+	// Status is set by the Directory.
+	Status Status
+}
+
+// Warm reports whether the server has passed its slow start.
+func (s *Server) Warm(now time.Time) bool {
+	return now.Sub(s.Heard) >= s.Cold
+}
--- /dev/null
+++ b/bronzesteer/doc.go
@@ -0,0 +1,27 @@
+// Package bronzesteer decides what happens to callers' packets where each
+// packet carries the token of its server (package bronzetoken). It opens no
+// socket and starts no goroutine; package bronzecore is its counterpart for
+// packets that carry nothing.
+//
+// An opening is placed on a server, whose token goes into it; every later
+// packet of the flow brings the token back, at whichever node it arrives. So
+// no node owns a flow, nothing is copied, and what a node remembers of a flow
+// only serves to judge the servers: answers go past the balancers, and all
+// that they see of a server is how its callers go on. A caller that goes on
+// has been answered; one that repeats itself has not.
+//
+// # Usage
+//
+//	s := &bronzesteer.Steerer{AvailabilityZone: "riga-a"}
+//	s.SetView(directory.View())
+//	switch d := s.Decide(&packet, time.Now()); d.Kind {
+//	case bronzesteer.Forward:
+//		// Send the packet with d.Token to d.Server.
+//	case bronzesteer.End:
+//		// Send the caller a reset.
+//	case bronzesteer.Wait:
+//		// Ask again when there is a view.
+//	}
+//
+// Call Sweep once a second.
+package bronzesteer
--- /dev/null
+++ b/bronzesteer/flow.go
@@ -0,0 +1,171 @@
+package bronzesteer
+
+import (
+	"sync"
+	"time"
+
+	"bronzeusher.example/bronzeusher/bronzeflow"
+)
+
+const (
+	shardCount = 16
+	// maxFlows bounds the flows that are followed, about 100 MB. Those beyond
+	// are forwarded all the same.
+	maxFlows = 400_000
+	// idleFor is how long a flow without packets is followed. It only bounds
+	// memory: the flow itself lives on.
+	idleFor = 20 * time.Second
+	// openingFor is the same for a flow that isn't open: callers repeat an
+	// opening twice within 600 ms and give up after 1.4 s.
+	openingFor = 3 * time.Second
+	// workFor is how long a request counts as being worked on without a sign
+	// of its answer. A caller without an acknowledgement repeats itself after
+	// 200 ms, and the end of a short answer is acknowledged only by the next
+	// request, so silence after that means it was answered.
+	workFor = 250 * time.Millisecond
+	// repeatAfter is the least age of data at which its repetition counts as
+	// unanswered; copies that a network made come at once.
+	repeatAfter = 150 * time.Millisecond
+)
+
+type flowKey = bronzeflow.Key
+
+// shard is a part of the flows under a lock of its own.
+type shard struct {
+	mu    sync.Mutex
+	flows map[flowKey]*flow
+}
+
+// flow is what this node has seen of a flow. Times are distances from the
+// Steerer's start.
+type flow struct {
+	backend    *backend
+	first      *backend
+	token      uint32
+	open       bool
+	idempotent bool
+	// struck tells that the flow's present silence is counted already.
+	struck    bool
+	openedAt  time.Duration
+	retriedAt time.Duration
+	seenAt    time.Duration
+	// workSince is when the request at work was first seen, 0 if none is.
+	workSince time.Duration
+	// sequence is the end of the data seen, acknowledged that of the answer.
+	sequence     uint32
+	acknowledged uint32
+}
+
+// sentAt returns when the present server was first asked.
+func (f *flow) sentAt(openedAt time.Duration) time.Duration {
+	return max(openedAt, f.retriedAt)
+}
+
+func (s *Steerer) shard(p *Packet) *shard {
+	return &s.shards[p.Key.Hash()%shardCount]
+}
+
+// end forgets a flow.
+func (sh *shard) end(key flowKey) {
+	f := sh.flows[key]
+	if f == nil {
+		return
+	}
+	f.release()
+	delete(sh.flows, key)
+}
+
+// release takes the flow out of its server's figures.
+func (f *flow) release() {
+	if f.workSince != 0 {
+		f.workSince = 0
+		f.backend.addWork(-1)
+	}
+	if f.open {
+		f.backend.addFlows(-1)
+	} else {
+		f.backend.addOpening(-1)
+	}
+}
+
+// note takes in what a packet of an established flow tells of its server.
+func (s *Steerer) note(f *flow, b *backend, token uint32, p *Packet, at time.Duration) {
+	f.seenAt = at
+	if !f.open {
+		s.established(f, b, token, p, at)
+	}
+	if advance := int32(p.Acknowledged - f.acknowledged); advance > 0 {
+		f.acknowledged = p.Acknowledged
+		s.answered(f, p, at)
+	}
+	if p.Length == 0 {
+		return
+	}
+	if end := p.Sequence + uint32(p.Length); int32(end-f.sequence) > 0 {
+		f.sequence = end
+		if f.workSince == 0 {
+			f.workSince = at
+			f.backend.addWork(1)
+		}
+		return
+	}
+	if f.workSince != 0 && at-f.workSince >= repeatAfter && !f.struck {
+		f.struck = true
+		s.unanswered(f.backend, f.workSince, at, dataWeight)
+	}
+}
+
+// established notes that the caller has taken a server's acceptance.
+func (s *Steerer) established(f *flow, b *backend, token uint32, p *Packet, at time.Duration) {
+	f.backend.addOpening(-1)
+	f.open, f.backend, f.token = true, b, token
+	f.sequence, f.acknowledged = p.Sequence, p.Acknowledged
+	b.addFlows(1)
+	s.good(b, at)
+}
+
+// answered notes that the caller has more of the answer.
+func (s *Steerer) answered(f *flow, p *Packet, at time.Duration) {
+	f.struck = false
+	s.good(f.backend, at)
+	if f.workSince == 0 {
+		return
+	}
+	if p.Length == 0 {
+		// With new data the acknowledgement says only that the answer came
+		// some time before.
+		f.backend.observe(at - f.workSince)
+	}
+	f.workSince = 0
+	f.backend.addWork(-1)
+}
+
+// Sweep forgets flows without packets and work without answers. It is to be
+// called about every 100 ms.
+func (s *Steerer) Sweep(now time.Time) {
+	s.init()
+	at := s.since(now)
+	for i := range s.shards {
+		s.shards[i].sweep(at)
+	}
+}
+
+func (sh *shard) sweep(at time.Duration) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	for key, f := range sh.flows {
+		limit := idleFor
+		if !f.open {
+			limit = openingFor
+		}
+		if at-f.seenAt > limit {
+			f.release()
+			delete(sh.flows, key)
+			continue
+		}
+		if f.workSince != 0 && at-f.seenAt > workFor && at-f.workSince > workFor {
+			f.workSince = 0
+			f.backend.addWork(-1)
+		}
+	}
+}
--- /dev/null
+++ b/bronzesteer/packet.go
@@ -0,0 +1,122 @@
+package bronzesteer
+
+import (
+	"bronzeusher.example/bronzeusher/bronzeflow"
+	"bronzeusher.example/bronzeusher/bronzeroute"
+)
+
+// Packet is what the decisions read of a caller's packet.
+type Packet struct {
+	Key bronzeflow.Key
+	// Open marks an opening. Copy counts its repetitions, 0 for the first.
+	Open bool
+	Copy int
+	// Accept marks the acceptance of an opening, which callers never send.
+	Accept bool
+	// Final marks the caller's last byte, Abort its giving the flow up.
+	Final bool
+	Abort bool
+	// Returned marks a packet that some node has sent back.
+	Returned bool
+	// Token is the one that the flow's server last sent, 0 if none.
+	Token uint32
+	// Sequence numbers the first of Length payload bytes; Acknowledged is up
+	// to where the caller has the answer.
+	Sequence     uint32
+	Acknowledged uint32
+	Length       int
+}
+
+// Kind is what is to be done with a packet.
+type Kind uint8
+
+const (
+	// Drop discards the packet.
+	Drop Kind = iota
+	// Forward sends it to a server with a token.
+	Forward
+	// End answers it with a reset.
+	End
+	// Wait keeps it until there is a view.
+	Wait
+)
+
+var kindNames = [...]string{"Drop", "Forward", "End", "Wait"}
+
+// String returns the kind's name.
+func (k Kind) String() string {
+	if int(k) < len(kindNames) {
+		return kindNames[k]
+	}
+	return "Unknown"
+}
+
+// Reason tells why.
+type Reason uint8
+
+// The reasons of decisions. Openings are Placed, Repeated or Retried, or not
+// forwarded for the reasons that follow; other packets are Steered or not.
+const (
+	// Placed: an opening went to a server that was chosen for it.
+	Placed Reason = iota
+	// Repeated: a copy of an opening went to the same server.
+	Repeated
+	// Retried: a copy of an opening went to another server.
+	Retried
+	// Steered: the packet went where its token says.
+	Steered
+	// NoRoute: no route in force has the destination.
+	NoRoute
+	// RouteWithdrawn: the flow's route is no longer in force.
+	RouteWithdrawn
+	// NoServer: no server of the route may take the flow.
+	NoServer
+	// ServerGone: the flow's server is no more.
+	ServerGone
+	// ServerSilent: the flow's server answers nobody, and the flow's requests
+	// may be repeated.
+	ServerSilent
+	// NoToken: the packet of an established flow has no token.
+	NoToken
+	// TokenUnknown: no server with the token is known here.
+	TokenUnknown
+	// TokenForeign: the token's server may not serve the destination.
+	TokenForeign
+	// NotACaller: the packet comes from a server, or was sent back.
+	NotACaller
+	// NoView: nothing is known yet.
+	NoView
+	reasonCount
+)
+
+var reasonNames = [reasonCount]string{
+	"Placed", "Repeated", "Retried", "Steered", "NoRoute", "RouteWithdrawn", "NoServer", "ServerGone",
+	"ServerSilent", "NoToken", "TokenUnknown", "TokenForeign", "NotACaller", "NoView",
+}
+
+// String returns the reason's name.
+func (r Reason) String() string {
+	if r < reasonCount {
+		return reasonNames[r]
+	}
+	return "Unknown"
+}
+
+// Reasons returns all reasons, for a counter each.
+func Reasons() (all []Reason) {
+	for r := range reasonCount {
+		all = append(all, r)
+	}
+	return all
+}
+
+// Decision is what is to be done with a packet, and why.
+type Decision struct {
+	Kind   Kind
+	Reason Reason
+	// Server and Token are set if Kind is Forward.
+	Server *bronzeroute.Server
+	Token  uint32
+	// Tried is the server that did not answer, where Reason is Retried.
+	Tried *bronzeroute.Server
+}
--- /dev/null
+++ b/bronzesteer/steer.go
@@ -0,0 +1,232 @@
+package bronzesteer
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bronzeusher.example/bronzeusher/bronzeroute"
+)
+
+// Steerer decides for the callers' packets of one node. Its exported fields
+// must not change after the first use. The zero Steerer waits for a view. All
+// methods may be called concurrently.
+type Steerer struct {
+	// AvailabilityZone and Region are where this node is; Regions names the
+	// region of each zone.
+	AvailabilityZone string
+	Region           string
+	Regions          map[string]string
+	// OnEvent is called with what changes this node's belief of a server. It
+	// must not call the Steerer.
+	OnEvent func(Event)
+	// Random returns a number in [0, n); rand.IntN if nil.
+	Random func(n int) int
+
+	view atomic.Pointer[bronzeroute.View]
+
+	once   sync.Once
+	start  time.Time
+	shards [shardCount]shard
+
+	mu       sync.Mutex
+	backends map[string]*backend
+}
+
+// Event is a change of what this node believes of a server.
+type Event struct {
+	// Kind is Avoided or Cleared.
+	Kind EventKind
+	// Instance and AvailabilityZone name the server.
+	Instance         string
+	AvailabilityZone string
+	// Unanswered is how many flows it left unanswered in a row, and Silence
+	// how long ago it was last seen to answer.
+	Unanswered int
+	Silence    time.Duration
+	// For is how long it is avoided.
+	For time.Duration
+}
+
+// EventKind is the kind of an Event.
+type EventKind uint8
+
+const (
+	// Avoided: new flows keep away from the server for a while.
+	Avoided EventKind = iota + 1
+	// Cleared: a server that was avoided has answered.
+	Cleared
+)
+
+// String returns the kind's name.
+func (k EventKind) String() string {
+	if k == Cleared {
+		return "Cleared"
+	}
+	return "Avoided"
+}
+
+// SetView puts a view in force.
+func (s *Steerer) SetView(v *bronzeroute.View) {
+	s.init()
+	s.view.Store(v)
+	s.forget(v)
+}
+
+// View returns the view in force, nil if there is none.
+func (s *Steerer) View() *bronzeroute.View {
+	return s.view.Load()
+}
+
+func (s *Steerer) init() {
+	s.once.Do(func() {
+		s.start = time.Now()
+		s.backends = make(map[string]*backend)
+		for i := range s.shards {
+			s.shards[i].flows = make(map[flowKey]*flow)
+		}
+	})
+}
+
+// since returns a time as the distance from this Steerer's start.
+func (s *Steerer) since(now time.Time) time.Duration {
+	return now.Sub(s.start)
+}
+
+func (s *Steerer) random(n int) int {
+	if s.Random != nil {
+		return s.Random(n)
+	}
+	return rand.IntN(n)
+}
+
+// Decide returns what to do with a packet that arrived at now.
+func (s *Steerer) Decide(p *Packet, now time.Time) Decision {
+	s.init()
+	v := s.view.Load()
+	switch {
+	case v == nil:
+		return Decision{Kind: Wait, Reason: NoView}
+	case p.Returned, p.Open && p.Accept:
+		return Decision{Reason: NotACaller}
+	case p.Open:
+		return s.open(v, p, now)
+	default:
+		return s.steer(v, p, now)
+	}
+}
+
+// open places an opening, or a copy of one.
+func (s *Steerer) open(v *bronzeroute.View, p *Packet, now time.Time) Decision {
+	service := p.Key.ServiceAddrPort()
+	route := v.Route(service)
+	if route == nil {
+		return Decision{Kind: End, Reason: NoRoute}
+	}
+	at := s.since(now)
+	sh := s.shard(p)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if f := sh.flows[p.Key]; f != nil {
+		return s.repeat(v, route, f, p, at, now)
+	}
+	server := s.place(v, route, p, nil, at, now)
+	if server == nil {
+		return Decision{Kind: End, Reason: NoServer}
+	}
+	f := &flow{first: s.backend(server), idempotent: route.Idempotent, openedAt: at, seenAt: at}
+	f.backend, f.token = f.first, server.Token
+	f.backend.addOpening(1)
+	sh.flows[p.Key] = f
+	return Decision{Kind: Forward, Reason: Placed, Server: server, Token: server.Token}
+}
+
+// repeat handles a further opening of a flow that this node has placed. The
+// first server is asked again if it has answered anybody since, because then
+// a packet got lost; otherwise another one is.
+func (s *Steerer) repeat(v *bronzeroute.View, route *bronzeroute.Route, f *flow, p *Packet, at time.Duration, now time.Time) Decision {
+	f.seenAt = at
+	server := v.ByName(f.backend.instance)
+	if f.open {
+		if server == nil || server.Status == bronzeroute.Gone {
+			return Decision{Kind: End, Reason: ServerGone}
+		}
+		return Decision{Kind: Forward, Reason: Repeated, Server: server, Token: f.token}
+	}
+	if server != nil && server.Status == bronzeroute.Serving && f.backend.answeredSince(f.sentAt(f.openedAt)) {
+		return Decision{Kind: Forward, Reason: Repeated, Server: server, Token: f.token}
+	}
+	s.unanswered(f.backend, f.sentAt(f.openedAt), at, openingWeight)
+	next := s.place(v, route, p, f.backend, at, now)
+	if next == nil {
+		if server == nil || server.Status == bronzeroute.Gone {
+			return Decision{Kind: End, Reason: NoServer}
+		}
+		return Decision{Kind: Forward, Reason: Repeated, Server: server, Token: f.token}
+	}
+	f.backend.addOpening(-1)
+	f.backend, f.token, f.retriedAt = s.backend(next), next.Token, at
+	f.backend.addOpening(1)
+	return Decision{Kind: Forward, Reason: Retried, Server: next, Token: next.Token, Tried: server}
+}
+
+// steer sends a packet of an established flow where its token says.
+func (s *Steerer) steer(v *bronzeroute.View, p *Packet, now time.Time) Decision {
+	service := p.Key.ServiceAddrPort()
+	if v.Route(service) == nil {
+		if v.Withdrawn(service) {
+			return Decision{Kind: End, Reason: RouteWithdrawn}
+		}
+		return Decision{Reason: NoRoute}
+	}
+	at := s.since(now)
+	sh := s.shard(p)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	f := sh.flows[p.Key]
+	token := p.Token
+	if f != nil && f.open {
+		// Two servers may have accepted copies of the opening. The caller
+		// goes on with the one whose acceptance came first; that of the other
+		// may still change what the caller sends back.
+		token = f.token
+	}
+	if token == 0 {
+		return Decision{Reason: NoToken}
+	}
+	server := v.ByToken(token)
+	switch {
+	case server == nil:
+		return Decision{Reason: TokenUnknown}
+	case !v.Allows(service, server.Pool):
+		return Decision{Reason: TokenForeign}
+	case server.Status == bronzeroute.Gone:
+		sh.end(p.Key)
+		return Decision{Kind: End, Reason: ServerGone}
+	}
+	if f == nil {
+		f = s.adopt(sh, v, p, server, at)
+	}
+	s.note(f, s.backend(server), token, p, at)
+	if p.Abort {
+		sh.end(p.Key)
+	}
+	return Decision{Kind: Forward, Reason: Steered, Server: server, Token: token}
+}
+
+// adopt makes an entry for a flow that another node has opened.
+func (s *Steerer) adopt(sh *shard, v *bronzeroute.View, p *Packet, server *bronzeroute.Server, at time.Duration) *flow {
+	f := &flow{
+		token: server.Token, backend: s.backend(server), open: true,
+		openedAt: at, seenAt: at,
+		sequence: p.Sequence, acknowledged: p.Acknowledged,
+		idempotent: v.Route(p.Key.ServiceAddrPort()).Idempotent,
+	}
+	f.first = f.backend
+	f.backend.addFlows(1)
+	if len(sh.flows) < maxFlows/shardCount {
+		sh.flows[p.Key] = f
+	}
+	return f
+}
