Spread the store's records by gossip; two nodes read the store

Shorter watches on every node would cost twice the calls, so two nodes watch for a second at a time and tell the others. Ruled out: package bronzefleet, whose views order nodes for 32,768 slots at each change and whose links need a handshake with every peer at the start.

--- a/bronzeedge/config.go
+++ b/bronzeedge/config.go
@@ -32,12 +32,15 @@
 	DataAddress netip.AddrPort
 	// ReadyAddress answers whether this node takes packets (HTTP).
 	ReadyAddress netip.AddrPort
-	// ControlAddress takes the links of other nodes (TCP).
+	// ControlAddress answers other nodes' requests for records (HTTP).
 	ControlAddress netip.AddrPort
+	// PeerAddress takes other nodes' datagrams (UDP).
+	PeerAddress netip.AddrPort
 	// MetricsAddress serves metrics and the node's state (HTTP), none if zero.
 	MetricsAddress netip.AddrPort
-	// Peers are control addresses of nodes to join through.
-	Peers []string
+	// Seeds are addresses of nodes to join through. Only their hosts count:
+	// ports are the same on all VMs.
+	Seeds []netip.AddrPort
 	// Store is where the store of records listens.
 	Store string
 	// GraceSeconds is how long the node may take to leave.
@@ -87,6 +90,10 @@
 		return &FieldError{Field: "DataAddress", Reason: "is missing"}
 	case !c.ReadyAddress.IsValid():
 		return &FieldError{Field: "ReadyAddress", Reason: "is missing"}
+	case !c.ControlAddress.IsValid():
+		return &FieldError{Field: "ControlAddress", Reason: "is missing"}
+	case !c.PeerAddress.IsValid():
+		return &FieldError{Field: "PeerAddress", Reason: "is missing"}
 	case c.Store == "":
 		return &FieldError{Field: "Store", Reason: "is missing"}
 	case c.GraceSeconds < 0:
--- a/bronzeedge/edge.go
+++ b/bronzeedge/edge.go
@@ -11,6 +11,7 @@
 	"github.com/alitto/pond/v2"
 	"github.com/pkg/errors"
 
+	"bronzeusher.example/bronzeusher/bronzegossip"
 	"bronzeusher.example/bronzeusher/bronzerecord"
 	"bronzeusher.example/bronzeusher/bronzesteer"
 	"bronzeusher.example/bronzeusher/bronzewire"
@@ -36,8 +37,14 @@
 	book     book
 	held     held
 
-	data  *bronzewire.Socket
-	ready net.Listener
+	gossip   bronzegossip.Gossip
+	fetching atomic.Bool
+	fetches  *http.Client
+
+	data    *bronzewire.Socket
+	peers   *net.UDPConn
+	ready   net.Listener
+	control net.Listener
 
 	known     chan struct{} // closed at the first view
 	knownOnce sync.Once
@@ -62,15 +69,45 @@
 	e.steerer.Regions = cfg.Regions
 	e.steerer.OnEvent = e.onServerEvent
 	e.records.OnChange = e.onRecords
-	e.follower = bronzerecord.Follower{Source: seams.Source, Set: &e.records, OnEvent: e.onStoreEvent}
-	if e.ready, err = net.Listen("tcp", cfg.ReadyAddress.String()); err != nil {
-		return nil, errors.Wrap(err, "ReadyAddress")
+	e.connectPeers()
+	e.follower = bronzerecord.Follower{Source: seams.Source, Set: &e.records, OnEvent: e.onStoreEvent, Active: e.reads}
+	if err = e.listen(); err != nil {
+		e.closeAddresses()
+		return nil, err
+	}
+	return e, nil
+}
+
+// listen opens all addresses.
+func (e *Edge) listen() (err error) {
+	if e.ready, err = net.Listen("tcp", e.cfg.ReadyAddress.String()); err != nil {
+		return errors.Wrap(err, "ReadyAddress")
+	}
+	if e.control, err = net.Listen("tcp", e.cfg.ControlAddress.String()); err != nil {
+		return errors.Wrap(err, "ControlAddress")
+	}
+	if e.peers, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(e.cfg.PeerAddress)); err != nil {
+		return errors.Wrap(err, "PeerAddress")
 	}
-	if e.data, err = bronzewire.Listen(cfg.DataAddress.String()); err != nil {
+	e.data, err = bronzewire.Listen(e.cfg.DataAddress.String())
+	return errors.Wrap(err, "DataAddress")
+}
+
+// closeAddresses closes whatever is open. What was closed before says so,
+// which is of no interest.
+func (e *Edge) closeAddresses() {
+	if e.ready != nil {
 		_ = e.ready.Close()
-		return nil, errors.Wrap(err, "DataAddress")
 	}
-	return e, nil
+	if e.control != nil {
+		_ = e.control.Close()
+	}
+	if e.peers != nil {
+		_ = e.peers.Close()
+	}
+	if e.data != nil {
+		_ = e.data.Close()
+	}
 }
 
 // Run serves until ctx is done or Leave has ended it.
@@ -80,20 +117,24 @@
 	defer cancel()
 	e.log.Line("Started", F{"Name": e.cfg.Name, "AvailabilityZone": e.cfg.AvailabilityZone})
 	pool := pond.NewPool(0, pond.WithoutPanicRecovery())
-	server := &http.Server{Handler: e.readyHandler(), ReadHeaderTimeout: headerTimeout}
-	pool.Submit(func() { _ = server.Serve(e.ready) })
+	ready := &http.Server{Handler: e.readyHandler(), ReadHeaderTimeout: headerTimeout}
+	control := &http.Server{Handler: e.controlHandler(), ReadHeaderTimeout: headerTimeout}
 	pool.Submit(func() { _ = e.follower.Run(ctx) })
-	pool.Submit(func() { e.tick(ctx) })
+	pool.Submit(func() { _ = ready.Serve(e.ready) })
 	pool.Submit(func() { e.readPackets(ctx) })
 	pool.Submit(func() { e.releaseHeld(ctx) })
+	pool.Submit(func() { e.readPeers(ctx) })
+	pool.Submit(func() { _ = control.Serve(e.control) })
+	pool.Submit(func() { e.tick(ctx) })
 	select {
 	case <-ctx.Done():
 	case <-e.leaving:
 		e.waitUntilQuiet(ctx)
 	}
 	cancel()
-	_ = server.Close()
-	_ = e.data.Close()
+	_ = ready.Close()
+	_ = control.Close()
+	e.closeAddresses()
 	pool.StopAndWait()
 	e.log.Line("Stopped", F{"Name": e.cfg.Name})
 	return nil
@@ -105,6 +146,7 @@
 	e.leaveOnce.Do(func() {
 		e.log.Line("Leaving", F{"Name": e.cfg.Name})
 		close(e.leaving)
+		e.gossip.Leave(time.Now())
 	})
 }
 
@@ -159,6 +201,7 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
+		e.gossip.Tick(now)
 		e.steerer.Sweep(now)
 		e.advance(now)
 	}
--- a/bronzeedge/knowledge.go
+++ b/bronzeedge/knowledge.go
@@ -104,10 +104,21 @@
 	})
 }
 
-// onStoreEvent logs what the store answers.
+// onStoreEvent spreads what the store answers, and logs it.
 func (e *Edge) onStoreEvent(ev bronzerecord.Event) {
+	changed, removed := len(ev.Delta.Changed), len(ev.Delta.Removed)
+	if ev.Kind == bronzerecord.Loaded || ev.Kind == bronzerecord.Watched {
+		now := time.Now()
+		e.gossip.Contact(now)
+		if changed+removed > 0 {
+			e.gossip.Spread(ev.Delta, now)
+		}
+	}
+	if ev.Kind == bronzerecord.Watched && changed+removed == 0 {
+		return
+	}
 	fields := F{
-		"Kind": ev.Kind, "Revision": ev.Revision, "Changed": ev.Changed, "Removed": ev.Removed,
+		"Kind": ev.Kind, "Revision": ev.Revision, "Changed": changed, "Removed": removed,
 		"TookMS": ev.Took.Milliseconds(),
 	}
 	if ev.Err != nil {
--- /dev/null
+++ b/bronzeedge/peers.go
@@ -0,0 +1,154 @@
+package bronzeedge
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"bronzeusher.example/bronzeusher/bronzegossip"
+	"bronzeusher.example/bronzeusher/bronzerecord"
+)
+
+const (
+	// recordsPath answers what leads from the revision in the query to this
+	// node's, as a CBOR bronzerecord.Delta.
+	recordsPath = "/records"
+	sinceQuery  = "Since"
+	// fetchTimeout bounds a fetch; all records of 5,100 servers are 1.5 MB.
+	fetchTimeout = 1500 * time.Millisecond
+	// maxRecords bounds what a peer may answer, in bytes.
+	maxRecords = 16 << 20
+)
+
+// connectPeers sets the gossip up.
+func (e *Edge) connectPeers() {
+	e.fetches = &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	g := &e.gossip
+	g.Self = bronzegossip.Peer{
+		Name:             e.cfg.Name,
+		Incarnation:      uint64(e.started.UnixMilli()),
+		Address:          e.cfg.PeerAddress,
+		Records:          e.cfg.ControlAddress,
+		AvailabilityZone: e.cfg.AvailabilityZone,
+	}
+	for _, seed := range e.cfg.Seeds {
+		g.Seeds = append(g.Seeds, netip.AddrPortFrom(seed.Addr(), e.cfg.PeerAddress.Port()))
+	}
+	g.Records = &e.records
+	g.Send = e.sendPeer
+	g.Fetch = e.fetch
+	g.OnPeer = e.onPeer
+	g.Count = e.count
+}
+
+// reads reports whether this node is to read the store now.
+func (e *Edge) reads() bool { return e.gossip.Reads(time.Now()) }
+
+func (e *Edge) onPeer(p bronzegossip.Peer, event string) {
+	e.log.Line("Peer"+event, F{"Peer": p.Name, "AvailabilityZone": p.AvailabilityZone, "Address": p.Address.String()})
+}
+
+func (e *Edge) sendPeer(to netip.AddrPort, b []byte) {
+	if _, err := e.peers.WriteToUDPAddrPort(b, to); err != nil {
+		e.count("PeerSendFailed")
+	}
+}
+
+// readPeers handles other nodes' datagrams until the socket is closed.
+func (e *Edge) readPeers(ctx context.Context) {
+	b := make([]byte, 1<<16)
+	for ctx.Err() == nil {
+		n, _, err := e.peers.ReadFromUDPAddrPort(b)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			e.count("PeerReadFailed")
+			continue
+		}
+		e.gossip.Handle(b[:n], time.Now())
+	}
+}
+
+// fetch brings this node's records to a peer's revision, one fetch at a time.
+func (e *Edge) fetch(peer bronzegossip.Peer, revision uint64) {
+	if !e.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer e.fetching.Store(false)
+		begun := time.Now()
+		d, err := e.fetchRecords(peer.Records, revision)
+		fields := F{
+			"Peer": peer.Name, "From": revision, "To": d.To, "Changed": len(d.Changed), "Removed": len(d.Removed),
+			"TookMS": time.Since(begun).Milliseconds(),
+		}
+		if err != nil {
+			fields["Error"] = err.Error()
+		}
+		e.log.Line("Fetched", fields)
+		if err == nil && e.records.Apply(d) {
+			e.gossip.Spread(d, time.Now())
+		}
+	}()
+}
+
+func (e *Edge) fetchRecords(from netip.AddrPort, since uint64) (d bronzerecord.Delta, err error) {
+	defer func() { err = errors.Wrapf(err, "fetch records from %s", from) }()
+	url := "http://" + from.String() + recordsPath + "?" + sinceQuery + "=" + strconv.FormatUint(since, 10)
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return d, err
+	}
+	res, err := e.fetches.Do(req)
+	if err != nil {
+		return d, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		return d, errors.Errorf("status %d", res.StatusCode)
+	}
+	b, err := io.ReadAll(io.LimitReader(res.Body, maxRecords))
+	if err != nil {
+		return d, err
+	}
+	return d, cbor.Unmarshal(b, &d)
+}
+
+func (e *Edge) controlHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+recordsPath, e.answerRecords)
+	return mux
+}
+
+// answerRecords answers a peer's fetch.
+func (e *Edge) answerRecords(w http.ResponseWriter, r *http.Request) {
+	since, err := strconv.ParseUint(r.URL.Query().Get(sinceQuery), 10, 64)
+	if err != nil {
+		http.Error(w, sinceQuery+": is not a revision", http.StatusBadRequest)
+		return
+	}
+	d, ok := e.records.Since(since)
+	if !ok {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	b, err := cbor.Marshal(d)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/cbor")
+	if _, err = w.Write(b); err != nil {
+		e.count("RecordsNotSent")
+	}
+}
--- /dev/null
+++ b/bronzegossip/gossip.go
@@ -0,0 +1,306 @@
+package bronzegossip
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"bronzeusher.example/bronzeusher/bronzerecord"
+)
+
+const (
+	// TickInterval is how often Tick is to be called.
+	TickInterval = 100 * time.Millisecond
+	// interval is how often a node tells others about itself when there is
+	// nothing new.
+	interval = 400 * time.Millisecond
+	// fanout is how many others a node tells at a time. News passed on by each
+	// node to three others reaches 490 nodes in seven steps.
+	fanout = 3
+	// tellAll is up to how many others a node that has news tells all of them.
+	tellAll = 12
+	// fresher is by how much the store's last word must be newer than what was
+	// known to be passed on at once.
+	fresher = 500 * time.Millisecond
+	// peersTold is how many other nodes a message names.
+	peersTold = 3
+	// maxDelta bounds the records that come with the news, in bytes.
+	maxDelta = 700
+)
+
+// Gossip is one node's part. Its exported fields must not change after the
+// first use. All methods may be called concurrently.
+type Gossip struct {
+	// Self is this node. Incarnation is to be higher at each start.
+	Self Peer
+	// Seeds are addresses that may be nodes'.
+	Seeds []netip.AddrPort
+	// Records are this node's.
+	Records *bronzerecord.Set
+	// Send sends a datagram. It must not wait.
+	Send func(to netip.AddrPort, b []byte)
+	// Fetch is called when peer has a higher revision than this node, with
+	// this node's. It must not wait; calls while one is under way are to be
+	// ignored.
+	Fetch func(peer Peer, revision uint64)
+	// Loads returns this node's loads on servers, nil for none.
+	Loads func() []Load
+	// OnLoads is called with another node's loads.
+	OnLoads func(from string, loads []Load, now time.Time)
+	// OnPeer is called when a node is heard of or no longer is.
+	OnPeer func(p Peer, event string)
+	// Count is called with the reason of each refusal.
+	Count func(reason string)
+
+	mu    sync.Mutex
+	peers map[string]*peer
+	// contact is when the store last said to some node that there is no higher
+	// revision than this node's.
+	contact time.Time
+	next    time.Time
+	started time.Time
+	leaving bool
+	out     []datagram
+}
+
+type datagram struct {
+	to netip.AddrPort
+	m  Message
+}
+
+// Contact notes that the store has just told this node that it has the newest
+// records, and spreads that.
+func (g *Gossip) Contact(now time.Time) {
+	g.do(func() {
+		stale := now.Sub(g.contact) >= fresher
+		g.contact = now
+		if stale {
+			g.spread(now, nil)
+		}
+	})
+}
+
+// Spread tells others what changed in this node's records.
+func (g *Gossip) Spread(delta bronzerecord.Delta, now time.Time) {
+	g.do(func() {
+		if size(delta) <= maxDelta && !delta.Whole {
+			g.spread(now, &delta)
+			return
+		}
+		g.spread(now, nil)
+	})
+}
+
+func size(d bronzerecord.Delta) (n int) {
+	for _, r := range d.Changed {
+		n += len(r.Name) + len(r.Body) + 32
+	}
+	for _, r := range d.Removed {
+		n += len(r.Name) + 16
+	}
+	return n
+}
+
+// Leave tells all nodes known that this one is about to end.
+func (g *Gossip) Leave(now time.Time) {
+	g.do(func() {
+		g.leaving = true
+		for _, p := range g.heard(now) {
+			g.tell(p.Address, now, nil, false)
+		}
+	})
+}
+
+// Tick does what is due.
+func (g *Gossip) Tick(now time.Time) {
+	g.do(func() {
+		if g.started.IsZero() {
+			g.started = now
+		}
+		g.expire(now)
+		if now.Before(g.next) {
+			return
+		}
+		g.next = now.Add(interval/2 + rand.N(interval))
+		for _, to := range g.targets(now, fanout) {
+			g.tell(to, now, nil, true)
+		}
+		g.contactLost(now)
+		g.contactSeeds(now)
+	})
+}
+
+// contactLost asks one of the nodes that are no longer heard of. After a
+// partition its sides find each other by that.
+func (g *Gossip) contactLost(now time.Time) {
+	var lost []*peer
+	for _, p := range g.peers {
+		if p.lost && !p.Leaving {
+			lost = append(lost, p)
+		}
+	}
+	if len(lost) > 0 {
+		g.tell(lost[rand.IntN(len(lost))].Address, now, nil, true)
+	}
+}
+
+// contactSeeds asks the seeds while few nodes are heard of. Seeds may be
+// stale; among the nodes heard of are soon better ones.
+func (g *Gossip) contactSeeds(now time.Time) {
+	if len(g.heard(now)) >= fanout {
+		return
+	}
+	for _, seed := range g.Seeds {
+		if seed != g.Self.Address {
+			g.tell(seed, now, nil, true)
+		}
+	}
+}
+
+// Handle takes a datagram of another node.
+func (g *Gossip) Handle(b []byte, now time.Time) {
+	m, err := decode(b)
+	if err != nil {
+		g.count("Malformed")
+		return
+	}
+	if m.From.Name == g.Self.Name {
+		return
+	}
+	applied := m.Delta != nil && g.Records.Apply(*m.Delta)
+	g.do(func() { g.take(&m, applied, now) })
+	if g.OnLoads != nil && len(m.Loads) > 0 {
+		g.OnLoads(m.From.Name, m.Loads, now)
+	}
+	if mine := g.Records.Revision(); m.Revision > mine && g.Fetch != nil {
+		g.Fetch(m.From, mine)
+	}
+}
+
+// take takes a message in, and passes on what is new in it.
+func (g *Gossip) take(m *Message, applied bool, now time.Time) {
+	g.meet(m.From, now)
+	for _, p := range m.Peers {
+		g.hearOf(p, now)
+	}
+	news := g.learn(m.Revision, now.Add(-time.Duration(m.ContactMS)*time.Millisecond), now)
+	switch {
+	case applied:
+		g.spread(now, m.Delta)
+	case news:
+		g.spread(now, nil)
+	case m.Answer:
+		g.tell(m.From.Address, now, nil, false)
+	}
+}
+
+// learn takes in when the store last said that there was no higher revision
+// than the sender's. It counts only if this node has that revision or a higher
+// one: what it has is not confirmed otherwise.
+func (g *Gossip) learn(revision uint64, contact, now time.Time) (news bool) {
+	if g.Records.Revision() < revision || !contact.After(g.contact) {
+		return false
+	}
+	news = contact.Sub(g.contact) >= fresher
+	g.contact = contact
+	return news && now.Sub(contact) < confirmedFor
+}
+
+// Confirmed returns how long ago the store confirmed this node's records.
+func (g *Gossip) Confirmed(now time.Time) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.confirmed(now)
+}
+
+func (g *Gossip) confirmed(now time.Time) time.Duration {
+	if g.contact.IsZero() {
+		return now.Sub(g.started)
+	}
+	return now.Sub(g.contact)
+}
+
+// spread tells some others, or all if they are few.
+func (g *Gossip) spread(now time.Time, delta *bronzerecord.Delta) {
+	n := fanout
+	if len(g.peers) <= tellAll {
+		n = tellAll
+	}
+	for _, to := range g.targets(now, n) {
+		g.tell(to, now, delta, false)
+	}
+}
+
+// targets returns up to n nodes that were heard of lately, at random.
+func (g *Gossip) targets(now time.Time, n int) (to []netip.AddrPort) {
+	heard := g.heard(now)
+	rand.Shuffle(len(heard), func(i, j int) { heard[i], heard[j] = heard[j], heard[i] })
+	for _, p := range heard[:min(n, len(heard))] {
+		to = append(to, p.Address)
+	}
+	return to
+}
+
+// tell queues a message; the caller holds the lock.
+func (g *Gossip) tell(to netip.AddrPort, now time.Time, delta *bronzerecord.Delta, answer bool) {
+	self := g.Self
+	self.Leaving = g.leaving
+	m := Message{
+		From: self, Revision: g.Records.Revision(), ContactMS: milliseconds(g.confirmed(now)),
+		Peers: g.some(now), Delta: delta, Answer: answer,
+	}
+	g.out = append(g.out, datagram{to: to, m: m})
+}
+
+// some returns a few nodes to name to others.
+func (g *Gossip) some(now time.Time) (peers []Peer) {
+	heard := g.heard(now)
+	for range min(peersTold, len(heard)) {
+		p := heard[rand.IntN(len(heard))]
+		if !slices.ContainsFunc(peers, func(q Peer) bool { return q.Name == p.Name }) {
+			peers = append(peers, p)
+		}
+	}
+	return peers
+}
+
+// do runs a step under the lock and sends what it left to be sent.
+func (g *Gossip) do(step func()) {
+	g.mu.Lock()
+	step()
+	out := g.out
+	g.out = nil
+	g.mu.Unlock()
+	if len(out) == 0 {
+		return
+	}
+	var loads []Load
+	if g.Loads != nil {
+		loads = g.Loads()
+	}
+	for i := range out {
+		out[i].m.Loads = loads
+		b, err := encode(&out[i].m)
+		if err == nil && len(b) > MaxMessage {
+			out[i].m.Delta, out[i].m.Loads = nil, nil
+			b, err = encode(&out[i].m)
+		}
+		if err != nil {
+			g.count("NotEncoded")
+			continue
+		}
+		g.Send(out[i].to, b)
+	}
+}
+
+func (g *Gossip) count(reason string) {
+	if g.Count != nil {
+		g.Count(reason)
+	}
+}
+
+func milliseconds(d time.Duration) uint32 {
+	return uint32(min(max(d.Milliseconds(), 0), 1<<31))
+}
--- /dev/null
+++ b/bronzegossip/peers.go
@@ -0,0 +1,117 @@
+package bronzegossip
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// heardFor is how long a node counts as there after it was last heard,
+	// directly or by others.
+	heardFor = 2500 * time.Millisecond
+	// rememberFor is how long a node that isn't heard any more is told now and
+	// then: after a partition the two sides find each other by that.
+	rememberFor = 60 * time.Second
+)
+
+// Events of OnPeer.
+const (
+	// Met: a node is heard of.
+	Met = "Met"
+	// Lost: a node has not been heard of for some time.
+	Lost = "Lost"
+	// Left: a node has said that it ends.
+	Left = "Left"
+)
+
+// peer is a node as this one knows it.
+type peer struct {
+	Peer
+	heardAt time.Time
+	lost    bool
+}
+
+// meet notes a node that was heard itself. That it is there needs no better
+// proof: its incarnation may be lower than before if its clock went back.
+func (g *Gossip) meet(p Peer, now time.Time) {
+	p.HeardMS = 0
+	if known := g.peers[p.Name]; known != nil {
+		known.Incarnation = min(known.Incarnation, p.Incarnation)
+	}
+	g.hearOf(p, now)
+}
+
+// hearOf notes a node that was heard of HeardMS ago.
+func (g *Gossip) hearOf(p Peer, now time.Time) {
+	if p.Name == "" || p.Name == g.Self.Name || !p.Address.IsValid() {
+		return
+	}
+	heardAt := now.Add(-time.Duration(p.HeardMS) * time.Millisecond)
+	if now.Sub(heardAt) > rememberFor {
+		return
+	}
+	known := g.peers[p.Name]
+	if known == nil {
+		if g.peers == nil {
+			g.peers = make(map[string]*peer)
+		}
+		known = &peer{Peer: p, lost: true}
+		g.peers[p.Name] = known
+	}
+	if p.Incarnation < known.Incarnation || !heardAt.After(known.heardAt) {
+		return
+	}
+	left := p.Leaving && !known.Leaving
+	known.Peer, known.heardAt = p, heardAt
+	switch {
+	case left:
+		g.peerEvent(known, Left)
+	case known.lost && now.Sub(heardAt) < heardFor:
+		known.lost = false
+		g.peerEvent(known, Met)
+	}
+}
+
+// expire forgets nodes that were last heard of long ago.
+func (g *Gossip) expire(now time.Time) {
+	for name, p := range g.peers {
+		age := now.Sub(p.heardAt)
+		if age >= heardFor && !p.lost {
+			p.lost = true
+			g.peerEvent(p, Lost)
+		}
+		if age > rememberFor {
+			delete(g.peers, name)
+		}
+	}
+}
+
+func (g *Gossip) peerEvent(p *peer, event string) {
+	if g.OnPeer != nil {
+		g.OnPeer(p.Peer, event)
+	}
+}
+
+// heard returns the nodes that were heard of lately, by name, with how long
+// ago that was.
+func (g *Gossip) heard(now time.Time) (peers []Peer) {
+	for _, p := range g.peers {
+		age := now.Sub(p.heardAt)
+		if age >= heardFor || p.Leaving {
+			continue
+		}
+		q := p.Peer
+		q.HeardMS = milliseconds(age)
+		peers = append(peers, q)
+	}
+	slices.SortFunc(peers, func(a, b Peer) int { return cmp.Compare(a.Name, b.Name) })
+	return peers
+}
+
+// Peers returns the nodes that were heard of lately, by name.
+func (g *Gossip) Peers(now time.Time) []Peer {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.heard(now)
+}
--- a/bronzerecord/follower.go
+++ b/bronzerecord/follower.go
@@ -35,10 +35,10 @@
 	Kind string
 	// Revision is that of the Set then.
 	Revision uint64
-	// Changed and Removed count records.
-	Changed, Removed int
-	Took             time.Duration
-	Err              error
+	// Delta is what the store answered, if it did.
+	Delta Delta
+	Took  time.Duration
+	Err   error
 }
 
 // The kinds of events.
@@ -153,8 +153,13 @@
 		return f.failed()
 	}
 	f.reload = false
+	if !whole && len(d.Changed)+len(d.Removed) == 0 {
+		// A watch that waited while the store lost its history may have missed
+		// changes. The next one starts from where this one did, and is told.
+		d.To = d.From
+	}
 	f.Set.Apply(d)
-	f.event(Event{Kind: kind, Changed: len(d.Changed), Removed: len(d.Removed), Took: took})
+	f.event(Event{Kind: kind, Delta: d, Took: took})
 	if whole || len(d.Changed)+len(d.Removed) == 0 {
 		return 0
 	}
--- a/cmd/bronzeedge/main.go
+++ b/cmd/bronzeedge/main.go
@@ -17,6 +17,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -25,12 +26,18 @@
 	"bronzeusher.example/bronzeusher/platform"
 )
 
+// gcPercent lets the heap grow by a fifth before it is collected. At the
+// default the process takes 9.1 MB at its peak, with this 4.9 MB, for a twelfth
+// more processor time (a day of 44 s with 13 nodes at 30 flows a second).
+const gcPercent = 20
+
 // flags is the grammar of the command line.
 type flags struct {
 	Settings string `required:"" env:"BRONZEUSHER_CONFIG" help:"JSON file with the settings of this node." type:"path"`
 }
 
 func main() {
+	debug.SetGCPercent(gcPercent)
 	var f flags
 	kong.Parse(&f, kong.Name("bronzeedge"), kong.Description("A balancer for packets that carry the token of their server."))
 	if err := run(f.Settings); err != nil {
