End flows that may be repeated at servers that answer nobody

Ruled out: ending them on one flow's silence, which is a lost packet or a slow answer; three flows must be unanswered for 350 ms with nobody answered since, or two servers of a zone of which nobody answers, and some server must answer this node. Flows whose requests must not be repeated are left alone.

--- a/bronzesteer/backend.go
+++ b/bronzesteer/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bronzeusher.example/bronzeusher/bronzeroute"
@@ -19,15 +20,39 @@
 	// after it left the flows that tried it again unanswered, too.
 	avoidFirst = 1500 * time.Millisecond
 	avoidMost  = 6 * time.Second
+	// silentFlows is how many flows a server must have left unanswered, and
+	// silentFor for how long nobody may have been answered by it, before its
+	// flows are ended. Three lost packets in a row have a chance of one in
+	// 60,000 where a fortieth is lost; and a server with a full queue goes on
+	// answering others every few milliseconds.
+	silentFlows = 3
+	silentFor   = 350 * time.Millisecond
+	// silentServers is how many servers of another zone must be silent, with
+	// none of it answering, before the way to the zone counts as cut.
+	silentServers = 2
+	// hearingFor is how long ago any server must have answered this node at
+	// most for it to judge others: a node that hears nobody is itself cut off.
+	hearingFor = 400 * time.Millisecond
 	// latencyPart is the weight of one observation in the average latency.
 	latencyPart = 0.1
 )
 
+// zone is what this node has seen of the servers of an availability zone.
+type zone struct {
+	// goodAt is when one of them was last seen to answer, since the start.
+	goodAt atomic.Int64
+
+	mu sync.Mutex
+	// silent are those that have been silent since.
+	silent map[*backend]struct{}
+}
+
 // backend is what this node has seen of one start of a server. Times are
 // distances from the Steerer's start.
 type backend struct {
 	instance string
-	zone     string
+	zoneName string
+	zone     *zone
 
 	mu sync.Mutex
 	// opening, flows and work count this node's openings without an answer,
@@ -40,6 +65,8 @@
 	// silent is the weight of what it left unanswered since.
 	silent     int
 	unanswered int
+	// silentSince is when the first of that was sent.
+	silentSince time.Duration
 	avoidUntil time.Duration
 	avoidFor   time.Duration
 	// latency is the average time to the first part of an answer.
@@ -52,12 +79,22 @@
 	defer s.mu.Unlock()
 	b := s.backends[server.Instance]
 	if b == nil {
-		b = &backend{instance: server.Instance, zone: server.AvailabilityZone}
+		b = &backend{instance: server.Instance, zoneName: server.AvailabilityZone, zone: s.zone(server.AvailabilityZone)}
 		s.backends[server.Instance] = b
 	}
 	return b
 }
 
+// zone returns the entry of a zone; the caller holds the lock.
+func (s *Steerer) zone(name string) *zone {
+	z := s.zones[name]
+	if z == nil {
+		z = &zone{silent: make(map[*backend]struct{})}
+		s.zones[name] = z
+	}
+	return z
+}
+
 // forget drops the entries of servers that no longer are in the view. Flows
 // that still point at one keep it alive.
 func (s *Steerer) forget(v *bronzeroute.View) {
@@ -112,12 +149,60 @@
 	avoided := at < b.avoidUntil
 	silence := at - b.goodAt
 	b.goodAt = at
-	b.silent, b.unanswered = 0, 0
+	b.silent, b.unanswered, b.silentSince = 0, 0, 0
 	b.avoidUntil, b.avoidFor = 0, 0
 	b.mu.Unlock()
+	s.goodAt.Store(int64(at))
+	b.zone.good(at)
 	if avoided {
-		s.event(Event{Kind: Cleared, Instance: b.instance, AvailabilityZone: b.zone, Silence: silence})
+		s.event(Event{Kind: Cleared, Instance: b.instance, AvailabilityZone: b.zoneName, Silence: silence})
+	}
+}
+
+// good notes that a server of the zone answers.
+func (z *zone) good(at time.Duration) {
+	z.goodAt.Store(int64(at))
+	z.mu.Lock()
+	clear(z.silent)
+	z.mu.Unlock()
+}
+
+// addSilent notes that a server of the zone is silent.
+func (z *zone) addSilent(b *backend) {
+	z.mu.Lock()
+	z.silent[b] = struct{}{}
+	z.mu.Unlock()
+}
+
+// cut reports whether nobody in the zone has answered for some time and
+// several have left flows unanswered.
+func (z *zone) cut(at time.Duration) bool {
+	if at-time.Duration(z.goodAt.Load()) < silentFor {
+		return false
 	}
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return len(z.silent) >= silentServers
+}
+
+// silent reports whether the server answers nobody, or the way to its zone is
+// cut, so that flows there which can be repeated elsewhere are better ended. A
+// node that hears nobody says no: it would end the flows that other nodes
+// could still take on.
+func (s *Steerer) silent(b *backend, at time.Duration) bool {
+	if at-time.Duration(s.goodAt.Load()) > hearingFor {
+		return false
+	}
+	b.mu.Lock()
+	silent := b.unanswered >= silentFlows && at-b.silentSince >= silentFor
+	b.mu.Unlock()
+	return silent || s.zoneCut(b, at)
+}
+
+// zoneCut reports whether the way to the server's zone is cut. It never is to
+// the node's own.
+func (s *Steerer) zoneCut(b *backend, at time.Duration) bool {
+	return b.zoneName != s.AvailabilityZone && b.zone.cut(at)
 }
 
 // unanswered notes that what was sent to the server at sent has no answer
@@ -129,6 +214,9 @@
 		b.mu.Unlock()
 		return
 	}
+	if b.unanswered == 0 {
+		b.silentSince = sent
+	}
 	b.silent += weight
 	b.unanswered++
 	if b.silent < avoidAt || at < b.avoidUntil {
@@ -138,10 +226,11 @@
 	b.avoidFor = min(max(2*b.avoidFor, avoidFirst), avoidMost)
 	b.avoidUntil = at + b.avoidFor
 	e := Event{
-		Kind: Avoided, Instance: b.instance, AvailabilityZone: b.zone,
+		Kind: Avoided, Instance: b.instance, AvailabilityZone: b.zoneName,
 		Unanswered: b.unanswered, Silence: at - b.goodAt, For: b.avoidFor,
 	}
 	b.mu.Unlock()
+	b.zone.addSilent(b)
 	s.event(e)
 }
 
--- a/bronzesteer/place.go
+++ b/bronzesteer/place.go
@@ -92,7 +92,7 @@
 			continue
 		}
 		serving++
-		if s.backend(server).avoided(at) {
+		if s.avoids(s.backend(server), at) {
 			avoided++
 		}
 	}
@@ -105,7 +105,7 @@
 		return tierMissing
 	case server.Status != bronzeroute.Serving:
 		return tierNone
-	case mayAvoid && b.avoided(at):
+	case mayAvoid && s.avoids(b, at):
 		return tierAvoided
 	case server.AvailabilityZone == s.AvailabilityZone:
 		return tierOwnZone
@@ -116,6 +116,11 @@
 	}
 }
 
+// avoids reports whether new flows keep away from the server.
+func (s *Steerer) avoids(b *backend, at time.Duration) bool {
+	return b.avoided(at) || s.zoneCut(b, at)
+}
+
 func (b *backend) avoided(at time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/bronzesteer/steer.go
+++ b/bronzesteer/steer.go
@@ -30,8 +30,12 @@
 	start  time.Time
 	shards [shardCount]shard
 
+	// goodAt is when any server was last seen to answer, since start.
+	goodAt atomic.Int64
+
 	mu       sync.Mutex
 	backends map[string]*backend
+	zones    map[string]*zone
 }
 
 // Event is a change of what this node believes of a server.
@@ -83,6 +87,7 @@
 	s.once.Do(func() {
 		s.start = time.Now()
 		s.backends = make(map[string]*backend)
+		s.zones = make(map[string]*zone)
 		for i := range s.shards {
 			s.shards[i].flows = make(map[flowKey]*flow)
 		}
@@ -208,7 +213,12 @@
 	if f == nil {
 		f = s.adopt(sh, v, p, server, at)
 	}
-	s.note(f, s.backend(server), token, p, at)
+	b := s.backend(server)
+	s.note(f, b, token, p, at)
+	if f.idempotent && p.Length > 0 && s.silent(b, at) {
+		sh.end(p.Key)
+		return Decision{Kind: End, Reason: ServerSilent, Tried: server}
+	}
 	if p.Abort {
 		sh.end(p.Key)
 	}
