Place flows by what all nodes send to servers, and leave a full zone

Cause: a node knew only its own flows, and kept them in its zone however full the zone's servers were. Change: nodes tell each other request rates with the gossip; use is rate times latency over slots; flows leave a zone that is over 1.25 times the average use (and over 0.4), in proportion. A slow server counts as fuller.

--- a/bronzeedge/peers.go
+++ b/bronzeedge/peers.go
@@ -14,6 +14,7 @@
 
 	"bronzeusher.example/bronzeusher/bronzegossip"
 	"bronzeusher.example/bronzeusher/bronzerecord"
+	"bronzeusher.example/bronzeusher/bronzesteer"
 )
 
 const (
@@ -46,6 +47,29 @@
 	g.Fetch = e.fetch
 	g.OnPeer = e.onPeer
 	g.Count = e.count
+	g.Loads = e.loads
+	g.OnLoads = e.onLoads
+}
+
+// loadScale is how many of a message's units make one request a second.
+const loadScale = 10
+
+func (e *Edge) loads() []bronzegossip.Load {
+	loads := e.steerer.Loads()
+	out := make([]bronzegossip.Load, len(loads))
+	for i, l := range loads {
+		out[i] = bronzegossip.Load{Server: l.Token, Rate: uint32(l.Rate*loadScale + 0.5)}
+	}
+	return out
+}
+
+func (e *Edge) onLoads(from string, loads []bronzegossip.Load, now time.Time) {
+	in := make([]bronzesteer.Load, len(loads))
+	for i, l := range loads {
+		in[i] = bronzesteer.Load{Token: l.Server, Rate: float64(l.Rate) / loadScale}
+	}
+	e.steerer.SetLoads(from, in, now)
+	e.steerer.SetNodes(len(e.gossip.Peers(now)))
 }
 
 // reads reports whether this node is to read the store now.
--- a/bronzegossip/message.go
+++ b/bronzegossip/message.go
@@ -57,8 +57,8 @@
 	_ struct{} `cbor:",toarray"`
 	// Server is the server's token.
 	Server uint32
-	// Work is the requests at work and openings, in tenths.
-	Work uint32
+	// Rate is what the node sends to it, in requests in ten seconds.
+	Rate uint32
 }
 
 // encode returns the bytes of m.
--- a/bronzesteer/backend.go
+++ b/bronzesteer/backend.go
@@ -1,6 +1,7 @@
 package bronzesteer
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,6 +36,11 @@
 	hearingFor = 400 * time.Millisecond
 	// latencyPart is the weight of one observation in the average latency.
 	latencyPart = 0.1
+	// rateOver is the time that a request rate is averaged over.
+	rateOver = 2 * time.Second
+	// latencyUnknown stands for the latency of servers that none was observed
+	// of. It only scales the load of all alike.
+	latencyUnknown = 30 * time.Millisecond
 )
 
 // zone is what this node has seen of the servers of an availability zone.
@@ -67,10 +73,14 @@
 	unanswered int
 	// silentSince is when the first of that was sent.
 	silentSince time.Duration
-	avoidUntil time.Duration
-	avoidFor   time.Duration
+	avoidUntil  time.Duration
+	avoidFor    time.Duration
 	// latency is the average time to the first part of an answer.
 	latency time.Duration
+	// rate is the average of the requests that this node sends to it, and
+	// others that of the other nodes as far as they tell, in requests a second.
+	rate   float64
+	others float64
 }
 
 // backend returns the entry of a server.
@@ -119,12 +129,41 @@
 	b.mu.Unlock()
 }
 
-func (b *backend) addWork(n int) {
+// begin notes that a request is sent to the server.
+func (b *backend) begin() {
 	b.mu.Lock()
-	b.work += n
+	b.work++
+	b.rate += float64(time.Second) / float64(rateOver)
 	b.mu.Unlock()
 }
 
+// finish notes that a request needs the server no longer.
+func (b *backend) finish() {
+	b.mu.Lock()
+	b.work--
+	b.mu.Unlock()
+}
+
+// decay lets the averages age by dt.
+func (b *backend) decay(dt time.Duration) {
+	b.mu.Lock()
+	b.rate *= math.Exp(-float64(dt) / float64(rateOver))
+	b.mu.Unlock()
+}
+
+// workFor returns how long a request counts as being worked on without a sign
+// of its answer. The acknowledgement of an answer of one packet comes only with
+// the next request, so that much more than the usual latency says that the
+// answer was short; a caller without an answer repeats itself after 200 ms.
+func (b *backend) workFor() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.latency == 0 {
+		return workMost
+	}
+	return min(max(3*b.latency, workLeast), workMost)
+}
+
 // observe takes in one time from a request to its answer.
 func (b *backend) observe(took time.Duration) {
 	b.mu.Lock()
--- a/bronzesteer/flow.go
+++ b/bronzesteer/flow.go
@@ -18,11 +18,10 @@
 	// openingFor is the same for a flow that isn't open: callers repeat an
 	// opening twice within 600 ms and give up after 1.4 s.
 	openingFor = 3 * time.Second
-	// workFor is how long a request counts as being worked on without a sign
-	// of its answer. A caller without an acknowledgement repeats itself after
-	// 200 ms, and the end of a short answer is acknowledged only by the next
-	// request, so silence after that means it was answered.
-	workFor = 250 * time.Millisecond
+	// workLeast and workMost bound how long a request counts as being worked
+	// on without a sign of its answer.
+	workLeast = 60 * time.Millisecond
+	workMost  = 250 * time.Millisecond
 	// repeatAfter is the least age of data at which its repetition counts as
 	// unanswered; copies that a network made come at once.
 	repeatAfter = 150 * time.Millisecond
@@ -79,7 +78,7 @@
 func (f *flow) release() {
 	if f.workSince != 0 {
 		f.workSince = 0
-		f.backend.addWork(-1)
+		f.backend.finish()
 	}
 	if f.open {
 		f.backend.addFlows(-1)
@@ -105,7 +104,7 @@
 		f.sequence = end
 		if f.workSince == 0 {
 			f.workSince = at
-			f.backend.addWork(1)
+			f.backend.begin()
 		}
 		return
 	}
@@ -137,17 +136,18 @@
 		f.backend.observe(at - f.workSince)
 	}
 	f.workSince = 0
-	f.backend.addWork(-1)
+	f.backend.finish()
 }
 
-// Sweep forgets flows without packets and work without answers. It is to be
-// called about every 100 ms.
+// Sweep forgets flows without packets and work without answers, and brings
+// loads up to date. It is to be called about every 100 ms.
 func (s *Steerer) Sweep(now time.Time) {
 	s.init()
 	at := s.since(now)
 	for i := range s.shards {
 		s.shards[i].sweep(at)
 	}
+	s.updateLoads(at)
 }
 
 func (sh *shard) sweep(at time.Duration) {
@@ -163,9 +163,9 @@
 			delete(sh.flows, key)
 			continue
 		}
-		if f.workSince != 0 && at-f.seenAt > workFor && at-f.workSince > workFor {
+		if f.workSince != 0 && !f.struck && at-f.workSince > f.backend.workFor() {
 			f.workSince = 0
-			f.backend.addWork(-1)
+			f.backend.finish()
 		}
 	}
 }
--- /dev/null
+++ b/bronzesteer/load.go
@@ -0,0 +1,108 @@
+package bronzesteer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// loadFor is how long another node's loads count.
+	loadFor = 2500 * time.Millisecond
+	// maxLoads bounds the servers that a node tells of: those that it sends
+	// most to. A message has room for no more.
+	maxLoads = 100
+)
+
+// Load is what a node sends to one server.
+type Load struct {
+	// Token is the server's.
+	Token uint32
+	// Rate is in requests a second.
+	Rate float64
+}
+
+// nodeLoads is what another node has told.
+type nodeLoads struct {
+	at    time.Duration
+	loads []Load
+}
+
+// Loads returns what this node sends to servers, for the other nodes.
+func (s *Steerer) Loads() (loads []Load) {
+	v := s.view.Load()
+	if v == nil {
+		return nil
+	}
+	for _, server := range v.Servers {
+		b := s.backend(server)
+		b.mu.Lock()
+		rate := b.rate
+		b.mu.Unlock()
+		if rate >= leastRate {
+			loads = append(loads, Load{Token: server.Token, Rate: rate})
+		}
+	}
+	if len(loads) > maxLoads {
+		slices.SortFunc(loads, func(a, b Load) int { return cmp.Compare(b.Rate, a.Rate) })
+		loads = loads[:maxLoads]
+	}
+	return loads
+}
+
+// leastRate is the least rate that is told, in requests a second.
+const leastRate = 0.1
+
+// SetLoads takes in what another node sends to servers.
+func (s *Steerer) SetLoads(node string, loads []Load, now time.Time) {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nodes[node] = nodeLoads{at: s.since(now), loads: loads}
+}
+
+// SetNodes tells how many nodes there are beside this one.
+func (s *Steerer) SetNodes(others int) {
+	s.others.Store(int64(others))
+}
+
+// updateLoads lets rates age and adds up what the other nodes told. Where only
+// some of them are heard in time, they stand for all.
+func (s *Steerer) updateLoads(at time.Duration) {
+	v := s.view.Load()
+	if v == nil {
+		return
+	}
+	sums, heard := s.sumLoads(at)
+	scale := 1.0
+	if others := s.others.Load(); heard > 0 && int(others) > heard {
+		scale = float64(others) / float64(heard)
+	}
+	dt := at - s.loadsAt
+	s.loadsAt = at
+	for _, server := range v.Servers {
+		b := s.backend(server)
+		b.decay(dt)
+		b.mu.Lock()
+		b.others = scale * sums[server.Token]
+		b.mu.Unlock()
+	}
+}
+
+// sumLoads adds up, by token, what other nodes told lately, and counts them.
+func (s *Steerer) sumLoads(at time.Duration) (sums map[uint32]float64, heard int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sums = make(map[uint32]float64)
+	for node, n := range s.nodes {
+		if at-n.at > loadFor {
+			delete(s.nodes, node)
+			continue
+		}
+		heard++
+		for _, l := range n.loads {
+			sums[l.Token] += l.Rate
+		}
+	}
+	return sums, heard
+}
--- a/bronzesteer/place.go
+++ b/bronzesteer/place.go
@@ -1,15 +1,13 @@
 package bronzesteer
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"bronzeusher.example/bronzeusher/bronzeroute"
 )
 
 const (
-	// flowWeight is what an open flow counts for beside a request at work: it
-	// will bring requests, but has none now.
-	flowWeight = 0.2
 	// coldShare is the part of its full share that a server gets that has just
 	// started and is slow.
 	coldShare = 0.5
@@ -17,6 +15,14 @@
 	// silent, it is likelier that something else is wrong, and keeping away
 	// from them would only press the rest.
 	avoidMostShare = 0.75
+	// zoneBound is how far the utilization of the own zone's servers may be
+	// over that of all before flows are placed in other zones, and zoneIdle is
+	// the utilization up to which it doesn't matter, since hardly a request
+	// waits for another.
+	zoneBound = 1.25
+	zoneIdle  = 0.4
+	// slowMost bounds how much slower than its pool a server may count.
+	slowMost = 10
 )
 
 // tier orders servers: of a lower one none is taken while a higher has any.
@@ -31,58 +37,140 @@
 	tierOwnZone
 )
 
+// candidate is a server that may take a flow.
+type candidate struct {
+	server *bronzeroute.Server
+	tier   tier
+	// used is the part of its slots that is in use on average, all nodes'
+	// requests taken together, and slots how many requests it can work on.
+	used  float64
+	slots float64
+	// load is what this node has there at this moment, for each slot.
+	load float64
+}
+
 // place chooses the server for a new flow, not the one tried before; nil if
-// there is none. Flows stay in this node's zone where a server of it can take
-// them: when zones are cut off from each other they go on, and packets cross
-// no zone. The pool is chosen by the route's weights; if it has no server at
-// all, the route's other pools are used.
+// there is none. The pool is chosen by the route's weights. If none of its
+// servers can be reached, a pool of the route with a better one is used.
 func (s *Steerer) place(v *bronzeroute.View, route *bronzeroute.Route, p *Packet, tried *backend, at time.Duration, now time.Time) *bronzeroute.Server {
 	pool, ok := route.Pick(p.Key.Hash())
 	if !ok {
 		return nil
 	}
-	if server := s.choose(v.Pool(pool), tried, at, now); server != nil {
-		return server
-	}
+	best, bestTier := s.choose(v.Pool(pool), tried, at, now)
 	for i := range route.Shares {
-		if route.Shares[i].Weight <= 0 || route.Shares[i].Pool == pool {
+		if bestTier > tierAvoided {
+			break
+		}
+		share := &route.Shares[i]
+		if share.Weight <= 0 || share.Pool == pool {
 			continue
 		}
-		if server := s.choose(v.Pool(route.Shares[i].Pool), tried, at, now); server != nil {
-			return server
+		if server, t := s.choose(v.Pool(share.Pool), tried, at, now); t > bestTier {
+			best, bestTier = server, t
+		}
+	}
+	return best
+}
+
+// choose returns the server of a pool that is to take a flow, and its tier.
+func (s *Steerer) choose(pool []*bronzeroute.Server, tried *backend, at time.Duration, now time.Time) (*bronzeroute.Server, tier) {
+	candidates := s.candidates(pool, tried, at, now)
+	if len(candidates) == 0 {
+		return nil, tierNone
+	}
+	best := tierNone
+	for i := range candidates {
+		best = max(best, candidates[i].tier)
+	}
+	if best == tierOwnZone && s.leaveZone(candidates) {
+		if c := s.least(candidates, tierOtherZone); c != nil {
+			return c.server, c.tier
 		}
 	}
-	return nil
+	c := s.least(candidates, best)
+	return c.server, c.tier
 }
 
-// choose returns the least loaded server of the best tier; among equals one
-// at random, so that nodes without knowledge of each other spread.
-func (s *Steerer) choose(pool []*bronzeroute.Server, tried *backend, at time.Duration, now time.Time) (best *bronzeroute.Server) {
+// candidates returns the servers that may take a flow at all.
+func (s *Steerer) candidates(pool []*bronzeroute.Server, tried *backend, at time.Duration, now time.Time) []candidate {
 	mayAvoid := s.mayAvoid(pool, at)
-	bestTier, bestLoad, equals := tierNone, 0.0, 0
+	latency := s.poolLatency(pool)
+	list := make([]candidate, 0, len(pool))
 	for _, server := range pool {
 		if tried != nil && tried.instance == server.Instance {
 			continue
 		}
 		b := s.backend(server)
 		t := s.tier(server, b, mayAvoid, at)
-		if t == tierNone || t < bestTier {
+		if t == tierNone {
 			continue
 		}
-		load := b.load(server, now)
+		list = append(list, b.candidate(server, t, latency, now))
+	}
+	return list
+}
+
+// least returns the least loaded candidate of a tier, nil if there is none;
+// among equals one at random, so that nodes that know the same spread.
+func (s *Steerer) least(candidates []candidate, t tier) (best *candidate) {
+	bestLoad, equals := 0.0, 0
+	for i := range candidates {
+		c := &candidates[i]
+		if c.tier != t {
+			continue
+		}
+		load := c.load + c.used
 		switch {
-		case t > bestTier || load < bestLoad:
-			best, bestTier, bestLoad, equals = server, t, load, 1
+		case best == nil || load < bestLoad:
+			best, bestLoad, equals = c, load, 1
 		case load == bestLoad:
 			equals++
 			if s.random(equals) == 0 {
-				best = server
+				best = c
 			}
 		}
 	}
 	return best
 }
 
+// leaveZone reports whether a flow is to be placed outside the own zone. Flows
+// that stay go on when zones are cut off from each other, and their packets
+// cross no zone. But callers may be spread over zones otherwise than servers:
+// then as many leave as bring the own zone's servers to the bound.
+func (s *Steerer) leaveZone(candidates []candidate) bool {
+	var own, all struct{ used, slots float64 }
+	for i := range candidates {
+		c := &candidates[i]
+		if c.tier != tierOwnZone && c.tier != tierOtherZone {
+			continue
+		}
+		all.used += c.used * c.slots
+		all.slots += c.slots
+		if c.tier == tierOwnZone {
+			own.used += c.used * c.slots
+			own.slots += c.slots
+		}
+	}
+	if own.slots == all.slots {
+		return false
+	}
+	used := own.used / own.slots
+	bound := max(zoneIdle, zoneBound*all.used/all.slots)
+	return used > bound && s.chance() > bound/used
+}
+
+// chance returns a number in [0,1).
+func (s *Steerer) chance() float64 {
+	if s.Random != nil {
+		return float64(s.Random(chances)) / chances
+	}
+	return rand.Float64()
+}
+
+// chances is how finely Random is asked for a chance.
+const chances = 1 << 20
+
 // mayAvoid reports whether few enough of the pool's servers are silent to
 // keep away from them.
 func (s *Steerer) mayAvoid(pool []*bronzeroute.Server, at time.Duration) bool {
@@ -127,15 +215,40 @@
 	return at < b.avoidUntil
 }
 
-// load returns what this node has on the server, with one more flow, for each
-// of the requests that it can work on at once.
-func (b *backend) load(server *bronzeroute.Server, now time.Time) float64 {
+// poolLatency returns the average latency of the pool's servers, weighted by
+// what they do, so that a slow one stands out.
+func (s *Steerer) poolLatency(pool []*bronzeroute.Server) time.Duration {
+	n, sum := 0, time.Duration(0)
+	for _, server := range pool {
+		b := s.backend(server)
+		b.mu.Lock()
+		if b.latency > 0 {
+			n++
+			sum += b.latency
+		}
+		b.mu.Unlock()
+	}
+	if n == 0 {
+		return latencyUnknown
+	}
+	return sum / time.Duration(n)
+}
+
+// candidate returns the server as one that may take a flow.
+func (b *backend) candidate(server *bronzeroute.Server, t tier, latency time.Duration, now time.Time) candidate {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	load := float64(b.work+b.opening) + flowWeight*float64(b.flows) + 1
 	slots := float64(max(server.Slots, 1))
 	if !server.Warm(now) {
 		slots *= coldShare
 	}
-	return load / slots
+	slow := 1.0
+	if b.latency > latency {
+		slow = min(float64(b.latency)/float64(latency), slowMost)
+	}
+	return candidate{
+		server: server, tier: t, slots: slots,
+		used: (b.rate + b.others) * latency.Seconds() * slow / slots,
+		load: (1 + float64(b.work+b.opening)) * slow / slots,
+	}
 }
--- a/bronzesteer/steer.go
+++ b/bronzesteer/steer.go
@@ -36,6 +36,12 @@
 	mu       sync.Mutex
 	backends map[string]*backend
 	zones    map[string]*zone
+	nodes    map[string]nodeLoads
+
+	// others is how many nodes there are beside this one.
+	others atomic.Int64
+	// loadsAt is when loads were last brought up to date; Sweep alone uses it.
+	loadsAt time.Duration
 }
 
 // Event is a change of what this node believes of a server.
@@ -88,6 +94,7 @@
 		s.start = time.Now()
 		s.backends = make(map[string]*backend)
 		s.zones = make(map[string]*zone)
+		s.nodes = make(map[string]nodeLoads)
 		for i := range s.shards {
 			s.shards[i].flows = make(map[flowKey]*flow)
 		}
