--- a/bronzeedge/config.go
+++ b/bronzeedge/config.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/netip"
 	"os"
+	"reflect"
 	"time"
 
 	"github.com/pkg/errors"
@@ -102,6 +103,19 @@
 	return nil
 }
 
+// differs returns the names of the fields that other has different and that a
+// running node can't take in.
+func (c *Config) differs(other *Config) (fields []string) {
+	a, b := reflect.ValueOf(c).Elem(), reflect.ValueOf(other).Elem()
+	for i := range a.NumField() {
+		name := a.Type().Field(i).Name
+		if name != "Seeds" && name != "GraceSeconds" && !reflect.DeepEqual(a.Field(i).Interface(), b.Field(i).Interface()) {
+			fields = append(fields, name)
+		}
+	}
+	return fields
+}
+
 func (c *Config) grace() time.Duration {
 	if c.GraceSeconds == 0 {
 		return DefaultGrace
--- a/bronzeedge/edge.go
+++ b/bronzeedge/edge.go
@@ -36,6 +36,8 @@
 	follower bronzerecord.Follower
 	book     book
 	held     held
+	cfgMu    sync.Mutex
+	grace    time.Duration // guarded by cfgMu
 
 	gossip   bronzegossip.Gossip
 	fetching atomic.Bool
@@ -61,7 +63,7 @@
 		return nil, err
 	}
 	e = &Edge{
-		cfg: cfg, seams: seams, log: log, started: time.Now(),
+		cfg: cfg, seams: seams, log: log, started: time.Now(), grace: cfg.grace(),
 		known: make(chan struct{}), leaving: make(chan struct{}),
 	}
 	e.steerer.AvailabilityZone = cfg.AvailabilityZone
@@ -150,6 +152,21 @@
 	})
 }
 
+// Reload takes in changed settings. Those that name this node or its addresses
+// are in force from the next start on. Settings with an error leave the old
+// ones in force.
+func (e *Edge) Reload(cfg Config, err error) {
+	if err != nil {
+		e.log.Line("SettingsRefused", F{"Error": err.Error()})
+		return
+	}
+	e.cfgMu.Lock()
+	e.grace = cfg.grace()
+	e.cfgMu.Unlock()
+	e.gossip.SetSeeds(e.peerAddresses(cfg.Seeds))
+	e.log.Line("SettingsInForce", F{"Seeds": cfg.Seeds, "GraceSeconds": cfg.GraceSeconds, "NextStart": e.cfg.differs(&cfg)})
+}
+
 const (
 	// quietFor is how long no packet may have come before a leaving node
 	// ends. Routers take a node out after two misses half a second apart, and
@@ -174,12 +191,18 @@
 		}
 		passed := time.Since(begun)
 		quiet := time.Since(e.started) - time.Duration(e.packetAt.Load())
-		if passed >= e.cfg.grace()-leaveMargin || passed >= leaveLeast && quiet >= quietFor {
+		if passed >= e.graceTime()-leaveMargin || passed >= leaveLeast && quiet >= quietFor {
 			return
 		}
 	}
 }
 
+func (e *Edge) graceTime() time.Duration {
+	e.cfgMu.Lock()
+	defer e.cfgMu.Unlock()
+	return e.grace
+}
+
 // isLeaving reports whether Leave was called.
 func (e *Edge) isLeaving() bool {
 	select {
--- a/bronzeedge/peers.go
+++ b/bronzeedge/peers.go
@@ -39,9 +39,7 @@
 		Records:          e.cfg.ControlAddress,
 		AvailabilityZone: e.cfg.AvailabilityZone,
 	}
-	for _, seed := range e.cfg.Seeds {
-		g.Seeds = append(g.Seeds, netip.AddrPortFrom(seed.Addr(), e.cfg.PeerAddress.Port()))
-	}
+	g.Seeds = e.peerAddresses(e.cfg.Seeds)
 	g.Records = &e.records
 	g.Send = e.sendPeer
 	g.Fetch = e.fetch
@@ -72,6 +70,15 @@
 	e.steerer.SetNodes(len(e.gossip.Peers(now)))
 }
 
+// peerAddresses returns where the nodes at the given control addresses take
+// datagrams.
+func (e *Edge) peerAddresses(control []netip.AddrPort) (addresses []netip.AddrPort) {
+	for _, a := range control {
+		addresses = append(addresses, netip.AddrPortFrom(a.Addr(), e.cfg.PeerAddress.Port()))
+	}
+	return addresses
+}
+
 // reads reports whether this node is to read the store now.
 func (e *Edge) reads() bool { return e.gossip.Reads(time.Now()) }
 
--- a/bronzegossip/gossip.go
+++ b/bronzegossip/gossip.go
@@ -35,7 +35,7 @@
 type Gossip struct {
 	// Self is this node. Incarnation is to be higher at each start.
 	Self Peer
-	// Seeds are addresses that may be nodes'.
+	// Seeds are addresses that may be nodes'; SetSeeds changes them.
 	Seeds []netip.AddrPort
 	// Records are this node's.
 	Records *bronzerecord.Set
@@ -113,6 +113,13 @@
 	})
 }
 
+// SetSeeds replaces the seeds.
+func (g *Gossip) SetSeeds(seeds []netip.AddrPort) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.Seeds = seeds
+}
+
 // Tick does what is due.
 func (g *Gossip) Tick(now time.Time) {
 	g.do(func() {
--- a/cmd/bronzeedge/main.go
+++ b/cmd/bronzeedge/main.go
@@ -5,7 +5,8 @@
 //	bronzeedge --settings /etc/bronzeusher/settings.json
 //
 // The flag can be set by the environment variable BRONZEUSHER_CONFIG. Logs go
-// to standard output as JSON lines. SIGTERM leaves gracefully.
+// to standard output as JSON lines. SIGTERM leaves gracefully, SIGHUP reads the
+// settings again.
 //
 // It is a program of its own beside bronzeusher, whose commands and libraries
 // take three milliseconds more of processor time to start: on a VM with a
@@ -19,6 +20,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 
@@ -31,6 +33,10 @@
 // more processor time (a day of 44 s with 13 nodes at 30 flows a second).
 const gcPercent = 20
 
+// settingsInterval is how often the settings file is looked at. It may change
+// without a signal; nothing in it is urgent.
+const settingsInterval = 5 * time.Second
+
 // flags is the grammar of the command line.
 type flags struct {
 	Settings string `required:"" env:"BRONZEUSHER_CONFIG" help:"JSON file with the settings of this node." type:"path"`
@@ -57,11 +63,42 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	go func() {
-		<-signals
-		e.Leave()
-	}()
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
+	go handle(signals, e, settings)
 	return e.Run(context.Background())
 }
+
+// handle makes the node leave at a signal to end, and take in its settings
+// when a signal or the file's time says that they changed.
+func handle(signals <-chan os.Signal, e *bronzeedge.Edge, settings string) {
+	changed := fileTime(settings)
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				e.Leave()
+				return
+			}
+		case <-ticker.C:
+			at := fileTime(settings)
+			if at.Equal(changed) {
+				continue
+			}
+			changed = at
+		}
+		e.Reload(bronzeedge.ReadConfig(settings))
+	}
+}
+
+// fileTime returns when a file was last changed, the zero time if that can't
+// be told: reading it will say why.
+func fileTime(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
