Make tokens for a server and an endpoint, good whatever the routes say now

Ruled out: telling each other the former pools, which all nodes forget at once. A token is now a hash of the server's name, which callers don't know, and the endpoint. It can't be made up, and proves that some node placed the flow.

--- a/bronzeedge/peers.go
+++ b/bronzeedge/peers.go
@@ -56,7 +56,7 @@
 	loads := e.steerer.Loads()
 	out := make([]bronzegossip.Load, len(loads))
 	for i, l := range loads {
-		out[i] = bronzegossip.Load{Server: l.Token, Rate: uint32(l.Rate*loadScale + 0.5)}
+		out[i] = bronzegossip.Load{Server: l.Server, Rate: uint32(l.Rate*loadScale + 0.5)}
 	}
 	return out
 }
@@ -64,7 +64,7 @@
 func (e *Edge) onLoads(from string, loads []bronzegossip.Load, now time.Time) {
 	in := make([]bronzesteer.Load, len(loads))
 	for i, l := range loads {
-		in[i] = bronzesteer.Load{Token: l.Server, Rate: float64(l.Rate) / loadScale}
+		in[i] = bronzesteer.Load{Server: l.Server, Rate: float64(l.Rate) / loadScale}
 	}
 	e.steerer.SetLoads(from, in, now)
 	e.steerer.SetNodes(len(e.gossip.Peers(now)))
--- a/bronzegossip/message.go
+++ b/bronzegossip/message.go
@@ -55,7 +55,7 @@
 // Load is what one node has on one server.
 type Load struct {
 	_ struct{} `cbor:",toarray"`
-	// Server is the server's token.
+	// Server stands for the server in whatever way nodes agree on.
 	Server uint32
 	// Rate is what the node sends to it, in requests in ten seconds.
 	Rate uint32
--- a/bronzeroute/directory.go
+++ b/bronzeroute/directory.go
@@ -5,8 +5,6 @@
 	"net/netip"
 	"slices"
 	"time"
-
-	"bronzeusher.example/bronzeusher/bronzetoken"
 )
 
 const (
@@ -29,8 +27,6 @@
 	table     *Table
 	servers   map[string]*entry
 	withdrawn map[netip.AddrPort]time.Time
-	// allowed are the pools that any table named for an endpoint.
-	allowed map[netip.AddrPort][]string
 }
 
 // entry is a server with the times of its disappearance.
@@ -47,7 +43,6 @@
 	}
 	if d.withdrawn == nil {
 		d.withdrawn = make(map[netip.AddrPort]time.Time)
-		d.allowed = make(map[netip.AddrPort][]string)
 	}
 	if d.table != nil {
 		for i := range d.table.Routes {
@@ -56,24 +51,11 @@
 	}
 	for i := range t.Routes {
 		delete(d.withdrawn, t.Routes[i].Service)
-		d.allow(&t.Routes[i])
 	}
 	d.table = t
 	return true
 }
 
-// allow remembers the pools of a route. An open flow stays with its server
-// when a later table no longer names the server's pool for new flows.
-func (d *Directory) allow(r *Route) {
-	pools := d.allowed[r.Service]
-	for _, s := range r.Shares {
-		if !slices.Contains(pools, s.Pool) {
-			pools = append(slices.Clip(pools), s.Pool)
-		}
-	}
-	d.allowed[r.Service] = pools
-}
-
 // Register adds a server or takes in what it now says of itself.
 func (d *Directory) Register(s Server) {
 	if d.servers == nil {
@@ -128,7 +110,6 @@
 	for service, at := range d.withdrawn {
 		if now.Sub(at) > RememberRoutesFor {
 			delete(d.withdrawn, service)
-			delete(d.allowed, service)
 			changed = true
 		}
 	}
@@ -144,8 +125,8 @@
 		Table:     d.table,
 		routes:    make(map[netip.AddrPort]*Route, len(d.table.Routes)),
 		withdrawn: make(map[netip.AddrPort]struct{}, len(d.withdrawn)),
-		allowed:   make(map[netip.AddrPort][]string, len(d.allowed)),
 		pools:     make(map[string][]*Server),
+		tokens:    make(map[netip.AddrPort]*endpointTokens),
 	}
 	for i := range d.table.Routes {
 		v.routes[d.table.Routes[i].Service] = &d.table.Routes[i]
@@ -153,25 +134,16 @@
 	for service := range d.withdrawn {
 		v.withdrawn[service] = struct{}{}
 	}
-	for service, pools := range d.allowed {
-		v.allowed[service] = pools
-	}
 	d.addServers(v)
 	return v
 }
 
 func (d *Directory) addServers(v *View) {
-	names := make([]bronzetoken.Holder, 0, len(d.servers))
-	for name, e := range d.servers {
-		names = append(names, bronzetoken.Holder{Name: name, Since: e.server.Registered})
-	}
-	v.tokens = bronzetoken.NewSet(names)
 	v.Servers = make([]*Server, 0, len(d.servers))
 	v.byName = make(map[string]*Server, len(d.servers))
 	for name, e := range d.servers {
 		s := e.server
 		s.Status = e.status()
-		s.Token = v.tokens.Token(name)
 		v.byName[name] = &s
 		v.Servers = append(v.Servers, &s)
 		if s.Status != Gone {
--- a/bronzeroute/server.go
+++ b/bronzeroute/server.go
@@ -47,8 +47,6 @@
 	Heard time.Time
 	// Draining says that it announced to leave.
 	Draining bool
-	// Token is what stands for it in packets; the Directory sets it.
-	Token uint32
 	// Status is set by the Directory.
 	Status Status
 }
--- a/bronzesteer/load.go
+++ b/bronzesteer/load.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"bronzeusher.example/bronzeusher/bronzeroute"
 )
 
 const (
@@ -16,8 +18,9 @@
 
 // Load is what a node sends to one server.
 type Load struct {
-	// Token is the server's.
-	Token uint32
+	// Server is half of the server's identifier, which is enough to tell
+	// servers apart where a mistake only misplaces a flow.
+	Server uint32
 	// Rate is in requests a second.
 	Rate float64
 }
@@ -40,7 +43,7 @@
 		rate := b.rate
 		b.mu.Unlock()
 		if rate >= leastRate {
-			loads = append(loads, Load{Token: server.Token, Rate: rate})
+			loads = append(loads, Load{Server: shortID(server), Rate: rate})
 		}
 	}
 	if len(loads) > maxLoads {
@@ -50,6 +53,8 @@
 	return loads
 }
 
+func shortID(server *bronzeroute.Server) uint32 { return uint32(server.ID) }
+
 // leastRate is the least rate that is told, in requests a second.
 const leastRate = 0.1
 
@@ -84,12 +89,12 @@
 		b := s.backend(server)
 		b.decay(dt)
 		b.mu.Lock()
-		b.others = scale * sums[server.Token]
+		b.others = scale * sums[shortID(server)]
 		b.mu.Unlock()
 	}
 }
 
-// sumLoads adds up, by token, what other nodes told lately, and counts them.
+// sumLoads adds up, by server, what other nodes told lately, and counts them.
 func (s *Steerer) sumLoads(at time.Duration) (sums map[uint32]float64, heard int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -101,7 +106,7 @@
 		}
 		heard++
 		for _, l := range n.loads {
-			sums[l.Token] += l.Rate
+			sums[l.Server] += l.Rate
 		}
 	}
 	return sums, heard
--- a/bronzesteer/packet.go
+++ b/bronzesteer/packet.go
@@ -80,8 +80,6 @@
 	NoToken
 	// TokenUnknown: no server with the token is known here.
 	TokenUnknown
-	// TokenForeign: the token's server may not serve the destination.
-	TokenForeign
 	// NotACaller: the packet comes from a server, or was sent back.
 	NotACaller
 	// NoView: nothing is known yet.
@@ -91,7 +89,7 @@
 
 var reasonNames = [reasonCount]string{
 	"Placed", "Repeated", "Retried", "Steered", "NoRoute", "RouteWithdrawn", "NoServer", "ServerGone",
-	"ServerSilent", "NoToken", "TokenUnknown", "TokenForeign", "NotACaller", "NoView",
+	"ServerSilent", "NoToken", "TokenUnknown", "NotACaller", "NoView",
 }
 
 // String returns the reason's name.
--- a/bronzesteer/steer.go
+++ b/bronzesteer/steer.go
@@ -148,10 +148,10 @@
 		return Decision{Kind: End, Reason: NoServer}
 	}
 	f := &flow{first: s.backend(server), idempotent: route.Idempotent, openedAt: at, seenAt: at}
-	f.backend, f.token = f.first, server.Token
+	f.backend, f.token = f.first, v.Token(service, server)
 	f.backend.addOpening(1)
 	sh.flows[p.Key] = f
-	return Decision{Kind: Forward, Reason: Placed, Server: server, Token: server.Token}
+	return Decision{Kind: Forward, Reason: Placed, Server: server, Token: f.token}
 }
 
 // repeat handles a further opening of a flow that this node has placed. The
@@ -178,9 +178,9 @@
 		return Decision{Kind: Forward, Reason: Repeated, Server: server, Token: f.token}
 	}
 	f.backend.addOpening(-1)
-	f.backend, f.token, f.retriedAt = s.backend(next), next.Token, at
+	f.backend, f.token, f.retriedAt = s.backend(next), v.Token(route.Service, next), at
 	f.backend.addOpening(1)
-	return Decision{Kind: Forward, Reason: Retried, Server: next, Token: next.Token, Tried: server}
+	return Decision{Kind: Forward, Reason: Retried, Server: next, Token: f.token, Tried: server}
 }
 
 // steer sends a packet of an established flow where its token says.
@@ -207,18 +207,16 @@
 	if token == 0 {
 		return Decision{Reason: NoToken}
 	}
-	server := v.ByToken(token)
+	server := v.ByToken(service, token)
 	switch {
 	case server == nil:
 		return Decision{Reason: TokenUnknown}
-	case !v.Allows(service, server.Pool):
-		return Decision{Reason: TokenForeign}
 	case server.Status == bronzeroute.Gone:
 		sh.end(p.Key)
 		return Decision{Kind: End, Reason: ServerGone}
 	}
 	if f == nil {
-		f = s.adopt(sh, v, p, server, at)
+		f = s.adopt(sh, v, p, server, token, at)
 	}
 	b := s.backend(server)
 	s.note(f, b, token, p, at)
@@ -233,9 +231,9 @@
 }
 
 // adopt makes an entry for a flow that another node has opened.
-func (s *Steerer) adopt(sh *shard, v *bronzeroute.View, p *Packet, server *bronzeroute.Server, at time.Duration) *flow {
+func (s *Steerer) adopt(sh *shard, v *bronzeroute.View, p *Packet, server *bronzeroute.Server, token uint32, at time.Duration) *flow {
 	f := &flow{
-		token: server.Token, backend: s.backend(server), open: true,
+		token: token, backend: s.backend(server), open: true,
 		openedAt: at, seenAt: at,
 		sequence: p.Sequence, acknowledged: p.Acknowledged,
 		idempotent: v.Route(p.Key.ServiceAddrPort()).Idempotent,
--- a/bronzetoken/token.go
+++ b/bronzetoken/token.go
@@ -1,35 +1,40 @@
-// Package bronzetoken gives each BackendServer a number of 32 bits that packets
-// can carry in place of a memory of their flow.
+// Package bronzetoken gives each BackendServer a number of 32 bits for each
+// endpoint that it serves, which packets can carry in place of a memory of
+// their flow.
 //
-// A node that places a flow writes the server's token into the opening; the
-// ends send it back in every later packet, and any node finds the server by
-// it. A token must therefore mean the same server on every node, though nodes
-// hear of servers at different times. It is a hash of the server's name. Where
-// two names have one hash, the server that registered later uses its next
-// hash, so a server that keeps its flows keeps its token. Both hashes of a
-// server are understood as long as no other server uses them, which covers
-// nodes that have not heard of the earlier server, or have forgotten it.
+// A node that places a flow writes the token into the opening; the ends send
+// it back in every later packet, and any node finds the server by it. A token
+// must therefore mean the same server on every node, though nodes hear of
+// servers at different times. It is a hash of the server's name and the
+// endpoint. Where two names have one hash, the server that registered later
+// uses its next hash, so a server that keeps its flows keeps its token. All
+// hashes of a server are understood as long as no other server uses them,
+// which covers nodes that have not heard of the earlier server, or have
+// forgotten it.
+//
+// Servers' names are known to nodes alone. So who sends a token for an
+// endpoint has it from a flow that some node placed: the token of another
+// endpoint is no token here, and nobody can make one up.
 //
 // Zero is never a token: openings carry it.
 //
 // # Usage
 //
-//	set := bronzetoken.NewSet([]bronzetoken.Holder{{Name: "host-1", Since: 7}})
+//	set := bronzetoken.NewSet("198.18.0.1:443", []bronzetoken.Holder{{Name: "host-1", Since: 7}})
 //	token := set.Token("host-1")
 //	name, ok := set.Name(token)
 package bronzetoken
 
 import (
 	"cmp"
-	"encoding/binary"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// tries is how many hashes a name has. With 5,100 servers two share their
-// first with a chance of 0.3%; that one of them finds its second taken too
-// is a matter of one in 250 million.
+// tries is how many hashes a name has. Of 5,100 servers two share their first
+// with a chance of 0.3%; that one of them finds its second taken too is a
+// matter of one in 250 million.
 const tries = 4
 
 // Holder is a server that has a token.
@@ -39,28 +44,31 @@
 	Since uint64
 }
 
-// Set is the tokens of a set of servers: immutable, safe for concurrent use.
+// Set is the tokens of a set of servers for one endpoint: immutable, safe for
+// concurrent use.
 type Set struct {
 	tokens map[string]uint32
 	names  map[uint32]string
 	// Collisions is how many holders don't have the first hash of their name.
 	Collisions int
 
-	hash func(name string, try int) uint32
+	endpoint string
+	hash     func(endpoint, name string, try int) uint32
 }
 
 // NewSet returns the tokens of the holders. It depends on nothing else, so
 // nodes that know the same holders have the same tokens, in whatever order
 // they heard of them.
-func NewSet(holders []Holder) *Set {
-	return newSet(holders, hash)
+func NewSet(endpoint string, holders []Holder) *Set {
+	return newSet(endpoint, holders, hash)
 }
 
-func newSet(holders []Holder, hash func(string, int) uint32) *Set {
+func newSet(endpoint string, holders []Holder, hash func(string, string, int) uint32) *Set {
 	s := &Set{
-		tokens: make(map[string]uint32, len(holders)),
-		names:  make(map[uint32]string, 2*len(holders)),
-		hash:   hash,
+		tokens:   make(map[string]uint32, len(holders)),
+		names:    make(map[uint32]string, tries*len(holders)),
+		endpoint: endpoint,
+		hash:     hash,
 	}
 	sorted := slices.Clone(holders)
 	slices.SortFunc(sorted, func(a, b Holder) int {
@@ -78,7 +86,7 @@
 // assign gives name its first free hash.
 func (s *Set) assign(name string) {
 	for try := range tries {
-		token := s.hash(name, try)
+		token := s.hash(s.endpoint, name, try)
 		if _, taken := s.names[token]; taken || token == 0 {
 			continue
 		}
@@ -95,7 +103,7 @@
 // addSpares makes the other hashes of name mean it where they are free.
 func (s *Set) addSpares(name string) {
 	for try := range tries {
-		token := s.hash(name, try)
+		token := s.hash(s.endpoint, name, try)
 		if _, taken := s.names[token]; !taken && token != 0 {
 			s.names[token] = name
 		}
@@ -113,15 +121,17 @@
 	return name, ok
 }
 
-// hash returns the try-th hash of name, the same in every process and release.
-func hash(name string, try int) uint32 {
-	d := xxhash.New()
+// hash returns the try-th hash of a name, the same in every process and
+// release.
+func hash(endpoint, name string, try int) uint32 {
+	var d xxhash.Digest
+	d.ResetWithSeed(uint64(try))
 	_, _ = d.WriteString(name)
-	if try > 0 {
-		var b [4]byte
-		binary.BigEndian.PutUint32(b[:], uint32(try))
-		_, _ = d.Write(b[:])
-	}
+	_, _ = d.WriteString(separator)
+	_, _ = d.WriteString(endpoint)
 	sum := d.Sum64()
 	return uint32(sum>>32) ^ uint32(sum)
 }
+
+// separator keeps a name that ends like an endpoint begins from another's hash.
+const separator = "\x00"
