Forget silence after two seconds, and count repeated data again

Found by the test on the way: since work is forgotten after three latencies, data repeated after 200 ms no longer counted as unanswered. Also found by a test: a follower of an empty store asked it without a pause.

--- a/bronzerecord/follower.go
+++ b/bronzerecord/follower.go
@@ -65,6 +65,8 @@
 	// changes gather for the next: a rolling replacement changes the store
 	// several times a second, and each answer is a call that is paid for.
 	DefaultGather = 700 * time.Millisecond
+	// emptyInterval is how often an empty store is read.
+	emptyInterval = 100 * time.Millisecond
 	// standbyInterval is how often a follower that isn't active looks whether
 	// it has become so.
 	standbyInterval = 100 * time.Millisecond
@@ -160,6 +162,10 @@
 	}
 	f.Set.Apply(d)
 	f.event(Event{Kind: kind, Delta: d, Took: took})
+	if f.Set.Revision() == 0 {
+		// An empty store has nothing to watch from.
+		return emptyInterval
+	}
 	if whole || len(d.Changed)+len(d.Removed) == 0 {
 		return 0
 	}
--- /dev/null
+++ b/bronzeroute/directory_test.go
@@ -0,0 +1,142 @@
+package bronzeroute
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bronzeusher.example/bronzeusher/bronzeconf"
+)
+
+var (
+	live  = netip.MustParseAddrPort("198.18.0.1:443")
+	other = netip.MustParseAddrPort("198.18.0.2:443")
+	begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+)
+
+func server(instance, pool string) Server {
+	return Server{BackendServer: bronzeconf.BackendServer{Instance: instance}, Pool: pool}
+}
+
+func table(version uint64, routes ...Route) *Table {
+	return &Table{Version: version, Routes: routes}
+}
+
+func route(service netip.AddrPort, pools ...string) Route {
+	r := Route{Service: service}
+	for _, p := range pools {
+		r.Shares = append(r.Shares, Share{Pool: p, Weight: 1})
+	}
+	return r
+}
+
+func TestTablesNeverGoBack(t *testing.T) {
+	var d Directory
+	require.True(t, d.SetTable(table(7, route(live, "a")), begin))
+	require.False(t, d.SetTable(table(7), begin))
+	require.False(t, d.SetTable(table(3), begin))
+	require.NotNil(t, d.View().Route(live))
+}
+
+// The discovery service goes down, and with it the registrations of servers
+// that are well. Callers would be refused and their flows ended if these
+// counted as gone; they are back about two seconds after the service.
+func TestServerThatDisappearsMayComeBack(t *testing.T) {
+	var d Directory
+	d.SetTable(table(1, route(live, "a")), begin)
+	d.Register(server("s", "a"))
+	d.Unregister("s", begin)
+	d.Advance(begin.Add(MissingFor))
+	require.Equal(t, Missing, d.View().ByName("s").Status)
+	require.Len(t, d.View().Pool("a"), 1, "it is still one that can be used")
+
+	d.Register(server("s", "a"))
+	d.Advance(begin.Add(time.Hour))
+	require.Equal(t, Serving, d.View().ByName("s").Status)
+}
+
+// A server crashes. Its registration lapses, and a server of another Customer
+// may get its address two seconds later.
+func TestServerThatStaysAwayIsGone(t *testing.T) {
+	var d Directory
+	d.SetTable(table(1, route(live, "a")), begin)
+	d.Register(server("s", "a"))
+	d.Unregister("s", begin)
+	require.True(t, d.Advance(begin.Add(MissingFor+1)))
+	v := d.View()
+	require.Equal(t, Gone, v.ByName("s").Status)
+	require.Empty(t, v.Pool("a"))
+	require.Equal(t, v.ByName("s"), v.ByToken(live, v.Token(live, v.ByName("s"))), "its flows can be told from unknown ones")
+
+	require.True(t, d.Advance(begin.Add(2*RememberFor)))
+	require.Nil(t, d.View().ByName("s"))
+}
+
+func TestServerThatSaidItLeavesIsGoneAtOnce(t *testing.T) {
+	var d Directory
+	d.SetTable(table(1, route(live, "a")), begin)
+	s := server("s", "a")
+	s.Draining = true
+	d.Register(s)
+	require.Equal(t, Draining, d.View().ByName("s").Status)
+	d.Unregister("s", begin)
+	require.Equal(t, Gone, d.View().ByName("s").Status)
+}
+
+func TestWithdrawnRouteIsRemembered(t *testing.T) {
+	var d Directory
+	d.SetTable(table(1, route(live, "a"), route(other, "a")), begin)
+	d.SetTable(table(2, route(other, "a")), begin)
+	require.True(t, d.View().Withdrawn(live))
+	require.False(t, d.View().Withdrawn(other))
+	d.SetTable(table(3, route(live, "a")), begin)
+	require.False(t, d.View().Withdrawn(live))
+	require.True(t, d.View().Withdrawn(other))
+	d.Advance(begin.Add(2 * RememberRoutesFor))
+	require.False(t, d.View().Withdrawn(other))
+}
+
+// A flow is open at a server of pool a when the route moves to pool b, and a
+// node starts that never saw the earlier table. It has to find the flow's
+// server all the same.
+func TestTokenOfAFormerPoolIsUnderstoodAfterAStart(t *testing.T) {
+	var before, after Directory
+	before.SetTable(table(1, route(live, "a")), begin)
+	after.SetTable(table(2, route(live, "b")), begin)
+	for _, d := range []*Directory{&before, &after} {
+		d.Register(server("s-a", "a"))
+		d.Register(server("s-b", "b"))
+	}
+	placed := before.View()
+	token := placed.Token(live, placed.ByName("s-a"))
+	require.Equal(t, "s-a", after.View().ByToken(live, token).Instance)
+}
+
+// A caller sends the token of its flow to another Customer's address.
+func TestTokenMeansNothingAtAnotherEndpoint(t *testing.T) {
+	var d Directory
+	d.SetTable(table(1, route(live, "a"), route(other, "b")), begin)
+	d.Register(server("s-a", "a"))
+	d.Register(server("s-b", "b"))
+	v := d.View()
+	require.Nil(t, v.ByToken(other, v.Token(live, v.ByName("s-a"))))
+}
+
+func TestPickKeepsToTheWeights(t *testing.T) {
+	r := Route{Shares: []Share{{Pool: "a", Weight: 90}, {Pool: "b", Weight: 10}, {Pool: "c"}}}
+	count := map[string]int{}
+	for i := range 20_000 {
+		pool, ok := r.Pick(uint64(i) * 0x9e3779b97f4a7c15)
+		require.True(t, ok)
+		count[pool]++
+	}
+	require.InDelta(t, 18_000, count["a"], 200)
+	require.InDelta(t, 2_000, count["b"], 200)
+	require.Zero(t, count["c"])
+
+	none := Route{Shares: []Share{{Pool: "a"}}}
+	_, ok := none.Pick(1)
+	require.False(t, ok)
+}
--- a/bronzesteer/backend.go
+++ b/bronzesteer/backend.go
@@ -34,6 +34,10 @@
 	// hearingFor is how long ago any server must have answered this node at
 	// most for it to judge others: a node that hears nobody is itself cut off.
 	hearingFor = 400 * time.Millisecond
+	// silenceCounts is for how long what was left unanswered counts. Without an
+	// end, a node that nobody asked for anything of a zone since a cut would
+	// end the flows there that come to it from a node that stops.
+	silenceCounts = 2 * time.Second
 	// silentMost is the part of the own zone's servers that may be silent for
 	// the node to judge any, and silentFew a number that always may. Where more
 	// are, it is the node whose packets are late: its link or its processor has
@@ -58,9 +62,10 @@
 	goodAt atomic.Int64
 
 	mu sync.Mutex
-	// silent are those that have been silent since, quiet those that are now.
-	silent map[*backend]struct{}
-	quiet  map[*backend]struct{}
+	// silent are those that have been silent since, with when they last left
+	// something unanswered, and quiet those that are now.
+	silent map[*backend]time.Duration
+	quiet  map[*backend]time.Duration
 	// servers is how many there are.
 	servers int
 }
@@ -83,8 +88,10 @@
 	// silent is the weight of what it left unanswered since.
 	silent     int
 	unanswered int
-	// silentSince is when the first of that was sent.
+	// silentSince is when the first of that was sent, silentAt when the last
+	// was found unanswered.
 	silentSince time.Duration
+	silentAt    time.Duration
 	avoidUntil  time.Duration
 	avoidFor    time.Duration
 	// latency is the average time to the first part of an answer.
@@ -111,7 +118,7 @@
 func (s *Steerer) zone(name string) *zone {
 	z := s.zones[name]
 	if z == nil {
-		z = &zone{silent: make(map[*backend]struct{}), quiet: make(map[*backend]struct{})}
+		z = &zone{silent: make(map[*backend]time.Duration), quiet: make(map[*backend]time.Duration)}
 		s.zones[name] = z
 	}
 	return z
@@ -242,13 +249,22 @@
 }
 
 // addSilent notes that a server of the zone is silent.
-func (z *zone) addSilent(b *backend) {
+func (z *zone) addSilent(b *backend, at time.Duration) {
 	z.mu.Lock()
-	z.silent[b] = struct{}{}
-	z.quiet[b] = struct{}{}
+	z.silent[b], z.quiet[b] = at, at
 	z.mu.Unlock()
 }
 
+// recent counts the servers that have left something unanswered lately.
+func recent(silent map[*backend]time.Duration, at time.Duration) (n int) {
+	for _, last := range silent {
+		if at-last < silenceCounts {
+			n++
+		}
+	}
+	return n
+}
+
 // cut reports whether nobody in the zone has answered for some time and
 // several have left flows unanswered.
 func (z *zone) cut(at time.Duration) bool {
@@ -257,7 +273,7 @@
 	}
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	return len(z.silent) >= silentServers
+	return recent(z.silent, at) >= silentServers
 }
 
 // silent reports whether the server answers nobody, or the way to its zone is
@@ -265,22 +281,22 @@
 // node that hears nobody says no: it would end the flows that other nodes
 // could still take on.
 func (s *Steerer) silent(b *backend, at time.Duration) bool {
-	if at < settling || at-time.Duration(s.goodAt.Load()) > hearingFor || s.isLate() {
+	if at < settling || at-time.Duration(s.goodAt.Load()) > hearingFor || s.isLate(at) {
 		return false
 	}
 	b.mu.Lock()
-	silent := b.unanswered >= silentFlows && at-b.silentSince >= silentFor
+	silent := b.unanswered >= silentFlows && at-b.silentSince >= silentFor && at-b.silentAt < silenceCounts
 	b.mu.Unlock()
 	return silent || s.zoneCut(b, at)
 }
 
 // isLate reports whether so many servers of the own zone are silent that it
 // must be this node.
-func (s *Steerer) isLate() bool {
+func (s *Steerer) isLate(at time.Duration) bool {
 	z := s.own
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	return float64(len(z.quiet)) > max(silentFew, silentMost*float64(z.servers))
+	return float64(recent(z.quiet, at)) > max(silentFew, silentMost*float64(z.servers))
 }
 
 // zoneCut reports whether the way to the server's zone is cut. It never is to
@@ -298,12 +314,20 @@
 		b.mu.Unlock()
 		return
 	}
+	if b.unanswered > 0 && at-b.silentAt >= silenceCounts {
+		b.silent, b.unanswered = 0, 0
+	}
 	if b.unanswered == 0 {
 		b.silentSince = sent
 	}
+	b.silentAt = at
 	b.silent += weight
 	b.unanswered++
-	if b.silent < avoidAt || at < b.avoidUntil {
+	silent, avoided := b.silent >= avoidAt, at < b.avoidUntil
+	if silent {
+		b.zone.addSilent(b, at)
+	}
+	if !silent || avoided {
 		b.mu.Unlock()
 		return
 	}
@@ -314,7 +338,6 @@
 		Unanswered: b.unanswered, Silence: at - b.goodAt, For: b.avoidFor,
 	}
 	b.mu.Unlock()
-	b.zone.addSilent(b)
 	s.event(e)
 }
 
--- a/bronzesteer/flow.go
+++ b/bronzesteer/flow.go
@@ -48,8 +48,10 @@
 	openedAt  time.Duration
 	retriedAt time.Duration
 	seenAt    time.Duration
-	// workSince is when the request at work was first seen, 0 if none is.
-	workSince time.Duration
+	// askedAt is when the request was first seen that has no answer yet, 0 if
+	// there is none, and working whether the server counts as working on it.
+	askedAt time.Duration
+	working bool
 	// sequence is the end of the data seen, acknowledged that of the answer.
 	sequence     uint32
 	acknowledged uint32
@@ -76,10 +78,7 @@
 
 // release takes the flow out of its server's figures.
 func (f *flow) release() {
-	if f.workSince != 0 {
-		f.workSince = 0
-		f.backend.finish()
-	}
+	f.finish()
 	if f.open {
 		f.backend.addFlows(-1)
 	} else {
@@ -87,6 +86,14 @@
 	}
 }
 
+// finish notes that the server no longer works on the flow's request.
+func (f *flow) finish() {
+	if f.working {
+		f.working = false
+		f.backend.finish()
+	}
+}
+
 // note takes in what a packet of an established flow tells of its server.
 func (s *Steerer) note(f *flow, b *backend, token uint32, p *Packet, at time.Duration) {
 	f.seenAt = at
@@ -102,15 +109,15 @@
 	}
 	if end := p.Sequence + uint32(p.Length); int32(end-f.sequence) > 0 {
 		f.sequence = end
-		if f.workSince == 0 {
-			f.workSince = at
+		if f.askedAt == 0 {
+			f.askedAt, f.working = at, true
 			f.backend.begin()
 		}
 		return
 	}
-	if f.workSince != 0 && at-f.workSince >= repeatAfter && !f.struck {
+	if f.askedAt != 0 && at-f.askedAt >= repeatAfter && !f.struck {
 		f.struck = true
-		s.unanswered(f.backend, f.workSince, at, dataWeight)
+		s.unanswered(f.backend, f.askedAt, at, dataWeight)
 	}
 }
 
@@ -127,16 +134,16 @@
 func (s *Steerer) answered(f *flow, p *Packet, at time.Duration) {
 	f.struck = false
 	s.good(f.backend, at)
-	if f.workSince == 0 {
+	if f.askedAt == 0 {
 		return
 	}
 	if p.Length == 0 {
 		// With new data the acknowledgement says only that the answer came
 		// some time before.
-		f.backend.observe(at - f.workSince)
+		f.backend.observe(at - f.askedAt)
 	}
-	f.workSince = 0
-	f.backend.finish()
+	f.askedAt = 0
+	f.finish()
 }
 
 // Sweep forgets flows without packets and work without answers, and brings
@@ -163,9 +170,8 @@
 			delete(sh.flows, key)
 			continue
 		}
-		if f.workSince != 0 && !f.struck && at-f.workSince > f.backend.workFor() {
-			f.workSince = 0
-			f.backend.finish()
+		if f.working && !f.struck && at-f.askedAt > f.backend.workFor() {
+			f.finish()
 		}
 	}
 }
--- /dev/null
+++ b/bronzesteer/harness_test.go
@@ -0,0 +1,156 @@
+package bronzesteer
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bronzeusher.example/bronzeusher/bronzeconf"
+	"bronzeusher.example/bronzeusher/bronzeflow"
+	"bronzeusher.example/bronzeusher/bronzeroute"
+)
+
+var (
+	live    = netip.MustParseAddrPort("198.18.0.1:443")
+	outline = netip.MustParseAddrPort("198.18.0.1:8080")
+	begin   = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+)
+
+// site is a small deployment in a test: the directory, one node in zone a, and
+// the time, which only the test moves.
+type site struct {
+	t         *testing.T
+	directory bronzeroute.Directory
+	node      *Steerer
+	now       time.Time
+	port      uint16
+}
+
+// newSite returns a site with the given number of servers in zones a, b, c.
+// Requests to live may be repeated, those to outline may not.
+func newSite(t *testing.T, servers ...int) *site {
+	t.Helper()
+	s := &site{t: t, now: begin, port: 1024}
+	shares := []bronzeroute.Share{{Pool: "live", Weight: 1}}
+	s.directory.SetTable(&bronzeroute.Table{Version: 1, Routes: []bronzeroute.Route{
+		{Name: "live", Service: live, Shares: shares, Idempotent: true},
+		{Name: "outline", Service: outline, Shares: shares},
+	}}, s.now)
+	for zone, n := range servers {
+		for i := range n {
+			s.register(string(rune('a'+zone)), i)
+		}
+	}
+	s.node = s.newNode()
+	return s
+}
+
+func (s *site) register(zone string, i int) {
+	name := fmt.Sprintf("%s-%d", zone, i)
+	s.directory.Register(bronzeroute.Server{
+		BackendServer: bronzeconf.BackendServer{
+			ID: bronzeflow.NewServerID("live", name), Instance: name, AvailabilityZone: zone, Slots: 2,
+		},
+		Pool: "live", Registered: uint64(i),
+	})
+}
+
+// newNode returns a node in zone a that has been up for long.
+func (s *site) newNode() *Steerer {
+	n := &Steerer{
+		AvailabilityZone: "a", Region: "r", Regions: map[string]string{"a": "r", "b": "r", "c": "r"},
+		Random: func(int) int { return 0 },
+	}
+	n.SetView(s.directory.View())
+	n.start = s.now.Add(-time.Minute)
+	return n
+}
+
+// pass lets time pass, with the node's sweeps.
+func (s *site) pass(d time.Duration) {
+	const step = 50 * time.Millisecond
+	for ; d > 0; d -= step {
+		s.now = s.now.Add(min(step, d))
+		s.node.Sweep(s.now)
+	}
+}
+
+// client is one flow as its caller sees it.
+type client struct {
+	site   *site
+	packet Packet
+	server *bronzeroute.Server
+}
+
+// open sends an opening for a new flow.
+func (s *site) open(service netip.AddrPort) (*client, Decision) {
+	s.port++
+	caller := netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), s.port)
+	c := &client{site: s, packet: Packet{Key: bronzeflow.NewKey(bronzeflow.TCP, caller, service), Open: true, Sequence: 100}}
+	return c, c.send()
+}
+
+func (c *client) send() Decision {
+	d := c.site.node.Decide(&c.packet, c.site.now)
+	if d.Kind == Forward {
+		c.server = d.Server
+		c.packet.Token = d.Token
+	}
+	return d
+}
+
+// repeat sends the opening again.
+func (c *client) repeat() Decision {
+	c.packet.Copy++
+	c.packet.Token = 0
+	return c.send()
+}
+
+// accept is the caller taking the server's acceptance.
+func (c *client) accept() Decision {
+	c.packet.Open = false
+	c.packet.Sequence = 101
+	c.packet.Acknowledged = 1
+	return c.send()
+}
+
+// ask sends a request of 100 bytes; askAgain sends it again.
+func (c *client) ask() Decision {
+	c.packet.Length = 100
+	return c.send()
+}
+
+func (c *client) askAgain() Decision { return c.send() }
+
+// answered acknowledges an answer of 1,000 bytes.
+func (c *client) answered() Decision {
+	c.packet.Sequence += uint32(c.packet.Length)
+	c.packet.Length = 0
+	c.packet.Acknowledged += 1000
+	return c.send()
+}
+
+// serve opens a flow and has one request answered.
+func (s *site) serve(service netip.AddrPort) *client {
+	s.t.Helper()
+	c, d := s.open(service)
+	require.Equal(s.t, Forward, d.Kind)
+	require.Equal(s.t, Forward, c.accept().Kind)
+	require.Equal(s.t, Forward, c.ask().Kind)
+	s.pass(50 * time.Millisecond)
+	require.Equal(s.t, Forward, c.answered().Kind)
+	return c
+}
+
+// round has each of the clients ask and be answered.
+func (s *site) round(clients []*client) {
+	s.t.Helper()
+	for _, c := range clients {
+		require.Equal(s.t, Forward, c.ask().Kind)
+		s.pass(10 * time.Millisecond)
+		require.Equal(s.t, Forward, c.answered().Kind)
+	}
+}
--- /dev/null
+++ b/bronzesteer/silence_test.go
@@ -0,0 +1,161 @@
+package bronzesteer
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// at returns the clients whose flows are at the named server, and the others.
+func at(clients []*client, instance string) (there, elsewhere []*client) {
+	for _, c := range clients {
+		if c.server.Instance == instance {
+			there = append(there, c)
+		} else {
+			elsewhere = append(elsewhere, c)
+		}
+	}
+	return there, elsewhere
+}
+
+// load opens n flows and has each answered.
+func (s *site) load(n int, service netip.AddrPort) (clients []*client) {
+	for range n {
+		clients = append(clients, s.serve(service))
+	}
+	return clients
+}
+
+// fallSilent has the clients ask a server that answers nobody, while others
+// are answered elsewhere.
+func (s *site) fallSilent(stuck, others []*client) {
+	for _, c := range stuck {
+		c.ask()
+	}
+	for range 4 {
+		s.pass(50 * time.Millisecond)
+		s.round(others)
+	}
+}
+
+// A server falls silent. Its callers ask again after 200 ms and would go on
+// until their deadline. They see a reset instead, at their next packet, and
+// are served by another server; a new caller isn't sent to the silent one.
+func TestCallersOfASilentServerAreSentElsewhere(t *testing.T) {
+	s := newSite(t, 4)
+	clients := s.load(16, live)
+	stuck, others := at(clients, "a-0")
+	require.GreaterOrEqual(t, len(stuck), silentFlows)
+	s.fallSilent(stuck, others)
+	for _, c := range stuck[:silentFlows-1] {
+		require.Equal(t, Forward, c.askAgain().Kind, "one silence proves nothing")
+	}
+	require.Equal(t, End, stuck[silentFlows-1].askAgain().Kind)
+	s.pass(200 * time.Millisecond)
+	s.round(others)
+	d := stuck[0].askAgain()
+	require.Equal(t, End, d.Kind)
+	require.Equal(t, ServerSilent, d.Reason)
+	for range 20 {
+		c, _ := s.open(live)
+		require.NotEqual(t, "a-0", c.server.Instance)
+	}
+}
+
+// The same, but the requests must not be repeated. A reset would end them for
+// good, and the server may have run them: the flow is left alone.
+func TestFlowsThatMustNotBeRepeatedAreNotEnded(t *testing.T) {
+	s := newSite(t, 4)
+	stuck, others := at(s.load(16, outline), "a-0")
+	s.fallSilent(stuck, others)
+	for range 3 {
+		for _, c := range stuck {
+			require.Equal(t, Forward, c.askAgain().Kind)
+		}
+		s.pass(200 * time.Millisecond)
+		s.round(others)
+	}
+}
+
+// A single packet of a flow is lost, and its caller asks again. The server
+// answers others meanwhile, so nothing is wrong with it.
+func TestLostPacketsDontMakeAServerSilent(t *testing.T) {
+	s := newSite(t, 2)
+	clients := s.load(12, live)
+	there, _ := at(clients, "a-0")
+	lost, well := there[:4], there[4:]
+	for _, c := range lost {
+		c.ask()
+	}
+	for range 5 {
+		s.pass(100 * time.Millisecond)
+		s.round(well)
+		for _, c := range lost {
+			require.Equal(t, Forward, c.askAgain().Kind)
+		}
+	}
+}
+
+// The node itself is late: its link is full, and callers of all servers ask
+// again. Ending their flows would break hundreds that are well.
+func TestLateNodeEndsNoFlows(t *testing.T) {
+	s := newSite(t, 4)
+	clients := s.load(16, live)
+	stuck := clients[:15]
+	for _, c := range stuck {
+		c.ask()
+	}
+	for range 6 {
+		s.pass(100 * time.Millisecond)
+		s.round(clients[15:])
+		for _, c := range stuck {
+			require.Equal(t, Forward, c.askAgain().Kind)
+		}
+	}
+}
+
+// Zone b is cut off from this node, and its servers fall silent; callers are
+// sent to those of zone a at once. Six seconds later the cut is healed, and
+// callers whose flows are in zone b, and that were served by another node, come
+// to this one. It heard nothing of zone b since, good or bad: what it last saw
+// must not end their flows.
+func TestSilenceIsForgotten(t *testing.T) {
+	s := newSite(t, 4, 4)
+	own := s.load(8, live)
+	far := s.adoptFlows(8, "b")
+	s.fallSilent(far, own)
+	for range 4 {
+		for _, c := range far {
+			c.askAgain()
+		}
+		s.pass(100 * time.Millisecond)
+		s.round(own)
+	}
+	moved := s.adoptFlows(4, "b")
+	require.Equal(t, End, moved[0].ask().Kind, "while the cut lasts")
+
+	for range 12 {
+		s.pass(500 * time.Millisecond)
+		s.round(own)
+	}
+	for _, c := range s.adoptFlows(4, "b") {
+		require.Equal(t, Forward, c.ask().Kind, "after the cut")
+	}
+}
+
+// adoptFlows returns flows at the servers of a zone that another node placed.
+func (s *site) adoptFlows(n int, zone string) (clients []*client) {
+	v := s.node.View()
+	for i := range n {
+		c, _ := s.open(live)
+		s.node.shard(&c.packet).end(c.packet.Key)
+		c.server = v.ByName(zone + "-" + string(rune('0'+i%4)))
+		c.packet.Open = false
+		c.packet.Token = v.Token(live, c.server)
+		c.packet.Sequence, c.packet.Acknowledged = 5000, 70000
+		clients = append(clients, c)
+	}
+	return clients
+}
--- a/bronzetoken/token.go
+++ b/bronzetoken/token.go
@@ -7,8 +7,8 @@
 // must therefore mean the same server on every node, though nodes hear of
 // servers at different times. It is a hash of the server's name and the
 // endpoint. Where two names have one hash, the server that registered later
-// uses its next hash, so a server that keeps its flows keeps its token. All
-// hashes of a server are understood as long as no other server uses them,
+// uses its next hash, so a server that keeps its flows keeps its token. The first
+// two hashes of a server are understood as long as no other server uses them,
 // which covers nodes that have not heard of the earlier server, or have
 // forgotten it.
 //
@@ -32,10 +32,14 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// tries is how many hashes a name has. Of 5,100 servers two share their first
+// tries is how many hashes a name has, and spares how many of them are
+// understood where the name uses another. Of 5,100 servers two share their first
 // with a chance of 0.3%; that one of them finds its second taken too is a
 // matter of one in 250 million.
-const tries = 4
+const (
+	tries  = 4
+	spares = 2
+)
 
 // Holder is a server that has a token.
 type Holder struct {
@@ -66,7 +70,7 @@
 func newSet(endpoint string, holders []Holder, hash func(string, string, int) uint32) *Set {
 	s := &Set{
 		tokens:   make(map[string]uint32, len(holders)),
-		names:    make(map[uint32]string, tries*len(holders)),
+		names:    make(map[uint32]string, spares*len(holders)),
 		endpoint: endpoint,
 		hash:     hash,
 	}
@@ -100,9 +104,10 @@
 	s.Collisions++
 }
 
-// addSpares makes the other hashes of name mean it where they are free.
+// addSpares makes the first two hashes of name mean it where they are free:
+// those that a node may use for it that knows fewer servers.
 func (s *Set) addSpares(name string) {
-	for try := range tries {
+	for try := range spares {
 		token := s.hash(s.endpoint, name, try)
 		if _, taken := s.names[token]; !taken && token != 0 {
 			s.names[token] = name
--- /dev/null
+++ b/bronzetoken/token_test.go
@@ -0,0 +1,126 @@
+package bronzetoken
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// narrow is a hash with few values, so that names collide.
+func narrow(endpoint, name string, try int) uint32 { return hash(endpoint, name, try) % 64 }
+
+// constant makes the first hashes of all names one, and the second ones differ.
+func constant(_, name string, try int) uint32 {
+	if try == 0 {
+		return 5
+	}
+	return 100 + uint32(name[len(name)-1])
+}
+
+// A flow is on host a when host b registers, whose token would be the same.
+// If b took it, every node would send a's flow to b, which resets it. The
+// older server keeps the token on all nodes, whatever they heard first.
+func TestOlderServerKeepsAContestedToken(t *testing.T) {
+	before := newSet("e", []Holder{{"a", 1}}, constant)
+	after := newSet("e", []Holder{{"b", 2}, {"a", 1}}, constant)
+	require.Equal(t, before.Token("a"), after.Token("a"))
+	require.NotEqual(t, after.Token("a"), after.Token("b"))
+	require.Equal(t, 1, after.Collisions)
+}
+
+// A node that has not heard of the older of two colliding servers places a
+// flow on the younger one under its second token, as all others would; a node
+// that has forgotten the older one still finds the younger by that token.
+func TestTokensOutliveTheOtherServer(t *testing.T) {
+	both := newSet("e", []Holder{{"a", 1}, {"b", 2}}, constant)
+	alone := newSet("e", []Holder{{"b", 2}}, constant)
+	name, ok := alone.Name(both.Token("b"))
+	require.True(t, ok)
+	require.Equal(t, "b", name)
+}
+
+func TestZeroIsNoToken(t *testing.T) {
+	zeroFirst := func(_, _ string, try int) uint32 { return uint32(try) }
+	s := newSet("e", []Holder{{"a", 1}}, zeroFirst)
+	require.NotZero(t, s.Token("a"))
+	_, ok := s.Name(0)
+	require.False(t, ok)
+}
+
+func TestTokensAreThoseOfOneEndpoint(t *testing.T) {
+	var holders []Holder
+	for i := range 5100 {
+		holders = append(holders, Holder{Name: fmt.Sprintf("host-%d", i), Since: uint64(i)})
+	}
+	here := NewSet("198.18.0.1:443", holders)
+	there := NewSet("198.18.0.2:443", holders)
+	for _, h := range holders {
+		name, ok := here.Name(here.Token(h.Name))
+		require.True(t, ok)
+		require.Equal(t, h.Name, name)
+		_, ok = there.Name(here.Token(h.Name))
+		require.False(t, ok, "a token means nothing at another endpoint")
+	}
+}
+
+// naive gives each holder, oldest first, the first hash that no older one has.
+func naive(holders []Holder, hash func(string, string, int) uint32) map[string]uint32 {
+	tokens := map[string]uint32{}
+	taken := map[uint32]bool{0: true}
+	left := append([]Holder(nil), holders...)
+	for len(left) > 0 {
+		oldest := 0
+		for i, h := range left {
+			o := left[oldest]
+			if h.Since < o.Since || h.Since == o.Since && h.Name < o.Name {
+				oldest = i
+			}
+		}
+		for try := range tries {
+			if token := hash("e", left[oldest].Name, try); !taken[token] {
+				taken[token] = true
+				tokens[left[oldest].Name] = token
+				break
+			}
+		}
+		left = append(left[:oldest], left[oldest+1:]...)
+	}
+	return tokens
+}
+
+func TestSetIsTheNaiveOneInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 20).Draw(t, "holders")
+		holders := make([]Holder, n)
+		for i := range holders {
+			holders[i] = Holder{Name: fmt.Sprintf("host-%d", i), Since: rapid.Uint64Range(0, 5).Draw(t, "since")}
+		}
+		want := naive(holders, narrow)
+		r := rand.New(rand.NewPCG(1, rapid.Uint64().Draw(t, "order")))
+		r.Shuffle(n, func(i, j int) { holders[i], holders[j] = holders[j], holders[i] })
+		s := newSet("e", holders, narrow)
+		require.Equal(t, want, s.tokens)
+		for name, token := range want {
+			got, ok := s.Name(token)
+			require.True(t, ok)
+			require.Equal(t, name, got)
+		}
+	})
+}
+
+func BenchmarkNewSet(b *testing.B) {
+	for _, n := range []int{18, 150, 5100} {
+		var holders []Holder
+		for i := range n {
+			holders = append(holders, Holder{Name: fmt.Sprintf("host-%d", i), Since: uint64(i)})
+		}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				NewSet("198.18.0.1:443", holders)
+			}
+		})
+	}
+}
