--- a/bronzeedge/log.go
+++ b/bronzeedge/log.go
@@ -31,15 +31,14 @@
 	logger *logrus.Logger
 	out    io.Writer
 
-	mu       sync.Mutex
-	pending  bytes.Buffer
-	wake     chan struct{}
-	second   time.Time
-	counts   map[string]int
-	leftOut  map[string]int
-	overflow int
-	closed   chan struct{}
-	done     chan struct{}
+	mu      sync.Mutex
+	pending bytes.Buffer
+	wake    chan struct{}
+	second  time.Time
+	counts  map[string]int
+	leftOut map[string]int
+	closed  chan struct{}
+	done    chan struct{}
 }
 
 // NewLog returns a log that writes to out. Close ends it.
--- a/bronzegossip/gossip_test.go
+++ b/bronzegossip/gossip_test.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net/netip"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -13,9 +12,11 @@
 	"bronzeusher.example/bronzeusher/bronzerecord"
 )
 
-// network carries datagrams between nodes in a test, in the time of a synctest
-// bubble.
+// network carries datagrams between nodes in a test, one after the other, in a
+// time of its own, so that each run is like the one before.
 type network struct {
+	now   time.Time
+	queue []func()
 	nodes map[netip.AddrPort]*node
 	// cut reports whether datagrams between two nodes are lost.
 	cut func(from, to *node) bool
@@ -40,7 +41,7 @@
 const zones = 3
 
 func newNetwork(n int) (net *network, nodes []*node) {
-	net = &network{nodes: map[netip.AddrPort]*node{}, cut: func(_, _ *node) bool { return false }}
+	net = &network{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), nodes: map[netip.AddrPort]*node{}, cut: func(_, _ *node) bool { return false }}
 	for i := range n {
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i%250 + 1)}), 7000)
 		d := &node{net: net, reaches: true}
@@ -60,29 +61,36 @@
 	return net, nodes
 }
 
-const delay = time.Millisecond
-
 func (net *network) send(from *node, to netip.AddrPort, b []byte) {
 	net.sent++
 	target := net.nodes[to]
 	if target == nil || from.stopped || net.cut(from, target) {
 		return
 	}
-	time.AfterFunc(delay, func() {
+	net.queue = append(net.queue, func() {
 		if !target.stopped {
-			target.gossip.Handle(b, time.Now())
+			target.gossip.Handle(b, net.now)
 		}
 	})
 }
 
+// deliver carries all that is under way.
+func (net *network) deliver() {
+	for len(net.queue) > 0 {
+		next := net.queue[0]
+		net.queue = net.queue[1:]
+		next()
+	}
+}
+
 func (net *network) fetch(d *node, peer Peer, revision uint64) {
 	target := net.nodes[peer.Address]
 	if target.stopped || net.cut(d, target) {
 		return
 	}
-	time.AfterFunc(delay, func() {
+	net.queue = append(net.queue, func() {
 		if delta, ok := target.records.Since(revision); ok && d.records.Apply(delta) {
-			d.gossip.Spread(delta, time.Now())
+			d.gossip.Spread(delta, net.now)
 		}
 	})
 }
@@ -93,16 +101,17 @@
 // run lets the nodes do what is due for d. Those that read the store have the
 // answer at once; the store answers a watch without news once a second.
 func (s *store) run(nodes []*node, d time.Duration) {
+	net := nodes[0].net
 	for range int(d / step) {
 		for i, n := range nodes {
 			if n.stopped {
 				continue
 			}
-			now := time.Now()
-			n.gossip.Tick(now)
-			s.read(n, now, (int(now.UnixMilli()/step.Milliseconds())+i)%10 == 0)
+			n.gossip.Tick(net.now)
+			s.read(n, net.now, (int(net.now.UnixMilli()/step.Milliseconds())+i)%10 == 0)
+			net.deliver()
 		}
-		time.Sleep(step)
+		net.now = net.now.Add(step)
 	}
 }
 
@@ -124,9 +133,10 @@
 	n.gossip.Contact(now)
 }
 
-func behind(nodes []*node, revision uint64) (n int) {
+// behind counts the nodes that don't have what the store has.
+func (s *store) behind(nodes []*node) (n int) {
 	for _, d := range nodes {
-		if !d.stopped && d.records.Revision() < revision {
+		if !d.stopped && d.records.Revision() < s.revision {
 			n++
 		}
 	}
@@ -135,7 +145,7 @@
 
 func readers(nodes []*node) (list []*node) {
 	for _, d := range nodes {
-		if !d.stopped && d.gossip.Reads(time.Now()) {
+		if !d.stopped && d.gossip.Reads(d.net.now) {
 			list = append(list, d)
 		}
 	}
@@ -145,32 +155,30 @@
 func TestTwoNodesOfTwoZonesReadForAll(t *testing.T) {
 	for _, n := range []int{9, 78} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				_, nodes := newNetwork(n)
-				s := &store{revision: 1}
-				s.run(nodes, 8*time.Second)
-				if n == 9 {
-					reading := readers(nodes)
-					require.Len(t, reading, 2)
-					require.NotEqual(t, reading[0].gossip.Self.AvailabilityZone, reading[1].gossip.Self.AvailabilityZone)
-				}
+			_, nodes := newNetwork(n)
+			s := &store{revision: 1}
+			s.run(nodes, 8*time.Second)
+			if n == 9 {
+				reading := readers(nodes)
+				require.Len(t, reading, 2)
+				require.NotEqual(t, reading[0].gossip.Self.AvailabilityZone, reading[1].gossip.Self.AvailabilityZone)
+			}
 
-				s.revision = 2
-				s.run(nodes, 1200*time.Millisecond)
-				require.Zero(t, behind(nodes, 2), "all have the change")
-				for _, d := range nodes {
-					d.calls = 0
-				}
-				s.run(nodes, 10*time.Second)
-				calls := 0
-				for _, d := range nodes {
-					calls += d.calls
-				}
-				// With 78 nodes the news that a reader spreads misses one of them
-				// now and then, which then reads once itself.
-				require.LessOrEqual(t, calls, 3*12)
-				t.Logf("%d calls in 10 s", calls)
-			})
+			s.revision = 2
+			s.run(nodes, 1200*time.Millisecond)
+			require.Zero(t, s.behind(nodes), "all have the change")
+			for _, d := range nodes {
+				d.calls = 0
+			}
+			s.run(nodes, 10*time.Second)
+			calls := 0
+			for _, d := range nodes {
+				calls += d.calls
+			}
+			// With 78 nodes the news that a reader spreads misses one of them
+			// now and then, which then reads once itself.
+			require.LessOrEqual(t, calls, 3*12)
+			t.Logf("%d calls in 10 s", calls)
 		})
 	}
 }
@@ -179,105 +187,94 @@
 // change. The others must have the change within three seconds, or callers
 // get the old configuration from nodes that are well.
 func TestReadersThatAreCutOffAreReplacedInTime(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		_, nodes := newNetwork(9)
-		s := &store{revision: 1}
-		s.run(nodes, 5*time.Second)
-		for _, d := range readers(nodes) {
-			d.reaches = false
-		}
-		s.revision = 2
-		s.run(nodes, 2800*time.Millisecond)
-		require.Zero(t, behind(nodes, 2))
-	})
+	_, nodes := newNetwork(9)
+	s := &store{revision: 1}
+	s.run(nodes, 5*time.Second)
+	for _, d := range readers(nodes) {
+		d.reaches = false
+	}
+	s.revision = 2
+	s.run(nodes, 2800*time.Millisecond)
+	require.Zero(t, s.behind(nodes))
 }
 
 // The same when they lose power.
 func TestReadersThatStopAreReplacedInTime(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		_, nodes := newNetwork(9)
-		s := &store{revision: 1}
-		s.run(nodes, 5*time.Second)
-		for _, d := range readers(nodes) {
-			d.stopped = true
-		}
-		s.revision = 2
-		s.run(nodes, 2800*time.Millisecond)
-		require.Zero(t, behind(nodes, 2))
-	})
+	_, nodes := newNetwork(9)
+	s := &store{revision: 1}
+	s.run(nodes, 5*time.Second)
+	for _, d := range readers(nodes) {
+		d.stopped = true
+	}
+	s.revision = 2
+	s.run(nodes, 2800*time.Millisecond)
+	require.Zero(t, s.behind(nodes))
 }
 
 // A zone is cut off from the others; all zones reach the store. Each side has
 // a change in time, and after the cut the sides find each other.
 func TestZoneThatIsCutOffReadsForItself(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		net, nodes := newNetwork(9)
-		s := &store{revision: 1}
-		s.run(nodes, 5*time.Second)
-		inZone := func(d *node) bool { return d.gossip.Self.AvailabilityZone == "b" }
-		net.cut = func(from, to *node) bool { return inZone(from) != inZone(to) }
-		s.revision = 2
-		s.run(nodes, 2800*time.Millisecond)
-		require.Zero(t, behind(nodes, 2))
+	net, nodes := newNetwork(9)
+	s := &store{revision: 1}
+	s.run(nodes, 5*time.Second)
+	inZone := func(d *node) bool { return d.gossip.Self.AvailabilityZone == "b" }
+	net.cut = func(from, to *node) bool { return inZone(from) != inZone(to) }
+	s.revision = 2
+	s.run(nodes, 2800*time.Millisecond)
+	require.Zero(t, s.behind(nodes))
 
-		s.run(nodes, 10*time.Second)
-		net.cut = func(_, _ *node) bool { return false }
-		s.run(nodes, 8*time.Second)
-		for _, d := range nodes {
-			require.Len(t, d.gossip.Peers(time.Now()), 8)
-		}
-		require.Len(t, readers(nodes), 2)
-	})
+	s.run(nodes, 10*time.Second)
+	net.cut = func(_, _ *node) bool { return false }
+	s.run(nodes, 8*time.Second)
+	for _, d := range nodes {
+		require.Len(t, d.gossip.Peers(d.net.now), 8)
+	}
+	require.Len(t, readers(nodes), 2)
 }
 
 // A node starts while it is cut off from the store. It gets all records from
 // a peer, and isn't behind for longer than the others.
 func TestNodeThatCannotReachTheStoreLearnsFromPeers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		_, nodes := newNetwork(4)
-		s := &store{revision: 1}
-		late := nodes[3]
-		late.stopped = true
-		s.run(nodes, 5*time.Second)
-		late.stopped, late.reaches = false, false
-		s.run(nodes, 2*time.Second)
-		require.EqualValues(t, 1, late.records.Revision())
-		s.revision = 2
-		s.run(nodes, 1500*time.Millisecond)
-		require.EqualValues(t, 2, late.records.Revision())
-	})
+	_, nodes := newNetwork(4)
+	s := &store{revision: 1}
+	late := nodes[3]
+	late.stopped = true
+	s.run(nodes, 5*time.Second)
+	late.stopped, late.reaches = false, false
+	s.run(nodes, 2*time.Second)
+	require.EqualValues(t, 1, late.records.Revision())
+	s.revision = 2
+	s.run(nodes, 1500*time.Millisecond)
+	require.EqualValues(t, 2, late.records.Revision())
 }
 
 func TestNodeThatLeavesReadsNoMore(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		_, nodes := newNetwork(9)
-		s := &store{revision: 1}
-		s.run(nodes, 5*time.Second)
-		leaving := readers(nodes)[0]
-		leaving.gossip.Leave(time.Now())
-		s.run(nodes, 200*time.Millisecond)
-		require.False(t, leaving.gossip.Reads(time.Now()))
-		require.Len(t, readers(nodes), 2)
-	})
+	_, nodes := newNetwork(9)
+	s := &store{revision: 1}
+	s.run(nodes, 5*time.Second)
+	leaving := readers(nodes)[0]
+	leaving.gossip.Leave(leaving.net.now)
+	s.run(nodes, 200*time.Millisecond)
+	require.False(t, leaving.gossip.Reads(leaving.net.now))
+	require.Len(t, readers(nodes), 2)
 }
 
-// What a node sends must not grow with the fleet: 78 nodes at rest, and each
-// spends less than a tenth of its budget of 6 KB a second.
+// What a node sends must hardly grow with the fleet: three times the nodes cost
+// each of them a quarter more at most. 20 datagrams a second, a third of them
+// of 600 bytes with loads, are within the budget of 6 KB a second.
 func TestTrafficOfANodeDoesNotGrowWithTheFleet(t *testing.T) {
 	rate := func(n int) (perNode float64) {
-		synctest.Test(t, func(t *testing.T) {
-			net, nodes := newNetwork(n)
-			s := &store{revision: 1}
-			s.run(nodes, 5*time.Second)
-			net.sent = 0
-			s.run(nodes, 10*time.Second)
-			perNode = float64(net.sent) / 10 / float64(n)
-		})
+		net, nodes := newNetwork(n)
+		s := &store{revision: 1}
+		s.run(nodes, 5*time.Second)
+		net.sent = 0
+		s.run(nodes, 10*time.Second)
+		perNode = float64(net.sent) / 10 / float64(n)
 		return perNode
 	}
 	small, large := rate(26), rate(78)
-	require.Less(t, large, 1.2*small)
-	require.Less(t, large, 40.0)
+	require.Less(t, large, 1.25*small)
+	require.Less(t, large, 20.0)
 	t.Logf("datagrams a second and node: %.1f with 26 nodes, %.1f with 78", small, large)
 }
 
--- a/bronzesteer/load.go
+++ b/bronzesteer/load.go
@@ -33,12 +33,11 @@
 
 // Loads returns what this node sends to servers, for the other nodes.
 func (s *Steerer) Loads() (loads []Load) {
-	v := s.view.Load()
-	if v == nil {
+	k := s.known.Load()
+	if k == nil {
 		return nil
 	}
-	for _, server := range v.Servers {
-		b := s.backend(server)
+	for server, b := range k.backends {
 		b.mu.Lock()
 		rate := b.rate
 		b.mu.Unlock()
@@ -74,8 +73,8 @@
 // updateLoads lets rates age and adds up what the other nodes told. Where only
 // some of them are heard in time, they stand for all.
 func (s *Steerer) updateLoads(at time.Duration) {
-	v := s.view.Load()
-	if v == nil {
+	k := s.known.Load()
+	if k == nil {
 		return
 	}
 	sums, heard := s.sumLoads(at)
@@ -85,8 +84,7 @@
 	}
 	dt := at - s.loadsAt
 	s.loadsAt = at
-	for _, server := range v.Servers {
-		b := s.backend(server)
+	for server, b := range k.backends {
 		b.decay(dt)
 		b.mu.Lock()
 		b.others = scale * sums[shortID(server)]
--- a/bronzesteer/place.go
+++ b/bronzesteer/place.go
@@ -56,12 +56,12 @@
 // place chooses the server for a new flow, not the one tried before; nil if
 // there is none. The pool is chosen by the route's weights. If none of its
 // servers can be reached, a pool of the route with a better one is used.
-func (s *Steerer) place(v *bronzeroute.View, route *bronzeroute.Route, p *Packet, tried *backend, at time.Duration, now time.Time) *bronzeroute.Server {
+func (s *Steerer) place(k *known, route *bronzeroute.Route, p *Packet, tried *backend, at time.Duration, now time.Time) *bronzeroute.Server {
 	pool, ok := route.Pick(p.Key.Hash())
 	if !ok {
 		return nil
 	}
-	best, bestTier := s.choose(v.Pool(pool), tried, at, now)
+	best, bestTier := s.choose(k.pools[pool], tried, at, now)
 	for i := range route.Shares {
 		if bestTier > tierAvoided {
 			break
@@ -70,7 +70,7 @@
 		if share.Weight <= 0 || share.Pool == pool {
 			continue
 		}
-		if server, t := s.choose(v.Pool(share.Pool), tried, at, now); t > bestTier {
+		if server, t := s.choose(k.pools[share.Pool], tried, at, now); t > bestTier {
 			best, bestTier = server, t
 		}
 	}
@@ -78,7 +78,7 @@
 }
 
 // choose returns the server of a pool that is to take a flow, and its tier.
-func (s *Steerer) choose(pool []*bronzeroute.Server, tried *backend, at time.Duration, now time.Time) (*bronzeroute.Server, tier) {
+func (s *Steerer) choose(pool []member, tried *backend, at time.Duration, now time.Time) (*bronzeroute.Server, tier) {
 	candidates := s.candidates(pool, tried, at, now)
 	if len(candidates) == 0 {
 		return nil, tierNone
@@ -97,20 +97,19 @@
 }
 
 // candidates returns the servers that may take a flow at all.
-func (s *Steerer) candidates(pool []*bronzeroute.Server, tried *backend, at time.Duration, now time.Time) []candidate {
+func (s *Steerer) candidates(pool []member, tried *backend, at time.Duration, now time.Time) []candidate {
 	mayAvoid := s.mayAvoid(pool, at)
-	latency := s.poolLatency(pool)
+	latency := poolLatency(pool)
 	list := make([]candidate, 0, len(pool))
-	for _, server := range pool {
-		if tried != nil && tried.instance == server.Instance {
+	for _, m := range pool {
+		if m.backend == tried {
 			continue
 		}
-		b := s.backend(server)
-		t := s.tier(server, b, mayAvoid, at)
+		t := s.tier(m.server, m.backend, mayAvoid, at)
 		if t == tierNone {
 			continue
 		}
-		list = append(list, b.candidate(server, t, latency, now))
+		list = append(list, m.backend.candidate(m.server, t, latency, now))
 	}
 	return list
 }
@@ -177,14 +176,14 @@
 
 // mayAvoid reports whether few enough of the pool's servers are silent to
 // keep away from them.
-func (s *Steerer) mayAvoid(pool []*bronzeroute.Server, at time.Duration) bool {
+func (s *Steerer) mayAvoid(pool []member, at time.Duration) bool {
 	serving, avoided := 0, 0
-	for _, server := range pool {
-		if server.Status != bronzeroute.Serving {
+	for _, m := range pool {
+		if m.server.Status != bronzeroute.Serving {
 			continue
 		}
 		serving++
-		if s.avoids(s.backend(server), at) {
+		if s.avoids(m.backend, at) {
 			avoided++
 		}
 	}
@@ -221,15 +220,14 @@
 
 // poolLatency returns the median latency of the pool's servers, which a few
 // slow ones don't change, so that they stand out.
-func (s *Steerer) poolLatency(pool []*bronzeroute.Server) time.Duration {
+func poolLatency(pool []member) time.Duration {
 	latencies := make([]time.Duration, 0, len(pool))
-	for _, server := range pool {
-		b := s.backend(server)
-		b.mu.Lock()
-		if b.latency > 0 {
-			latencies = append(latencies, b.latency)
+	for _, m := range pool {
+		m.backend.mu.Lock()
+		if m.backend.latency > 0 {
+			latencies = append(latencies, m.backend.latency)
 		}
-		b.mu.Unlock()
+		m.backend.mu.Unlock()
 	}
 	if len(latencies) == 0 {
 		return latencyUnknown
--- a/bronzesteer/place_test.go
+++ b/bronzesteer/place_test.go
@@ -102,7 +102,7 @@
 		c, _ := s.open(live)
 		open = append(open, c)
 	}
-	there, _ := at(open, "a-0")
+	there, _ := atFirst(open)
 	require.InDelta(t, 10, len(there), 1)
 }
 
--- a/bronzesteer/silence_test.go
+++ b/bronzesteer/silence_test.go
@@ -8,10 +8,10 @@
 	"github.com/stretchr/testify/require"
 )
 
-// at returns the clients whose flows are at the named server, and the others.
-func at(clients []*client, instance string) (there, elsewhere []*client) {
+// atFirst returns the clients whose flows are at server a-0, and the others.
+func atFirst(clients []*client) (there, elsewhere []*client) {
 	for _, c := range clients {
-		if c.server.Instance == instance {
+		if c.server.Instance == "a-0" {
 			there = append(there, c)
 		} else {
 			elsewhere = append(elsewhere, c)
@@ -46,7 +46,7 @@
 func TestCallersOfASilentServerAreSentElsewhere(t *testing.T) {
 	s := newSite(t, 4)
 	clients := s.load(16, live)
-	stuck, others := at(clients, "a-0")
+	stuck, others := atFirst(clients)
 	require.GreaterOrEqual(t, len(stuck), silentFlows)
 	s.fallSilent(stuck, others)
 	for _, c := range stuck[:silentFlows-1] {
@@ -68,7 +68,7 @@
 // good, and the server may have run them: the flow is left alone.
 func TestFlowsThatMustNotBeRepeatedAreNotEnded(t *testing.T) {
 	s := newSite(t, 4)
-	stuck, others := at(s.load(16, outline), "a-0")
+	stuck, others := atFirst(s.load(16, outline))
 	s.fallSilent(stuck, others)
 	for range 3 {
 		for _, c := range stuck {
@@ -84,7 +84,7 @@
 func TestLostPacketsDontMakeAServerSilent(t *testing.T) {
 	s := newSite(t, 2)
 	clients := s.load(12, live)
-	there, _ := at(clients, "a-0")
+	there, _ := atFirst(clients)
 	lost, well := there[:4], there[4:]
 	for _, c := range lost {
 		c.ask()
--- a/bronzesteer/status.go
+++ b/bronzesteer/status.go
@@ -25,13 +25,13 @@
 
 // Servers returns what this node believes of all servers, by name.
 func (s *Steerer) Servers(now time.Time) (list []ServerStatus) {
-	v := s.view.Load()
-	if v == nil {
+	k := s.known.Load()
+	if k == nil {
 		return nil
 	}
 	at := s.since(now)
-	for _, server := range v.Servers {
-		b := s.backend(server)
+	for _, server := range k.view.Servers {
+		b := k.backends[server]
 		status := ServerStatus{
 			Instance: server.Instance, Pool: server.Pool, AvailabilityZone: server.AvailabilityZone,
 			Status: server.Status.String(), Avoided: s.avoids(b, at), Silent: s.silent(b, at),
--- a/bronzesteer/steer.go
+++ b/bronzesteer/steer.go
@@ -24,7 +24,7 @@
 	// Random returns a number in [0, n); rand.IntN if nil.
 	Random func(n int) int
 
-	view atomic.Pointer[bronzeroute.View]
+	known atomic.Pointer[known]
 
 	once   sync.Once
 	start  time.Time
@@ -65,9 +65,9 @@
 type EventKind uint8
 
 const (
-	// Avoided: new flows keep away from the server for a while.
+	// Avoided says that new flows keep away from the server for a while.
 	Avoided EventKind = iota + 1
-	// Cleared: a server that was avoided has answered.
+	// Cleared says that a server that was avoided has answered.
 	Cleared
 )
 
@@ -79,16 +79,42 @@
 	return "Avoided"
 }
 
-// SetView puts a view in force.
+// known is a view with what this node has seen of its servers.
+type known struct {
+	view     *bronzeroute.View
+	backends map[*bronzeroute.Server]*backend
+	pools    map[string][]member
+}
+
+// member is a server of a pool.
+type member struct {
+	server  *bronzeroute.Server
+	backend *backend
+}
+
+// SetView puts a view in force. Calls must not overlap.
 func (s *Steerer) SetView(v *bronzeroute.View) {
 	s.init()
-	s.view.Store(v)
 	s.forget(v)
+	k := &known{
+		view: v, backends: make(map[*bronzeroute.Server]*backend, len(v.Servers)), pools: make(map[string][]member),
+	}
+	for _, server := range v.Servers {
+		b := s.backend(server)
+		k.backends[server] = b
+		if server.Status != bronzeroute.Gone {
+			k.pools[server.Pool] = append(k.pools[server.Pool], member{server, b})
+		}
+	}
+	s.known.Store(k)
 }
 
 // View returns the view in force, nil if there is none.
 func (s *Steerer) View() *bronzeroute.View {
-	return s.view.Load()
+	if k := s.known.Load(); k != nil {
+		return k.view
+	}
+	return nil
 }
 
 func (s *Steerer) init() {
@@ -119,21 +145,22 @@
 // Decide returns what to do with a packet that arrived at now.
 func (s *Steerer) Decide(p *Packet, now time.Time) Decision {
 	s.init()
-	v := s.view.Load()
+	k := s.known.Load()
 	switch {
-	case v == nil:
+	case k == nil:
 		return Decision{Kind: Wait, Reason: NoView}
 	case p.Returned, p.Open && p.Accept:
 		return Decision{Reason: NotACaller}
 	case p.Open:
-		return s.open(v, p, now)
+		return s.open(k, p, now)
 	default:
-		return s.steer(v, p, now)
+		return s.steer(k, p, now)
 	}
 }
 
 // open places an opening, or a copy of one.
-func (s *Steerer) open(v *bronzeroute.View, p *Packet, now time.Time) Decision {
+func (s *Steerer) open(k *known, p *Packet, now time.Time) Decision {
+	v := k.view
 	service := p.Key.ServiceAddrPort()
 	route := v.Route(service)
 	if route == nil {
@@ -144,13 +171,13 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	if f := sh.flows[p.Key]; f != nil {
-		return s.repeat(v, route, f, p, at, now)
+		return s.repeat(k, route, f, p, at, now)
 	}
-	server := s.place(v, route, p, nil, at, now)
+	server := s.place(k, route, p, nil, at, now)
 	if server == nil {
 		return Decision{Kind: End, Reason: NoServer}
 	}
-	f := &flow{first: s.backend(server), idempotent: route.Idempotent, openedAt: at, seenAt: at}
+	f := &flow{first: k.backends[server], idempotent: route.Idempotent, openedAt: at, seenAt: at}
 	f.backend, f.token = f.first, v.Token(service, server)
 	f.backend.addOpening(1)
 	sh.flows[p.Key] = f
@@ -160,7 +187,8 @@
 // repeat handles a further opening of a flow that this node has placed. The
 // first server is asked again if it has answered anybody since, because then
 // a packet got lost; otherwise another one is.
-func (s *Steerer) repeat(v *bronzeroute.View, route *bronzeroute.Route, f *flow, p *Packet, at time.Duration, now time.Time) Decision {
+func (s *Steerer) repeat(k *known, route *bronzeroute.Route, f *flow, p *Packet, at time.Duration, now time.Time) Decision {
+	v := k.view
 	f.seenAt = at
 	server := v.ByName(f.backend.instance)
 	if f.open {
@@ -173,7 +201,7 @@
 		return Decision{Kind: Forward, Reason: Repeated, Server: server, Token: f.token}
 	}
 	s.unanswered(f.backend, f.sentAt(f.openedAt), at, openingWeight)
-	next := s.place(v, route, p, f.backend, at, now)
+	next := s.place(k, route, p, f.backend, at, now)
 	if next == nil {
 		if server == nil || server.Status == bronzeroute.Gone {
 			return Decision{Kind: End, Reason: NoServer}
@@ -181,13 +209,14 @@
 		return Decision{Kind: Forward, Reason: Repeated, Server: server, Token: f.token}
 	}
 	f.backend.addOpening(-1)
-	f.backend, f.token, f.retriedAt = s.backend(next), v.Token(route.Service, next), at
+	f.backend, f.token, f.retriedAt = k.backends[next], v.Token(route.Service, next), at
 	f.backend.addOpening(1)
 	return Decision{Kind: Forward, Reason: Retried, Server: next, Token: f.token, Tried: server}
 }
 
 // steer sends a packet of an established flow where its token says.
-func (s *Steerer) steer(v *bronzeroute.View, p *Packet, now time.Time) Decision {
+func (s *Steerer) steer(k *known, p *Packet, now time.Time) Decision {
+	v := k.view
 	service := p.Key.ServiceAddrPort()
 	if v.Route(service) == nil {
 		if v.Withdrawn(service) {
@@ -218,10 +247,10 @@
 		sh.end(p.Key)
 		return Decision{Kind: End, Reason: ServerGone}
 	}
+	b := k.backends[server]
 	if f == nil {
-		f = s.adopt(sh, v, p, server, token, at)
+		f = adopt(sh, v, p, b, token, at)
 	}
-	b := s.backend(server)
 	opened := time.Duration(0)
 	if !f.open {
 		opened = at - f.openedAt
@@ -238,9 +267,9 @@
 }
 
 // adopt makes an entry for a flow that another node has opened.
-func (s *Steerer) adopt(sh *shard, v *bronzeroute.View, p *Packet, server *bronzeroute.Server, token uint32, at time.Duration) *flow {
+func adopt(sh *shard, v *bronzeroute.View, p *Packet, b *backend, token uint32, at time.Duration) *flow {
 	f := &flow{
-		token: token, backend: s.backend(server), open: true,
+		token: token, backend: b, open: true,
 		openedAt: at, seenAt: at,
 		sequence: p.Sequence, acknowledged: p.Acknowledged,
 		idempotent: v.Route(p.Key.ServiceAddrPort()).Idempotent,
