End idle flows of dead servers; a zone's cut needs a sign of each server

Cause 2: requests that must not be repeated are lost at a dead server by the next use of an idle flow. The flow is ended before.

--- a/bronzeedge/edge.go
+++ b/bronzeedge/edge.go
@@ -253,6 +253,7 @@
 func (e *Edge) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	w := e.newWorker()
 	for {
 		select {
 		case <-ctx.Done():
@@ -261,7 +262,10 @@
 		}
 		now := time.Now()
 		e.gossip.Tick(now)
-		e.steerer.Sweep(now)
+		for _, ending := range e.steerer.Sweep(now) {
+			w.end(&ending)
+		}
+		w.flush()
 		e.advance(now)
 	}
 }
--- a/bronzeedge/packets.go
+++ b/bronzeedge/packets.go
@@ -77,10 +77,7 @@
 		to.Buf = e.seams.Wire.AppendForward(to.Buf[:0], b, d.Server.Incarnation, d.Token)
 		to.N = len(to.Buf)
 	case bronzesteer.End:
-		caller := p.Key.CallerAddrPort()
-		to := w.next(netip.AddrPortFrom(caller.Addr(), e.cfg.DataAddress.Port()))
-		to.Buf = e.seams.Wire.AppendReset(to.Buf[:0], &p)
-		to.N = len(to.Buf)
+		w.reset(&p)
 	case bronzesteer.Wait:
 		w.hold(b)
 	}
@@ -91,6 +88,24 @@
 	e.logDecision(&p, &d)
 }
 
+// reset sends a caller the end of its flow, in answer to p.
+func (w *worker) reset(p *bronzesteer.Packet) {
+	to := w.next(netip.AddrPortFrom(p.Key.CallerAddrPort().Addr(), w.edge.cfg.DataAddress.Port()))
+	to.Buf = w.edge.seams.Wire.AppendReset(to.Buf[:0], p)
+	to.N = len(to.Buf)
+}
+
+// end ends a flow of which no packet came.
+func (w *worker) end(ending *bronzesteer.Ending) {
+	w.reset(&ending.Packet)
+	d := bronzesteer.Decision{Kind: bronzesteer.End, Reason: ending.Reason}
+	w.edge.counts.decision(&d)
+	w.edge.log.Line("Ended", F{
+		"Caller": ending.Packet.Key.CallerAddrPort().String(), "Service": ending.Packet.Key.ServiceAddrPort().String(),
+		"Server": ending.Instance, "Reason": ending.Reason.String(),
+	})
+}
+
 // logDecision logs what is decided of a flow's beginning and end.
 func (e *Edge) logDecision(p *bronzesteer.Packet, d *bronzesteer.Decision) {
 	if d.Reason == bronzesteer.Steered || d.Reason == bronzesteer.NoView {
--- a/bronzesteer/backend.go
+++ b/bronzesteer/backend.go
@@ -276,18 +276,34 @@
 	return recent(z.silent, at) >= silentServers
 }
 
-// silent reports whether the server answers nobody, or the way to its zone is
-// cut, so that flows there which can be repeated elsewhere are better ended. A
-// node that hears nobody says no: it would end the flows that other nodes
-// could still take on.
+// silent reports whether the server answers nobody, so that flows there which
+// can be repeated elsewhere are better ended: it left several flows unanswered,
+// or one, and the way to its zone seems cut. Of a zone that this node sends
+// little to, two servers that crash look like a cut; without a sign of its own
+// a server that is well would lose its flows. A node that hears nobody says no:
+// it would end the flows that other nodes could still take on.
 func (s *Steerer) silent(b *backend, at time.Duration) bool {
-	if at < settling || at-time.Duration(s.goodAt.Load()) > hearingFor || s.isLate(at) {
-		return false
-	}
+	return s.judges(at) && (b.dead(at) || b.asked(at) && s.zoneCut(b, at))
+}
+
+// judges reports whether this node is in a state to judge servers.
+func (s *Steerer) judges(at time.Duration) bool {
+	return at >= settling && at-time.Duration(s.goodAt.Load()) <= hearingFor && !s.isLate(at)
+}
+
+// asked reports whether the server has left something unanswered lately.
+func (b *backend) asked(at time.Duration) bool {
 	b.mu.Lock()
-	silent := b.unanswered >= silentFlows && at-b.silentSince >= silentFor && at-b.silentAt < silenceCounts
-	b.mu.Unlock()
-	return silent || s.zoneCut(b, at)
+	defer b.mu.Unlock()
+	return b.unanswered > 0 && at-b.silentAt < silenceCounts
+}
+
+// dead reports whether the server has left several flows unanswered, and
+// answered nobody meanwhile.
+func (b *backend) dead(at time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.unanswered >= silentFlows && at-b.silentSince >= silentFor && at-b.silentAt < silenceCounts
 }
 
 // isLate reports whether so many servers of the own zone are silent that it
--- a/bronzesteer/flow.go
+++ b/bronzesteer/flow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bronzeusher.example/bronzeusher/bronzeflow"
+	"bronzeusher.example/bronzeusher/bronzeroute"
 )
 
 const (
@@ -18,6 +19,9 @@
 	// openingFor is the same for a flow that isn't open: callers repeat an
 	// opening twice within 600 ms and give up after 1.4 s.
 	openingFor = 3 * time.Second
+	// repeatedBy is when a caller without an answer has repeated its request
+	// at the latest.
+	repeatedBy = 300 * time.Millisecond
 	// workLeast and workMost bound how long a request counts as being worked
 	// on without a sign of its answer.
 	workLeast = 60 * time.Millisecond
@@ -146,18 +150,49 @@
 	f.finish()
 }
 
+// Ending is a flow that is to be ended though no packet of it came.
+type Ending struct {
+	Packet   Packet
+	Instance string
+	Reason   Reason
+}
+
 // Sweep forgets flows without packets and work without answers, and brings
-// loads up to date. It is to be called about every 100 ms.
-func (s *Steerer) Sweep(now time.Time) {
+// loads up to date. It is to be called about every 100 ms. It returns the flows
+// that are to be ended: those without a request at a server that is gone, or
+// answers nobody. Their callers would find out by their next request, which
+// would be lost if it must not be repeated.
+func (s *Steerer) Sweep(now time.Time) (endings []Ending) {
 	s.init()
+	k := s.known.Load()
+	if k == nil {
+		return nil
+	}
 	at := s.since(now)
+	lost := s.lost(k, at)
 	for i := range s.shards {
-		s.shards[i].sweep(at)
+		endings = append(endings, s.shards[i].sweep(at, lost)...)
 	}
 	s.updateLoads(at)
+	return endings
 }
 
-func (sh *shard) sweep(at time.Duration) {
+// lost returns the servers that take no more requests, and why.
+func (s *Steerer) lost(k *known, at time.Duration) (lost map[*backend]Reason) {
+	lost = make(map[*backend]Reason)
+	judges := s.judges(at)
+	for server, b := range k.backends {
+		switch {
+		case server.Status == bronzeroute.Gone:
+			lost[b] = ServerGone
+		case judges && b.dead(at):
+			lost[b] = ServerSilent
+		}
+	}
+	return lost
+}
+
+func (sh *shard) sweep(at time.Duration, lost map[*backend]Reason) (endings []Ending) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	for key, f := range sh.flows {
@@ -166,12 +201,25 @@
 			limit = openingFor
 		}
 		if at-f.seenAt > limit {
-			f.release()
-			delete(sh.flows, key)
+			sh.end(key)
+			continue
+		}
+		if reason, ok := lost[f.backend]; ok && f.open && f.idle(at) {
+			p := Packet{Key: key, Token: f.token, Sequence: f.sequence, Acknowledged: f.acknowledged}
+			endings = append(endings, Ending{Packet: p, Instance: f.backend.instance, Reason: reason})
+			sh.end(key)
 			continue
 		}
 		if f.working && !f.struck && at-f.askedAt > f.backend.workFor() {
 			f.finish()
 		}
 	}
+	return endings
+}
+
+// idle reports whether the flow has no request that waits for its answer. The
+// acknowledgement of a short answer comes only with the next request, but a
+// caller without an answer repeats its request after 200 ms.
+func (f *flow) idle(at time.Duration) bool {
+	return !f.struck && (f.askedAt == 0 || at-f.seenAt > repeatedBy)
 }
--- a/bronzesteer/harness_test.go
+++ b/bronzesteer/harness_test.go
@@ -27,6 +27,8 @@
 	node      *Steerer
 	now       time.Time
 	port      uint16
+	// endings are what sweeps have returned.
+	endings []Ending
 }
 
 // newSite returns a site with the given number of servers in zones a, b, c.
@@ -74,7 +76,7 @@
 	const step = 50 * time.Millisecond
 	for ; d > 0; d -= step {
 		s.now = s.now.Add(min(step, d))
-		s.node.Sweep(s.now)
+		s.endings = append(s.endings, s.node.Sweep(s.now)...)
 	}
 }
 
--- a/bronzesteer/silence_test.go
+++ b/bronzesteer/silence_test.go
@@ -159,3 +159,62 @@
 	}
 	return clients
 }
+
+// Two servers of zone b crash, and this node sends little to the zone. It looks
+// like a cut of the zone, but a third server of it is well, and its caller asks
+// for the first time in a while: the flow must go on.
+func TestTwoCrashesAreNoCutOfTheirZone(t *testing.T) {
+	s := newSite(t, 4, 4)
+	own := s.load(8, live)
+	s.pass(time.Second)
+	var crashed, well []*client
+	for _, c := range s.adoptFlows(8, "b") {
+		if c.server.Instance == "b-0" || c.server.Instance == "b-1" {
+			crashed = append(crashed, c)
+		} else {
+			well = append(well, c)
+		}
+	}
+	s.fallSilent(crashed, own)
+	for range 4 {
+		for _, c := range crashed {
+			c.askAgain()
+		}
+		s.pass(100 * time.Millisecond)
+		s.round(own)
+	}
+	for _, c := range well {
+		require.Equal(t, Forward, c.ask().Kind)
+	}
+}
+
+// A server crashes, and a caller has a flow there whose requests must not be
+// repeated, with none at work. Its next request would be lost. The flow is ended
+// before, so that the caller opens another one; a flow with a request at work is
+// left alone, because only the server knows whether it ran.
+func TestIdleFlowsOfADeadServerAreEnded(t *testing.T) {
+	s := newSite(t, 4)
+	idle, _ := atFirst(s.load(8, outline))
+	clients := s.load(16, live)
+	stuck, others := atFirst(clients)
+	working, _ := atFirst(s.load(8, outline))
+	working[0].ask()
+	s.fallSilent(stuck, others)
+	working[0].askAgain()
+	for _, c := range stuck {
+		c.askAgain()
+	}
+	s.pass(150 * time.Millisecond)
+	s.round(others[:1])
+
+	ended := map[uint16]bool{}
+	for _, ending := range s.endings {
+		require.Equal(t, "a-0", ending.Instance)
+		require.NotZero(t, ending.Packet.Acknowledged, "the caller believes a reset with that number alone")
+		ended[ending.Packet.Key.CallerPort] = true
+	}
+	for _, c := range idle {
+		require.True(t, ended[c.packet.Key.CallerPort])
+	}
+	require.False(t, ended[working[0].packet.Key.CallerPort])
+}
