--- a/bronzeedge/metrics.go
+++ b/bronzeedge/metrics.go
@@ -10,16 +10,17 @@
 	"bronzeusher.example/bronzeusher/bronzesteer"
 )
 
+// Paths that are served at Config.MetricsAddress.
 const (
-	// metricsPath and statusPath are served at Config.MetricsAddress.
 	metricsPath = "/metrics"
-	statusPath  = "/status"
+	// StatusPath answers with a Status as JSON.
+	StatusPath = "/status"
 )
 
 func (e *Edge) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+metricsPath, e.answerMetrics)
-	mux.HandleFunc("GET "+statusPath, e.answerStatus)
+	mux.HandleFunc("GET "+StatusPath, e.answerStatus)
 	return mux
 }
 
--- a/bronzeedge/packets.go
+++ b/bronzeedge/packets.go
@@ -85,7 +85,7 @@
 	if d.Opened > 0 {
 		e.counts.opening.RecordDuration(d.Opened)
 	}
-	e.logDecision(&p, &d)
+	e.logDecision(&p, &d, now)
 }
 
 // reset sends a caller the end of its flow, in answer to p.
@@ -106,17 +106,31 @@
 	})
 }
 
-// logDecision logs what is decided of a flow's beginning and end.
-func (e *Edge) logDecision(p *bronzesteer.Packet, d *bronzesteer.Decision) {
+// logDecision logs what is decided of a flow's beginning and end, with what
+// decided it: the version of the routes, how long ago the store confirmed this
+// node's records, and the servers.
+func (e *Edge) logDecision(p *bronzesteer.Packet, d *bronzesteer.Decision, now time.Time) {
 	if d.Reason == bronzesteer.Steered || d.Reason == bronzesteer.NoView {
 		return
 	}
 	fields := F{
 		"Caller": p.Key.CallerAddrPort().String(), "Service": p.Key.ServiceAddrPort().String(),
 		"Decision": d.Kind.String(), "Reason": d.Reason.String(), "Open": p.Open, "Copy": p.Copy,
+		"ConfirmedMS": e.gossip.Confirmed(now).Milliseconds(),
+	}
+	if v := e.steerer.View(); v != nil {
+		fields["Version"] = v.Table.Version
 	}
 	if d.Server != nil {
 		fields["Server"] = d.Server.Instance
+		fields["ServerZone"] = d.Server.AvailabilityZone
+	}
+	if d.Tried != nil {
+		fields["Tried"] = d.Tried.Instance
+		fields["TriedStatus"] = d.Tried.Status.String()
+	}
+	if !p.Open {
+		fields["Token"] = p.Token
 	}
 	e.log.Line("Flow", fields)
 }
--- a/bronzesteer/packet.go
+++ b/bronzesteer/packet.go
@@ -117,7 +117,8 @@
 	// Server and Token are set if Kind is Forward.
 	Server *bronzeroute.Server
 	Token  uint32
-	// Tried is the server that did not answer, where Reason is Retried.
+	// Tried is the flow's server where that is why the flow goes elsewhere or
+	// ends: where Reason is Retried, ServerGone or ServerSilent.
 	Tried *bronzeroute.Server
 	// Opened is how long the flow's opening took, set with the first packet
 	// of an open flow that this node has opened.
--- a/bronzesteer/steer.go
+++ b/bronzesteer/steer.go
@@ -245,7 +245,7 @@
 		return Decision{Reason: TokenUnknown}
 	case server.Status == bronzeroute.Gone:
 		sh.end(p.Key)
-		return Decision{Kind: End, Reason: ServerGone}
+		return Decision{Kind: End, Reason: ServerGone, Tried: server}
 	}
 	b := k.backends[server]
 	if f == nil {
--- a/bronzesteer/steer_test.go
+++ b/bronzesteer/steer_test.go
@@ -77,7 +77,9 @@
 	s.pass(bronzeroute.MissingFor + time.Millisecond)
 	s.directory.Advance(s.now)
 	s.node.SetView(s.directory.View())
-	require.Equal(t, Decision{Kind: End, Reason: ServerGone}, c.askAgain())
+	d := c.askAgain()
+	require.Equal(t, Decision{Kind: End, Reason: ServerGone, Tried: d.Tried}, d)
+	require.Equal(t, c.server.Instance, d.Tried.Instance)
 }
 
 // The first server doesn't answer an opening and nobody else. Its copy, 200 ms
--- a/cmd/bronzeusher/check.go
+++ b/cmd/bronzeusher/check.go
@@ -10,14 +10,38 @@
 	"github.com/pkg/errors"
 
 	"bronzeusher.example/bronzeusher/bronzeconf"
+	"bronzeusher.example/bronzeusher/bronzeedge"
 )
 
 type checkCommand struct {
-	Files []string `arg:"" name:"file" type:"existingfile" help:"Files with one record each; a record's name is the file's without its extension."`
+	Files    []string `arg:"" optional:"" name:"file" type:"existingfile" help:"Files with one record each; a record's name is the file's without its extension."`
+	Settings []string `type:"existingfile" help:"Files with settings of bronzeedge."`
 }
 
-// Run lists every fault of the records, each on its own and all together.
+// Run lists every fault of the records, each on its own and all together, and
+// the first fault of each settings file.
 func (c *checkCommand) Run(p *program) (err error) {
+	faults := 0
+	for _, file := range c.Settings {
+		if _, err = bronzeedge.ReadConfig(file); err == nil {
+			continue
+		}
+		faults++
+		if _, err = fmt.Fprintln(p.Stdout, err); err != nil {
+			return err
+		}
+	}
+	if faults > 0 {
+		return errFailed
+	}
+	if len(c.Files) == 0 {
+		_, err = fmt.Fprintf(p.Stdout, "%d settings, no faults\n", len(c.Settings))
+		return err
+	}
+	return c.checkRecords(p)
+}
+
+func (c *checkCommand) checkRecords(p *program) (err error) {
 	records, err := readRecords(c.Files)
 	if err != nil {
 		return err
--- a/cmd/bronzeusher/cli_test.go
+++ b/cmd/bronzeusher/cli_test.go
@@ -17,8 +17,10 @@
 
 	"bronzeusher.example/bronzeusher/bronzeconf"
 	"bronzeusher.example/bronzeusher/bronzecore"
+	"bronzeusher.example/bronzeusher/bronzeedge"
 	"bronzeusher.example/bronzeusher/bronzenode"
 	"bronzeusher.example/bronzeusher/bronzepool"
+	"bronzeusher.example/bronzeusher/bronzesteer"
 )
 
 // runProgram runs the command line and returns what it printed.
@@ -194,3 +196,36 @@
 	require.Equal(t, exitFailed, code)
 	require.Contains(t, stderr, errEndedAtOnce.Error())
 }
+
+const edgeSettings = `{"Name": "edge-1", "AvailabilityZone": "a", "DataAddress": "127.0.0.1:1", "ReadyAddress": "127.0.0.1:2",
+	"ControlAddress": "127.0.0.1:3", "PeerAddress": "127.0.0.1:4", "Store": "127.0.0.1:5"}`
+
+func TestCheckNamesTheFieldOfSettings(t *testing.T) {
+	dir := t.TempDir()
+	good := writeRecord(t, dir, "good", edgeSettings)
+	code, stdout, stderr := runProgram(t, nil, "check", "--settings="+good)
+	require.Equal(t, exitOK, code, stderr)
+	require.Equal(t, "1 settings, no faults\n", stdout)
+	bad := writeRecord(t, dir, "bad", strings.Replace(edgeSettings, "ReadyAddress", "Redy", 1))
+	code, stdout, _ = runProgram(t, nil, "check", "--settings="+good, "--settings="+bad)
+	require.Equal(t, exitFailed, code)
+	require.Contains(t, stdout, "bad.json: ReadyAddress: is missing")
+}
+
+func TestShowEdge(t *testing.T) {
+	status := bronzeedge.Status{
+		Name: "edge-1", Ready: true, Revision: 42,
+		Servers: []bronzesteer.ServerStatus{{Instance: "map-1", Status: "Missing", Avoided: true}},
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == bronzeedge.StatusPath {
+			_ = json.NewEncoder(w).Encode(status)
+		}
+	}))
+	defer server.Close()
+	code, stdout, stderr := runProgram(t, nil, "show", "--edge", "--address="+strings.TrimPrefix(server.URL, "http://"))
+	require.Equal(t, exitOK, code, stderr)
+	for _, want := range []string{"edge-1", "42", "map-1", "Missing"} {
+		require.Contains(t, stdout, want)
+	}
+}
--- a/cmd/bronzeusher/docs_test.go
+++ b/cmd/bronzeusher/docs_test.go
@@ -23,7 +23,7 @@
 // operatorsPage returns the page that has a row for each counter.
 func operatorsPage(t *testing.T) string {
 	t.Helper()
-	b, err := os.ReadFile("../../docs/OPERATING.md")
+	b, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	return string(b)
 }
@@ -153,5 +153,5 @@
 			missing = append(missing, row)
 		}
 	}
-	require.Empty(t, missing, "docs/OPERATING.md")
+	require.Empty(t, missing, "docs/OPERATIONS.md")
 }
--- a/cmd/bronzeusher/show.go
+++ b/cmd/bronzeusher/show.go
@@ -14,11 +14,13 @@
 
 	"github.com/pkg/errors"
 
+	"bronzeusher.example/bronzeusher/bronzeedge"
 	"bronzeusher.example/bronzeusher/bronzenode"
 )
 
 type showCommand struct {
 	Address netip.AddrPort `default:"127.0.0.1:6083" help:"HTTP address of the balancer."`
+	Edge    bool           `help:"Ask a bronzeedge, at its metrics address."`
 	JSON    bool           `name:"json" help:"Print JSON instead of tables."`
 	Timeout time.Duration  `default:"5s" help:"Longest wait for the balancer."`
 }
@@ -27,19 +29,58 @@
 func (c *showCommand) Run(ctx context.Context, p *program) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
-	status, err := fetchStatus(ctx, "http://"+c.Address.String()+bronzenode.StatusPath)
+	if c.Edge {
+		status, err := fetchStatus[bronzeedge.Status](ctx, "http://"+c.Address.String()+bronzeedge.StatusPath)
+		if err != nil {
+			return err
+		}
+		if c.JSON {
+			return writeJSON(p.Stdout, status)
+		}
+		return writeEdge(p.Stdout, status)
+	}
+	status, err := fetchStatus[bronzenode.Status](ctx, "http://"+c.Address.String()+bronzenode.StatusPath)
 	if err != nil {
 		return err
 	}
 	if c.JSON {
-		encoder := json.NewEncoder(p.Stdout)
-		encoder.SetIndent("", "  ")
-		return encoder.Encode(status)
+		return writeJSON(p.Stdout, status)
 	}
 	return writeStatus(p.Stdout, status)
 }
 
-func fetchStatus(ctx context.Context, url string) (status *bronzenode.Status, err error) {
+func writeJSON(w io.Writer, status any) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(status)
+}
+
+// writeEdge prints the state of a bronzeedge.
+func writeEdge(w io.Writer, s *bronzeedge.Status) (err error) {
+	t := &tables{w: w}
+	t.begin("NODE", s.Name)
+	t.row("AvailabilityZone", s.AvailabilityZone)
+	t.row("Ready", s.Ready)
+	t.row("Leaving", s.Leaving)
+	t.row("Revision", s.Revision)
+	t.row("Version", s.Version)
+	t.row("Routes", s.Routes)
+	t.row("ConfirmedSeconds", fmt.Sprintf("%.2f", s.ConfirmedSeconds))
+	t.row("ReadsStore", s.ReadsStore)
+	t.begin("PEER", "ZONE", "HEARDMS", "ADDRESS")
+	for _, p := range s.Peers {
+		t.row(p.Name, p.AvailabilityZone, p.HeardMS, p.Address)
+	}
+	t.begin("BACKENDSERVER", "POOL", "ZONE", "STATUS", "AVOIDED", "SILENT", "FLOWS", "WORK", "RATE", "OTHERS", "LATENCYMS")
+	for _, b := range s.Servers {
+		t.row(b.Instance, b.Pool, b.AvailabilityZone, b.Status, b.Avoided, b.Silent, b.Flows, b.Work,
+			fmt.Sprintf("%.1f", b.Rate), fmt.Sprintf("%.1f", b.OthersRate), b.LatencyMS)
+	}
+	t.end()
+	return t.err
+}
+
+func fetchStatus[T any](ctx context.Context, url string) (status *T, err error) {
 	defer func() { err = errors.Wrap(err, "ask the balancer") }()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
@@ -53,7 +94,7 @@
 	if res.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("status %s", res.Status)
 	}
-	status = new(bronzenode.Status)
+	status = new(T)
 	err = json.NewDecoder(res.Body).Decode(status)
 	return status, err
 }
