Have one backoff and one pause

Both use bronzeretry now, and the two kinds of state that show prints one function. No behaviour changes; the tests of both packages pass.

--- a/bronzeconf/reader.go
+++ b/bronzeconf/reader.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/alitto/pond/v2"
 	"github.com/pkg/errors"
+
+	"bronzeusher.example/bronzeusher/bronzeretry"
 )
 
 // The reasons that Reader.Count is called with.
@@ -65,15 +66,16 @@
 	tries   int
 	// bodies are read but not applied yet.
 	bodies  []StoredRecord
-	backoff time.Duration
+	backoff bronzeretry.Backoff
 }
 
 // Run reads until ctx is done and returns the cause.
 func (r *Reader) Run(ctx context.Context) error {
+	r.backoff = bronzeretry.Backoff{Least: minBackoff, Most: maxBackoff}
 	// The context ends the pool, which has no worker left while it is idle.
 	pool := pond.NewPool(readers, pond.WithContext(ctx))
 	for ctx.Err() == nil {
-		pause(ctx, r.step(ctx, pool))
+		bronzeretry.Pause(ctx, r.step(ctx, pool))
 	}
 	return context.Cause(ctx)
 }
@@ -90,35 +92,15 @@
 		ok = r.readAll(ctx, pool)
 	}
 	if !ok {
-		return r.failed()
+		return r.backoff.Next()
 	}
-	r.backoff = 0
+	r.backoff.Reset()
 	if news {
 		return 0
 	}
 	return max(0, minWatch-time.Since(begun))
 }
 
-// failed returns a pause that grows with each failure in a row, half of it at
-// random, so that readers don't come back all at once.
-func (r *Reader) failed() time.Duration {
-	r.backoff = min(max(2*r.backoff, minBackoff), maxBackoff)
-	half := r.backoff / 2
-	return half + rand.N(half)
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // next gets the next index. news says whether it has records to be read, ok
 // whether the platform gave something to go on with.
 func (r *Reader) next(ctx context.Context) (news, ok bool) {
--- a/bronzerecord/follower.go
+++ b/bronzerecord/follower.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"bronzeusher.example/bronzeusher/bronzeretry"
 )
 
 // Errors that a Source returns.
@@ -85,7 +86,7 @@
 	// OnEvent is called with each event.
 	OnEvent func(Event)
 
-	backoff time.Duration
+	backoff bronzeretry.Backoff
 	// reload asks for the whole contents next.
 	reload bool
 	// contact is when the store last answered.
@@ -102,8 +103,9 @@
 
 // Run follows until ctx is done and returns the cause.
 func (f *Follower) Run(ctx context.Context) error {
+	f.backoff = bronzeretry.Backoff{Least: minBackoff, Most: maxBackoff}
 	for ctx.Err() == nil {
-		pause(ctx, f.step(ctx))
+		bronzeretry.Pause(ctx, f.step(ctx))
 	}
 	return context.Cause(ctx)
 }
@@ -129,9 +131,9 @@
 	}
 	if err != nil {
 		f.event(Event{Kind: Failed, Took: took, Err: err})
-		return f.failed()
+		return f.backoff.Next()
 	}
-	f.backoff = 0
+	f.backoff.Reset()
 	f.heard()
 	return f.take(d, whole, took)
 }
@@ -152,7 +154,7 @@
 	if d.To < f.Set.Revision() {
 		// A replica that lags: what it shows was in force before.
 		f.event(Event{Kind: Regressed, Took: took})
-		return f.failed()
+		return f.backoff.Next()
 	}
 	f.reload = false
 	if !whole && len(d.Changed)+len(d.Removed) == 0 {
@@ -175,14 +177,6 @@
 	return DefaultGather
 }
 
-// failed returns a pause that grows with each failure in a row, half of it at
-// random, so that nodes don't come back to the store all at once.
-func (f *Follower) failed() time.Duration {
-	f.backoff = min(max(2*f.backoff, minBackoff), maxBackoff)
-	half := f.backoff / 2
-	return half + rand.N(half)
-}
-
 func (f *Follower) heard() {
 	now := time.Now()
 	f.contact.Store(&now)
@@ -194,15 +188,3 @@
 		f.OnEvent(e)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/bronzerecord/follower_test.go
+++ b/bronzerecord/follower_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
+
+	"bronzeusher.example/bronzeusher/bronzeretry"
 )
 
 // fakeStore is a store whose watches can go deaf.
@@ -42,7 +44,7 @@
 		if !f.deaf && f.h.revision > after {
 			return f.h.delta(after, f.h.revision), nil
 		}
-		pause(ctx, 100*time.Millisecond)
+		bronzeretry.Pause(ctx, 100*time.Millisecond)
 	}
 	return Delta{From: after, To: f.h.revision}, nil
 }
--- /dev/null
+++ b/bronzeretry/backoff_test.go
@@ -0,0 +1,36 @@
+package bronzeretry
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestBackoffGrowsToItsBound(t *testing.T) {
+	b := Backoff{Least: 100 * time.Millisecond, Most: time.Second}
+	for _, bound := range []time.Duration{100, 200, 400, 800, 1000, 1000} {
+		bound *= time.Millisecond
+		d := b.Next()
+		require.GreaterOrEqual(t, d, bound/2)
+		require.Less(t, d, bound)
+	}
+	b.Reset()
+	require.Less(t, b.Next(), 100*time.Millisecond)
+	var zero Backoff
+	require.Zero(t, zero.Next())
+}
+
+func TestPauseEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		begun := time.Now()
+		Pause(ctx, time.Minute)
+		require.Equal(t, time.Second, time.Since(begun))
+		Pause(t.Context(), 0)
+		require.Equal(t, time.Second, time.Since(begun))
+	})
+}
--- a/cmd/bronzeusher/show.go
+++ b/cmd/bronzeusher/show.go
@@ -30,23 +30,21 @@
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
 	if c.Edge {
-		status, err := fetchStatus[bronzeedge.Status](ctx, "http://"+c.Address.String()+bronzeedge.StatusPath)
-		if err != nil {
-			return err
-		}
-		if c.JSON {
-			return writeJSON(p.Stdout, status)
-		}
-		return writeEdge(p.Stdout, status)
+		return show(ctx, c, bronzeedge.StatusPath, p.Stdout, writeEdge)
 	}
-	status, err := fetchStatus[bronzenode.Status](ctx, "http://"+c.Address.String()+bronzenode.StatusPath)
+	return show(ctx, c, bronzenode.StatusPath, p.Stdout, writeStatus)
+}
+
+// show prints the state at a path of the asked address, as JSON or by write.
+func show[T any](ctx context.Context, c *showCommand, path string, w io.Writer, write func(io.Writer, *T) error) (err error) {
+	status, err := fetchStatus[T](ctx, "http://"+c.Address.String()+path)
 	if err != nil {
 		return err
 	}
 	if c.JSON {
-		return writeJSON(p.Stdout, status)
+		return writeJSON(w, status)
 	}
-	return writeStatus(p.Stdout, status)
+	return write(w, status)
 }
 
 func writeJSON(w io.Writer, status any) error {
