Bound the flows that a node follows also where it opens them

Cause: only flows that another node had opened were bounded; a flood of openings would take memory for three seconds each. Found while reading for the landing, with a second fault: beyond the bound a request counted as at work for ever. The test fails without either part.

--- a/bronzesteer/flow.go
+++ b/bronzesteer/flow.go
@@ -43,7 +43,6 @@
 // Steerer's start.
 type flow struct {
 	backend    *backend
-	first      *backend
 	token      uint32
 	open       bool
 	idempotent bool
@@ -66,6 +65,10 @@
 	return max(openedAt, f.retriedAt)
 }
 
+// full reports whether no more flows are followed. A flood of openings must
+// not take the memory that the node needs; they are placed all the same.
+func (sh *shard) full() bool { return len(sh.flows) >= maxFlows/shardCount }
+
 func (s *Steerer) shard(p *Packet) *shard {
 	return &s.shards[p.Key.Hash()%shardCount]
 }
--- a/bronzesteer/steer.go
+++ b/bronzesteer/steer.go
@@ -177,11 +177,13 @@
 	if server == nil {
 		return Decision{Kind: End, Reason: NoServer}
 	}
-	f := &flow{first: k.backends[server], idempotent: route.Idempotent, openedAt: at, seenAt: at}
-	f.backend, f.token = f.first, v.Token(service, server)
-	f.backend.addOpening(1)
-	sh.flows[p.Key] = f
-	return Decision{Kind: Forward, Reason: Placed, Server: server, Token: f.token}
+	token := v.Token(service, server)
+	if !sh.full() {
+		f := &flow{backend: k.backends[server], token: token, idempotent: route.Idempotent, openedAt: at, seenAt: at}
+		f.backend.addOpening(1)
+		sh.flows[p.Key] = f
+	}
+	return Decision{Kind: Forward, Reason: Placed, Server: server, Token: token}
 }
 
 // repeat handles a further opening of a flow that this node has placed. The
@@ -249,6 +251,9 @@
 	}
 	b := k.backends[server]
 	if f == nil {
+		if sh.full() {
+			return Decision{Kind: Forward, Reason: Steered, Server: server, Token: token}
+		}
 		f = adopt(sh, v, p, b, token, at)
 	}
 	opened := time.Duration(0)
@@ -274,10 +279,7 @@
 		sequence: p.Sequence, acknowledged: p.Acknowledged,
 		idempotent: v.Route(p.Key.ServiceAddrPort()).Idempotent,
 	}
-	f.first = f.backend
 	f.backend.addFlows(1)
-	if len(sh.flows) < maxFlows/shardCount {
-		sh.flows[p.Key] = f
-	}
+	sh.flows[p.Key] = f
 	return f
 }
--- a/bronzesteer/steer_test.go
+++ b/bronzesteer/steer_test.go
@@ -201,3 +201,25 @@
 	}
 	return c.ask()
 }
+
+// A flood of openings fills what a node follows. Memory stays bounded, and
+// flows that no more is known of are served all the same.
+func TestFloodOfOpeningsIsBounded(t *testing.T) {
+	s := newSite(t, 2)
+	s.serve(live)
+	for i := range s.node.shards {
+		sh := &s.node.shards[i]
+		for n := 0; !sh.full(); n++ {
+			sh.flows[bronzeflow.Key{Caller: [16]byte{byte(n >> 16), byte(n >> 8), byte(n)}}] = &flow{}
+		}
+	}
+	before := s.node.Flows()
+	c, d := s.open(live)
+	require.Equal(t, Placed, d.Reason)
+	require.Equal(t, Steered, c.accept().Reason)
+	require.Equal(t, Steered, c.ask().Reason)
+	require.Equal(t, before, s.node.Flows())
+	for _, status := range s.node.Servers(s.now) {
+		require.Zero(t, status.Work, "nothing is counted that would never be taken back")
+	}
+}
