--- /dev/null
+++ b/bronzesteer/silence.go
@@ -0,0 +1,226 @@
+package bronzesteer
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// openingWeight and dataWeight are what an unanswered opening and
+	// unanswered data count for; a server is avoided from avoidAt on. A server
+	// accepts openings at once, whatever its load, so one is enough. Data that
+	// is repeated may only wait for a slow answer.
+	openingWeight = 2
+	dataWeight    = 1
+	avoidAt       = 2
+	// avoidFirst is for how long a server is avoided at first, and avoidMost
+	// after it left the flows that tried it again unanswered, too.
+	avoidFirst = 1500 * time.Millisecond
+	avoidMost  = 6 * time.Second
+	// silentFlows is how many flows a server must have left unanswered, and
+	// silentFor for how long nobody may have been answered by it, before its
+	// flows are ended. Three lost packets in a row have a chance of one in
+	// 60,000 where a fortieth is lost; and a server with a full queue goes on
+	// answering others every few milliseconds.
+	silentFlows = 3
+	silentFor   = 350 * time.Millisecond
+	// silentServers is how many servers of another zone must be silent, with
+	// none of it answering, before the way to the zone counts as cut.
+	silentServers = 2
+	// hearingFor is how long ago any server must have answered this node at
+	// most for it to judge others: a node that hears nobody is itself cut off.
+	hearingFor = 400 * time.Millisecond
+	// silenceCounts is for how long what was left unanswered counts. Without an
+	// end, a node that nobody asked for anything of a zone since a cut would
+	// end the flows there that come to it from a node that stops.
+	silenceCounts = 2 * time.Second
+	// silentMost is the part of the own zone's servers that may be silent for
+	// the node to judge any, and silentFew a number that always may. Where more
+	// are, it is the node whose packets are late: its link or its processor has
+	// too much to do.
+	silentMost = 0.34
+	silentFew  = 2
+	// settling is how long a node that has started doesn't judge servers: it
+	// starts with the packets that waited and with all records to read.
+	settling = 2 * time.Second
+)
+
+// zone is what this node has seen of the servers of an availability zone.
+type zone struct {
+	// goodAt is when one of them was last seen to answer, since the start.
+	goodAt atomic.Int64
+
+	mu sync.Mutex
+	// silent are those that have been silent since, with when they last left
+	// something unanswered, and quiet those that are now.
+	silent map[*backend]time.Duration
+	quiet  map[*backend]time.Duration
+	// servers is how many there are.
+	servers int
+}
+
+// zone returns the entry of a zone; the caller holds the lock.
+func (s *Steerer) zone(name string) *zone {
+	z := s.zones[name]
+	if z == nil {
+		z = &zone{silent: make(map[*backend]time.Duration), quiet: make(map[*backend]time.Duration)}
+		s.zones[name] = z
+	}
+	return z
+}
+
+// forget drops a server that is gone.
+func (z *zone) forget(b *backend) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	delete(z.silent, b)
+	delete(z.quiet, b)
+}
+
+// answeredSince reports whether the server was seen to answer after at.
+func (b *backend) answeredSince(at time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.goodAt > at
+}
+
+// good notes that the server answers.
+func (s *Steerer) good(b *backend, at time.Duration) {
+	b.mu.Lock()
+	avoided := at < b.avoidUntil
+	silence := at - b.goodAt
+	b.goodAt = at
+	b.silent, b.unanswered, b.silentSince = 0, 0, 0
+	b.avoidUntil, b.avoidFor = 0, 0
+	b.mu.Unlock()
+	s.goodAt.Store(int64(at))
+	b.zone.good(b, at)
+	if avoided {
+		s.event(Event{Kind: Cleared, Instance: b.instance, AvailabilityZone: b.zoneName, Silence: silence})
+	}
+}
+
+// good notes that a server of the zone answers.
+func (z *zone) good(b *backend, at time.Duration) {
+	z.goodAt.Store(int64(at))
+	z.mu.Lock()
+	clear(z.silent)
+	delete(z.quiet, b)
+	z.mu.Unlock()
+}
+
+// addSilent notes that a server of the zone is silent.
+func (z *zone) addSilent(b *backend, at time.Duration) {
+	z.mu.Lock()
+	z.silent[b], z.quiet[b] = at, at
+	z.mu.Unlock()
+}
+
+// recent counts the servers that have left something unanswered lately.
+func recent(silent map[*backend]time.Duration, at time.Duration) (n int) {
+	for _, last := range silent {
+		if at-last < silenceCounts {
+			n++
+		}
+	}
+	return n
+}
+
+// cut reports whether nobody in the zone has answered for some time and
+// several have left flows unanswered.
+func (z *zone) cut(at time.Duration) bool {
+	if at-time.Duration(z.goodAt.Load()) < silentFor {
+		return false
+	}
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return recent(z.silent, at) >= silentServers
+}
+
+// silent reports whether the server answers nobody, so that flows there which
+// can be repeated elsewhere are better ended: it left several flows unanswered,
+// or one, and the way to its zone seems cut. Of a zone that this node sends
+// little to, two servers that crash look like a cut; without a sign of its own
+// a server that is well would lose its flows. A node that hears nobody says no:
+// it would end the flows that other nodes could still take on.
+func (s *Steerer) silent(b *backend, at time.Duration) bool {
+	return s.judges(at) && (b.dead(at) || b.asked(at) && s.zoneCut(b, at))
+}
+
+// judges reports whether this node is in a state to judge servers.
+func (s *Steerer) judges(at time.Duration) bool {
+	return at >= settling && at-time.Duration(s.goodAt.Load()) <= hearingFor && !s.isLate(at)
+}
+
+// asked reports whether the server has left something unanswered lately.
+func (b *backend) asked(at time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.unanswered > 0 && at-b.silentAt < silenceCounts
+}
+
+// dead reports whether the server has left several flows unanswered, and
+// answered nobody meanwhile.
+func (b *backend) dead(at time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.unanswered >= silentFlows && at-b.silentSince >= silentFor && at-b.silentAt < silenceCounts
+}
+
+// isLate reports whether so many servers of the own zone are silent that it
+// must be this node.
+func (s *Steerer) isLate(at time.Duration) bool {
+	z := s.own
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return float64(recent(z.quiet, at)) > max(silentFew, silentMost*float64(z.servers))
+}
+
+// zoneCut reports whether the way to the server's zone is cut. It never is to
+// the node's own.
+func (s *Steerer) zoneCut(b *backend, at time.Duration) bool {
+	return b.zoneName != s.AvailabilityZone && b.zone.cut(at)
+}
+
+// unanswered notes that what was sent to the server at sent has no answer
+// at at. It counts only if nobody else was answered meanwhile: then the server
+// or the way to it is silent, and not just one packet lost.
+func (s *Steerer) unanswered(b *backend, sent, at time.Duration, weight int) {
+	b.mu.Lock()
+	if b.goodAt > sent {
+		b.mu.Unlock()
+		return
+	}
+	if b.unanswered > 0 && at-b.silentAt >= silenceCounts {
+		b.silent, b.unanswered = 0, 0
+	}
+	if b.unanswered == 0 {
+		b.silentSince = sent
+	}
+	b.silentAt = at
+	b.silent += weight
+	b.unanswered++
+	silent, avoided := b.silent >= avoidAt, at < b.avoidUntil
+	if silent {
+		b.zone.addSilent(b, at)
+	}
+	if !silent || avoided {
+		b.mu.Unlock()
+		return
+	}
+	b.avoidFor = min(max(2*b.avoidFor, avoidFirst), avoidMost)
+	b.avoidUntil = at + b.avoidFor
+	e := Event{
+		Kind: Avoided, Instance: b.instance, AvailabilityZone: b.zoneName,
+		Unanswered: b.unanswered, Silence: at - b.goodAt, For: b.avoidFor,
+	}
+	b.mu.Unlock()
+	s.event(e)
+}
+
+func (s *Steerer) event(e Event) {
+	if s.OnEvent != nil {
+		s.OnEvent(e)
+	}
+}
