Send all records to three peers at a time

Arithmetic: 3,000 servers are some 200 KB compressed, a sixth of a second of a 10 Mbit/s link; fifty that ask one node at once all run into their time limit of 1.5 s and ask again.

--- a/bronzeedge/edge.go
+++ b/bronzeedge/edge.go
@@ -45,6 +45,7 @@
 	fetching atomic.Bool
 	fetches  *http.Client
 	zipped   zipped
+	copies   atomic.Int32 // copies of all records that are being sent
 
 	data    *bronzewire.Socket
 	peers   *net.UDPConn
--- a/bronzeedge/peers.go
+++ b/bronzeedge/peers.go
@@ -28,6 +28,11 @@
 	sinceQuery  = "Since"
 	// fetchTimeout bounds a fetch; all records of 5,100 servers are 1.5 MB.
 	fetchTimeout = 1500 * time.Millisecond
+	// maxCopies bounds the peers that get all records at a time. After a power
+	// cut hundreds ask at once; answered all at once over a slow link none has
+	// its answer before it gives up, and all ask again. Those refused ask
+	// whoever they hear of next, and by then there are more that can answer.
+	maxCopies = 3
 	// maxRecords bounds what a peer may answer, in bytes.
 	maxRecords = 16 << 20
 )
@@ -176,6 +181,15 @@
 		http.Error(w, sinceQuery+": is not a revision", http.StatusBadRequest)
 		return
 	}
+	if since == 0 {
+		if e.copies.Add(1) > maxCopies {
+			e.copies.Add(-1)
+			e.count("CopyRefused")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		defer e.copies.Add(-1)
+	}
 	d, ok := e.records.Since(since)
 	if !ok {
 		w.WriteHeader(http.StatusNoContent)
