Make the quiet of a leaving node a setting

Cause: the test of a leaving node sent its packet in the node's 1.2 s of leaving by the real clock; on a machine that stalls it would have waited for ever. The default is what it was.

--- a/bronzeedge/config.go
+++ b/bronzeedge/config.go
@@ -19,6 +19,10 @@
 	// DefaultGrace is how long a leaving node may take where nothing else is
 	// said.
 	DefaultGrace = 6 * time.Second
+	// DefaultQuiet is how long no packet may have come before a leaving node
+	// ends. Callers repeat themselves after 200 ms, and routers ask twice a
+	// second whether the node is ready.
+	DefaultQuiet = 700 * time.Millisecond
 )
 
 // Config is what an Edge is told at its start, as JSON with the fields' names.
@@ -45,8 +49,10 @@
 	Seeds []netip.AddrPort
 	// Store is where the store of records listens.
 	Store string
-	// GraceSeconds is how long the node may take to leave.
+	// GraceSeconds is how long the node may take to leave, and QuietSeconds for
+	// how long no packet may have come before it ends; 0 means the defaults.
 	GraceSeconds float64
+	QuietSeconds float64
 }
 
 // FieldError is a fault of one field of a Config.
@@ -100,6 +106,8 @@
 		return &FieldError{Field: "Store", Reason: "is missing"}
 	case c.GraceSeconds < 0:
 		return &FieldError{Field: "GraceSeconds", Reason: "is below 0"}
+	case c.QuietSeconds < 0:
+		return &FieldError{Field: "QuietSeconds", Reason: "is below 0"}
 	}
 	return nil
 }
@@ -117,11 +125,16 @@
 	return fields
 }
 
-func (c *Config) grace() time.Duration {
-	if c.GraceSeconds == 0 {
-		return DefaultGrace
+func (c *Config) grace() time.Duration { return seconds(c.GraceSeconds, DefaultGrace) }
+
+func (c *Config) quiet() time.Duration { return seconds(c.QuietSeconds, DefaultQuiet) }
+
+// seconds returns n seconds, or d if n is 0.
+func seconds(n float64, d time.Duration) time.Duration {
+	if n == 0 {
+		return d
 	}
-	return time.Duration(c.GraceSeconds * float64(time.Second))
+	return time.Duration(n * float64(time.Second))
 }
 
 // Seams are what the daemon speaks to the outside by.
--- a/bronzeedge/edge.go
+++ b/bronzeedge/edge.go
@@ -205,10 +205,6 @@
 }
 
 const (
-	// quietFor is how long no packet may have come before a leaving node
-	// ends. Routers take a node out after two misses half a second apart, and
-	// callers repeat themselves after 200 ms.
-	quietFor = 700 * time.Millisecond
 	// leaveLeast is the least time of leaving: routers must have asked twice.
 	leaveLeast = 1200 * time.Millisecond
 	// leaveMargin is how long before the end of its grace a node ends by
@@ -228,7 +224,7 @@
 		}
 		passed := time.Since(begun)
 		quiet := time.Since(e.started) - time.Duration(e.packetAt.Load())
-		if passed >= e.graceTime()-leaveMargin || passed >= leaveLeast && quiet >= quietFor {
+		if passed >= e.graceTime()-leaveMargin || passed >= leaveLeast && quiet >= e.cfg.quiet() {
 			return
 		}
 	}
