--- a/bronzesteer/silence_test.go
+++ b/bronzesteer/silence_test.go
@@ -124,7 +124,7 @@
 func TestSilenceIsForgotten(t *testing.T) {
 	s := newSite(t, 4, 4)
 	own := s.load(8, live)
-	far := s.adoptFlows(8, "b")
+	far := s.farFlows(8)
 	s.fallSilent(far, own)
 	for range 4 {
 		for _, c := range far {
@@ -133,7 +133,7 @@
 		s.pass(100 * time.Millisecond)
 		s.round(own)
 	}
-	moved := s.adoptFlows(4, "b")
+	moved := s.farFlows(4)
 	require.Equal(t, End, moved[0].ask().Kind, "while the cut lasts")
 
 	for range 12 {
@@ -143,18 +143,18 @@
 	for _, status := range s.node.Servers(s.now) {
 		require.False(t, status.Avoided, "new flows go to %s again", status.Instance)
 	}
-	for _, c := range s.adoptFlows(4, "b") {
+	for _, c := range s.farFlows(4) {
 		require.Equal(t, Forward, c.ask().Kind, "after the cut")
 	}
 }
 
-// adoptFlows returns flows at the servers of a zone that another node placed.
-func (s *site) adoptFlows(n int, zone string) (clients []*client) {
+// farFlows returns flows at the servers of zone b that another node placed.
+func (s *site) farFlows(n int) (clients []*client) {
 	v := s.node.View()
 	for i := range n {
 		c, _ := s.open(live)
 		s.node.shard(&c.packet).end(c.packet.Key)
-		c.server = v.ByName(zone + "-" + string(rune('0'+i%4)))
+		c.server = v.ByName("b-" + string(rune('0'+i%4)))
 		c.packet.Open = false
 		c.packet.Token = v.Token(live, c.server)
 		c.packet.Sequence, c.packet.Acknowledged = 5000, 70000
@@ -171,7 +171,7 @@
 	own := s.load(8, live)
 	s.pass(time.Second)
 	var crashed, well []*client
-	for _, c := range s.adoptFlows(8, "b") {
+	for _, c := range s.farFlows(8) {
 		if c.server.Instance == "b-0" || c.server.Instance == "b-1" {
 			crashed = append(crashed, c)
 		} else {
--- a/cmd/bronzeusher/check.go
+++ b/cmd/bronzeusher/check.go
@@ -11,34 +11,59 @@
 
 	"bronzeusher.example/bronzeusher/bronzeconf"
 	"bronzeusher.example/bronzeusher/bronzeedge"
+	"bronzeusher.example/bronzeusher/platform"
 )
 
 type checkCommand struct {
 	Files    []string `arg:"" optional:"" name:"file" type:"existingfile" help:"Files with one record each; a record's name is the file's without its extension."`
 	Settings []string `type:"existingfile" help:"Files with settings of bronzeedge."`
+	Deploy   string   `type:"existingfile" help:"Deploy file of the platform; its templates are looked for from this folder."`
 }
 
-// Run lists every fault of the records, each on its own and all together, and
-// the first fault of each settings file.
+// Run lists every fault of the deploy file and of the records, each on its own
+// and all together, and the first fault of each settings file.
 func (c *checkCommand) Run(p *program) (err error) {
-	faults := 0
-	for _, file := range c.Settings {
-		if _, err = bronzeedge.ReadConfig(file); err == nil {
-			continue
-		}
-		faults++
-		if _, err = fmt.Fprintln(p.Stdout, err); err != nil {
+	faults, err := c.faults()
+	if err != nil {
+		return err
+	}
+	for _, fault := range faults {
+		if _, err = fmt.Fprintln(p.Stdout, fault); err != nil {
 			return err
 		}
 	}
-	if faults > 0 {
+	if len(faults) > 0 {
 		return errFailed
 	}
-	if len(c.Files) == 0 {
-		_, err = fmt.Fprintf(p.Stdout, "%d settings, no faults\n", len(c.Settings))
-		return err
+	if len(c.Files) > 0 {
+		return c.checkRecords(p)
+	}
+	files := len(c.Settings)
+	if c.Deploy != "" {
+		files++
+	}
+	_, err = fmt.Fprintf(p.Stdout, "%d files, no faults\n", files)
+	return err
+}
+
+// faults returns those of the settings and the deploy file.
+func (c *checkCommand) faults() (faults []string, err error) {
+	for _, file := range c.Settings {
+		if _, err := bronzeedge.ReadConfig(file); err != nil {
+			faults = append(faults, err.Error())
+		}
+	}
+	if c.Deploy == "" {
+		return faults, nil
+	}
+	body, err := os.ReadFile(c.Deploy)
+	if err != nil {
+		return nil, errors.Wrap(err, "read deploy file")
+	}
+	for _, fault := range platform.CheckDeploy(body, ".") {
+		faults = append(faults, c.Deploy+": "+fault)
 	}
-	return c.checkRecords(p)
+	return faults, nil
 }
 
 func (c *checkCommand) checkRecords(p *program) (err error) {
--- a/cmd/bronzeusher/cli_test.go
+++ b/cmd/bronzeusher/cli_test.go
@@ -205,13 +205,20 @@
 	good := writeRecord(t, dir, "good", edgeSettings)
 	code, stdout, stderr := runProgram(t, nil, "check", "--settings="+good)
 	require.Equal(t, exitOK, code, stderr)
-	require.Equal(t, "1 settings, no faults\n", stdout)
+	require.Equal(t, "1 files, no faults\n", stdout)
 	bad := writeRecord(t, dir, "bad", strings.Replace(edgeSettings, "ReadyAddress", "Redy", 1))
 	code, stdout, _ = runProgram(t, nil, "check", "--settings="+good, "--settings="+bad)
 	require.Equal(t, exitFailed, code)
 	require.Contains(t, stdout, "bad.json: ReadyAddress: is missing")
 }
 
+func TestCheckNamesTheFieldOfADeployFile(t *testing.T) {
+	bad := writeRecord(t, t.TempDir(), "deploy", "build = 'make'\n[roles.edge]\nrun = 'x'\non = 'edge'\nshare = 2.0\n")
+	code, stdout, _ := runProgram(t, nil, "check", "--deploy="+bad)
+	require.Equal(t, exitFailed, code)
+	require.Contains(t, stdout, "roles.edge.share: 2 is not")
+}
+
 func TestShowEdge(t *testing.T) {
 	status := bronzeedge.Status{
 		Name: "edge-1", Ready: true, Revision: 42,
