--- a/bronzerecord/follower_test.go
+++ b/bronzerecord/follower_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,8 +14,9 @@
 	"bronzeusher.example/bronzeusher/bronzeretry"
 )
 
-// fakeStore is a store whose watches can go deaf.
+// fakeStore is a store whose watches can go deaf. Tests change it by do.
 type fakeStore struct {
+	mu        sync.Mutex
 	h         *history
 	compacted uint64
 	deaf      bool
@@ -24,7 +27,16 @@
 
 func (f *fakeStore) source() Source { return Source{Load: f.load, Watch: f.watch} }
 
+// do runs step while no call is being answered.
+func (f *fakeStore) do(step func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	step()
+}
+
 func (f *fakeStore) load(context.Context) (Delta, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.loads++
 	if f.down {
 		return Delta{}, ErrUnavailable
@@ -32,21 +44,32 @@
 	return f.h.whole(f.h.revision), nil
 }
 
-func (f *fakeStore) watch(ctx context.Context, after uint64) (Delta, error) {
-	f.watches++
-	if f.down {
-		return Delta{}, ErrUnavailable
-	}
-	if after < f.compacted {
-		return Delta{}, ErrCompacted
-	}
+func (f *fakeStore) watch(ctx context.Context, after uint64) (d Delta, err error) {
+	f.do(func() { f.watches++ })
 	for range 10 {
-		if !f.deaf && f.h.revision > after {
-			return f.h.delta(after, f.h.revision), nil
+		d, err = f.look(after)
+		if err != nil || len(d.Changed) > 0 {
+			return d, err
 		}
 		bronzeretry.Pause(ctx, 100*time.Millisecond)
 	}
-	return Delta{From: after, To: f.h.revision}, nil
+	return d, nil
+}
+
+// look returns what a watch hears now.
+func (f *fakeStore) look(after uint64) (Delta, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.down:
+		return Delta{}, ErrUnavailable
+	case after < f.compacted && !f.deaf:
+		return Delta{}, ErrCompacted
+	case !f.deaf && f.h.revision > after:
+		return f.h.delta(after, f.h.revision), nil
+	default:
+		return Delta{From: after, To: f.h.revision}, nil
+	}
 }
 
 // The store loses its history while a watch waits. The watch hears nothing of
@@ -63,11 +86,15 @@
 		time.Sleep(50 * time.Millisecond)
 		require.EqualValues(t, 1, s.Revision())
 
-		f.deaf = true
-		f.h.change("a", false)
+		f.do(func() {
+			f.deaf = true
+			f.h.change("a", false)
+		})
 		time.Sleep(1500 * time.Millisecond)
-		f.compacted = f.h.revision
-		f.deaf = false
+		f.do(func() {
+			f.compacted = f.h.revision
+			f.deaf = false
+		})
 		time.Sleep(1500 * time.Millisecond)
 		require.EqualValues(t, 2, s.Revision())
 		require.EqualValues(t, 2, contents(&s)["a"].Revision)
@@ -88,11 +115,11 @@
 		go func() { _ = follower.Run(ctx) }()
 		for range 70 {
 			time.Sleep(100 * time.Millisecond)
-			f.h.change("a", false)
+			f.do(func() { f.h.change("a", false) })
 		}
 		time.Sleep(2 * time.Second)
 		require.EqualValues(t, f.h.revision, s.Revision())
-		require.LessOrEqual(t, f.watches, 13)
+		f.do(func() { require.LessOrEqual(t, f.watches, 13) })
 		cancel()
 		synctest.Wait()
 	})
@@ -106,22 +133,24 @@
 		f := &fakeStore{h: newHistory()}
 		f.h.change("a", false)
 		var s Set
-		var failed int
+		var failed atomic.Int64
 		follower := Follower{Source: f.source(), Set: &s, OnEvent: func(e Event) {
 			if e.Kind == Failed {
 				require.True(t, errors.Is(e.Err, ErrUnavailable))
-				failed++
+				failed.Add(1)
 			}
 		}}
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { _ = follower.Run(ctx) }()
 		time.Sleep(50 * time.Millisecond)
-		f.down = true
+		f.do(func() { f.down = true })
 		time.Sleep(30 * time.Second)
-		require.Less(t, failed, 90)
+		require.Less(t, failed.Load(), int64(90))
 		contact := follower.Contact()
-		f.h.change("a", false)
-		f.down = false
+		f.do(func() {
+			f.h.change("a", false)
+			f.down = false
+		})
 		time.Sleep(maxBackoff)
 		require.EqualValues(t, 2, s.Revision())
 		require.True(t, follower.Contact().After(contact))
@@ -133,16 +162,16 @@
 func TestStandbyDoesNotCall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeStore{h: newHistory()}
-		active := false
-		follower := Follower{Source: f.source(), Set: &Set{}, Active: func() bool { return active }}
+		var active atomic.Bool
+		follower := Follower{Source: f.source(), Set: &Set{}, Active: active.Load}
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { _ = follower.Run(ctx) }()
 		time.Sleep(10 * time.Second)
-		require.Zero(t, f.loads+f.watches)
-		active = true
+		f.do(func() { require.Zero(t, f.loads+f.watches) })
+		active.Store(true)
 		time.Sleep(standbyInterval)
 		synctest.Wait()
-		require.Positive(t, f.loads)
+		f.do(func() { require.Positive(t, f.loads) })
 		cancel()
 		synctest.Wait()
 	})
