Remove what nothing calls, and log a refused record in one place

Found on the last read of the change: Directory.Instances and Set.Len had no caller, and the line for a refused record stood twice.

--- a/bronzeedge/knowledge.go
+++ b/bronzeedge/knowledge.go
@@ -49,7 +49,7 @@
 	}
 	s, err := e.seams.Decoder.Server(r, now)
 	if err != nil {
-		e.log.Line("RecordRefused", F{"Record": r.Name, "Revision": r.Revision, "Error": err.Error()})
+		e.refuse(r, err)
 		return false
 	}
 	e.book.directory.Register(s)
@@ -63,7 +63,7 @@
 func (e *Edge) takeTable(r bronzerecord.Record, now time.Time) (changed bool) {
 	t, err := e.seams.Decoder.Table(r)
 	if err != nil {
-		e.log.Line("RecordRefused", F{"Record": r.Name, "Revision": r.Revision, "Error": err.Error()})
+		e.refuse(r, err)
 		return false
 	}
 	if !e.book.directory.SetTable(t, now) {
@@ -73,6 +73,11 @@
 	return true
 }
 
+// refuse logs a record with faults.
+func (e *Edge) refuse(r bronzerecord.Record, err error) {
+	e.log.Line("RecordRefused", F{"Record": r.Name, "Revision": r.Revision, "Error": err.Error()})
+}
+
 // advance lets time pass in the directory.
 func (e *Edge) advance(now time.Time) {
 	e.book.mu.Lock()
--- a/bronzerecord/set.go
+++ b/bronzerecord/set.go
@@ -70,13 +70,6 @@
 	return s.revision
 }
 
-// Len returns the number of records.
-func (s *Set) Len() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.records)
-}
-
 // Apply takes a delta in. It is refused, with applied false, if it starts
 // after this copy's revision, since something between them would be missing.
 // One that ends before this copy's revision brings nothing. Within a delta
--- a/bronzeroute/directory.go
+++ b/bronzeroute/directory.go
@@ -84,16 +84,6 @@
 	e.missing = now
 }
 
-// Instances returns the names of the servers that are registered.
-func (d *Directory) Instances() (names []string) {
-	for name, e := range d.servers {
-		if e.missing.IsZero() && e.gone.IsZero() {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
 // Advance moves missing servers to gone and forgets what is old. It reports
 // whether a View made before is out of date.
 func (d *Directory) Advance(now time.Time) (changed bool) {
