Pace the trials of servers that failed by the flows placed

Ruled out: second refusals of one caller.

The test plays 300 seeded draws and the shortest back-offs of all; without the pacing it fails. The draw is a seam of the pool now. The naive pool replays the trials too.

--- a/bronzepool/choose.go
+++ b/bronzepool/choose.go
@@ -72,7 +72,7 @@
 	if s == nil {
 		return 0, false, false
 	}
-	s.noteTrial(now)
+	p.noteTrial(s, now)
 	return s.id, s == top, true
 }
 
@@ -82,7 +82,7 @@
 	if plain {
 		return p.pickPlain(hash, allowed, now)
 	}
-	ready := func(s *server) bool { return now >= s.retryAt && !s.shut(now) && allowed(s) }
+	ready := func(s *server) bool { return now >= s.retryAt && !s.shut(now) && p.mayTry(s) && allowed(s) }
 	if p.unshared {
 		if s := p.first(hash, ready); s != nil {
 			return s
--- a/bronzepool/naive_test.go
+++ b/bronzepool/naive_test.go
@@ -42,10 +42,12 @@
 	placed  []placement
 }
 
-// placement is a flow placed, and the part of all weight that its server had.
+// placement is a flow placed, the part of all weight that its server had, and
+// whether it was a trial of a server that had failed.
 type placement struct {
-	id   bronzeflow.ServerID
-	part float64
+	id    bronzeflow.ServerID
+	part  float64
+	trial bool
 }
 
 func newNaive(svc *bronzeconf.Service) *naive {
@@ -105,7 +107,19 @@
 	require.True(t, n.pool.Available(id))
 	n.pool.Opened(id)
 	n.own[id]++
-	n.placed = append(n.placed, placement{id, n.part(id)})
+	n.placed = append(n.placed, placement{id, n.part(id), n.pool.index[id].fails > 0})
+}
+
+// trials replays all placements.
+func (n *naive) trials() float64 {
+	trials := 0.0
+	for _, pl := range n.placed {
+		trials = max(trials-trialShare, 0)
+		if pl.trial {
+			trials++
+		}
+	}
+	return trials
 }
 
 // part returns the part of the weight of the serving servers that id has.
@@ -173,6 +187,9 @@
 		if n.now.UnixNano() < n.pool.index[id].retryAt {
 			continue
 		}
+		if n.pool.index[id].fails > 0 && n.trials() >= trialBurst {
+			continue
+		}
 		ready = append(ready, id)
 		share := all * weights[id] / weight
 		if weight == 0 || loads[id]+1 > n.limit(share)+tolerance {
--- a/bronzepool/pool.go
+++ b/bronzepool/pool.go
@@ -20,6 +20,9 @@
 	// that costs no fairness. It is set before the first call; empty means
 	// no preference.
 	AvailabilityZone string
+	// Jitter returns a number in [0,1) that a back-off is spread by, nil means
+	// a random one. It is set before the first call.
+	Jitter func() float64
 
 	// ids is read without the lock, so that a search for existing flows
 	// never waits for placements.
@@ -34,6 +37,9 @@
 	index    map[bronzeflow.ServerID]*server
 	origins  map[string]origin
 	placed   uint64
+	// trials is how many trials were made of late, less trialShare of the flows
+	// placed.
+	trials float64
 	// weighted is set if all servers have a bound of connections, so that
 	// their shares are in proportion to it.
 	weighted bool
@@ -157,7 +163,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s := p.index[id]; s != nil {
-		s.refuse(p.now(), silent, rand.Float64())
+		s.refuse(p.now(), silent, p.jitter())
 		p.recount(s)
 	}
 }
@@ -224,6 +230,14 @@
 	return loads
 }
 
+// jitter returns what to spread a back-off by.
+func (p *Pool) jitter() float64 {
+	if p.Jitter != nil {
+		return p.Jitter()
+	}
+	return rand.Float64()
+}
+
 // now returns the time in nanoseconds.
 func (p *Pool) now() int64 {
 	if p.Now != nil {
--- a/bronzepool/server.go
+++ b/bronzepool/server.go
@@ -13,8 +13,6 @@
 	backoffSilent = 400 * time.Millisecond
 	backoffMax    = 10 * time.Second
 	backoffSteps  = 8
-	// trialEvery is how long the outcome of a trial is waited for.
-	trialEvery = time.Second
 )
 
 // server is the state of one backend server; the Pool's lock guards it.
@@ -106,16 +104,6 @@
 	s.retryAt = now + int64(float64(step)*(0.5+jitter))
 }
 
-// noteTrial lets one opening through to a server whose back-off is over, and
-// puts the next off until this one's outcome should be known.
-func (s *server) noteTrial(now int64) {
-	if s.fails > 0 {
-		s.retryAt = now + int64(trialEvery)
-		s.trying = true
-	}
-	s.tryShutAt = now + int64(shutTrial)
-}
-
 // full reports whether s has reached its hard limit.
 func (s *server) full() bool {
 	return s.connections > 0 && s.load+1 > float64(s.connections)
--- a/bronzepool/storm_test.go
+++ b/bronzepool/storm_test.go
@@ -225,17 +225,27 @@
 
 // A third of the pool sheds load: it refuses until it has recovered. Every
 // caller must find a server with few attempts, the servers that shed must
-// be left alone but for trials, and come back when they accept. Meanwhile the
+// be left alone but for trials, and come back when they accept, however the
+// back-offs happen to be spread. Meanwhile the
 // others carry more than a fair share of the whole pool; they must still be
 // held to a fair share of what there is.
 func TestThirdOfPoolSheds(t *testing.T) {
+	for seed := range uint64(300) {
+		jitter := rand.New(rand.NewPCG(seed, 21))
+		thirdOfPoolSheds(t, jitter.Float64)
+	}
+	// The shortest back-offs of all bring the most trials.
+	thirdOfPoolSheds(t, func() float64 { return 0 })
+}
+
+func thirdOfPoolSheds(t *testing.T, jitter func() float64) {
 	synctest.Test(t, func(t *testing.T) {
 		svc := newService(18)
 		sheds := make(map[bronzeflow.ServerID]bool)
 		for i := 0; i < 18; i += 3 {
 			sheds[svc.Pool[i].ID] = true
 		}
-		var p Pool
+		p := Pool{Jitter: jitter}
 		p.SetService(svc)
 		b := Budget{Share: 0.1}
 		rnd := rand.New(rand.NewPCG(9, 10))
@@ -263,11 +273,14 @@
 				require.InEpsilon(t, 150, l.Own, 0.06, "those that serve share alike")
 			}
 		}
-		for id := range sheds {
+		for _, b := range svc.Pool {
+			if !sheds[b.ID] {
+				continue
+			}
 			time.Sleep(2 * backoffMax)
-			require.True(t, chooses(&p, rnd, id), "a trial")
-			p.Accepted(id, time.Millisecond)
-			require.True(t, chooses(&p, rnd, id))
+			require.True(t, chooses(&p, rnd, b.ID), "a trial")
+			p.Accepted(b.ID, time.Millisecond)
+			require.True(t, chooses(&p, rnd, b.ID))
 		}
 	})
 }
