Leave a zone that a surge fills before any rate shows it

What callers saw: after a power cut of all nodes, requests refused by full servers and late ones in one zone, while servers of the others were idle. Cause: flows were kept in the zone unless its servers' use, worked out from rates over two seconds, was over 1.25 times the average.

Ruled out: the times of starting (46 ms of 170 to 570 ms after the power is back are ours); the rotation of the routers.

The test of a full zone left its openings without an answer, which are requests under way to the new rule; it has them accepted now, with the same bounds.

--- a/bronzesteer/place.go
+++ b/bronzesteer/place.go
@@ -25,6 +25,15 @@
 	// waits for another.
 	zoneBound = 1.25
 	zoneIdle  = 0.4
+	// zoneLead is how many requests for each slot the least used server of the
+	// own zone may have more than the best of the others. Rates tell of a surge
+	// only after seconds: in the half second after a power cut of all nodes, a
+	// zone's callers opened 218 flows on three servers with six slots, whose
+	// queues then refused. With a lead of 1, four requests are refused on such a
+	// day in place of 33 (means of four plays). With 0.5 more flows leave the zone
+	// than have to, and a cut between zones fails 48 of 28,000 requests in place
+	// of 24; with 2 the queues grow longer, and 0.3% less of them are in time.
+	zoneLead = 1.0
 	// slowMost bounds how much slower than its pool a server may count.
 	slowMost = 10
 )
@@ -53,6 +62,9 @@
 	load float64
 }
 
+// use is what the candidate has to do, in requests for each of its slots.
+func (c *candidate) use() float64 { return c.load + c.used }
+
 // place chooses the server for a new flow, not the one tried before; nil if
 // there is none. The pool is chosen by the route's weights. If none of its
 // servers can be reached, a pool of the route with a better one is used.
@@ -87,12 +99,13 @@
 	for i := range candidates {
 		best = max(best, candidates[i].tier)
 	}
-	if best == tierOwnZone && s.leaveZone(candidates) {
-		if c := s.least(candidates, tierOtherZone); c != nil {
-			return c.server, c.tier
+	c := s.least(candidates, best)
+	if best == tierOwnZone {
+		other := s.least(candidates, tierOtherZone)
+		if other != nil && (c.use() > other.use()+zoneLead || s.leaveZone(candidates)) {
+			c = other
 		}
 	}
-	c := s.least(candidates, best)
 	return c.server, c.tier
 }
 
@@ -123,7 +136,7 @@
 		if c.tier != t {
 			continue
 		}
-		load := c.load + c.used
+		load := c.use()
 		switch {
 		case best == nil || load < bestLoad:
 			best, bestLoad, equals = c, load, 1
--- a/bronzesteer/place_test.go
+++ b/bronzesteer/place_test.go
@@ -49,6 +49,7 @@
 		s.node.SetLoads("other", full, s.now)
 		s.pass(100 * time.Millisecond)
 		c, _ := s.open(live)
+		c.accept()
 		if c.server.AvailabilityZone != "a" {
 			away++
 		}
@@ -57,6 +58,32 @@
 	require.InDelta(t, 200*(1-1.25*0.4/0.9), away, 20)
 }
 
+// All nodes were without power, and start without knowing any load. The callers
+// of one zone come back at once: within half a second each opens a flow and asks.
+// Kept in their zone they would fill its servers' queues, which then refuse, while
+// those of other zones are idle. No rate tells of it yet.
+func TestFlowsLeaveAZoneThatASurgeFills(t *testing.T) {
+	s := newSite(t, 2, 2, 2)
+	r := rand.New(rand.NewPCG(3, 4))
+	s.node.Random = r.IntN
+	byServer := map[string]int{}
+	for range 60 {
+		c, _ := s.open(live)
+		c.accept()
+		c.ask()
+		s.now = s.now.Add(time.Millisecond)
+		byServer[c.server.Instance]++
+	}
+	const slots = 2
+	for _, server := range s.node.View().Servers {
+		if server.AvailabilityZone == "a" {
+			require.InDelta(t, 10+slots*zoneLead*2/3, byServer[server.Instance], 1)
+		} else {
+			require.InDelta(t, 10-slots*zoneLead/3, byServer[server.Instance], 1)
+		}
+	}
+}
+
 // What other nodes told long ago says nothing of now.
 func TestOldLoadsDontCount(t *testing.T) {
 	s := newSite(t, 2, 2)
