Turn away at once what can't be served in time, or at all

Cause: all queues are full (503 after 160 ms of waiting, then another try), and open flows only grow.

New flows are turned away when the requests at work in the pool, all nodes taken together, will take longer than the objective of the route's requests: all of them from 1.2 times the objective, none up to it. One opening of each endpoint a second is let through. First copies alone are turned away.

--- a/bronzesteer/backend.go
+++ b/bronzesteer/backend.go
@@ -24,6 +24,8 @@
 	instance string
 	zoneName string
 	zone     *zone
+	service  *serviceTime
+	slots    int
 
 	mu sync.Mutex
 	// opening, flows and work count this node's openings without an answer,
@@ -56,17 +58,32 @@
 	defer s.mu.Unlock()
 	b := s.backends[server.Instance]
 	if b == nil {
-		b = &backend{instance: server.Instance, zoneName: server.AvailabilityZone, zone: s.zone(server.AvailabilityZone)}
+		b = &backend{
+			instance: server.Instance, zoneName: server.AvailabilityZone,
+			zone: s.zone(server.AvailabilityZone), service: s.service(server.Pool), slots: server.Slots,
+		}
 		s.backends[server.Instance] = b
 	}
 	return b
 }
 
-// forget drops the entries of servers that no longer are in the view. Flows
+// service returns the service time of a pool; the caller holds the lock.
+func (s *Steerer) service(pool string) *serviceTime {
+	t := s.services[pool]
+	if t == nil {
+		t = &serviceTime{}
+		s.services[pool] = t
+	}
+	return t
+}
+
+// forget drops the entries of servers and endpoints that no longer are in the
+// view. Flows
 // that still point at one keep it alive.
 func (s *Steerer) forget(v *bronzeroute.View) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.forgetFree(v)
 	for name, b := range s.backends {
 		if server := v.ByName(name); server == nil || server.Status == bronzeroute.Gone {
 			b.zone.forget(b)
@@ -75,6 +92,11 @@
 			delete(s.backends, name)
 		}
 	}
+	for pool := range s.services {
+		if len(v.Pool(pool)) == 0 {
+			delete(s.services, pool)
+		}
+	}
 	serving := make(map[string]int)
 	for _, server := range v.Servers {
 		if server.Status != bronzeroute.Gone {
@@ -141,7 +163,9 @@
 	defer b.mu.Unlock()
 	if b.latency == 0 {
 		b.latency = took
-		return
+	}
+	if (b.rate+b.others)*b.latency.Seconds() < freeUse*float64(max(b.slots, 1)) {
+		b.service.observe(took)
 	}
 	b.latency += time.Duration(latencyPart * float64(took-b.latency))
 }
--- /dev/null
+++ b/bronzesteer/overload_test.go
@@ -0,0 +1,169 @@
+package bronzesteer
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bronzeusher.example/bronzeusher/bronzeroute"
+)
+
+// events are steps of a simulation, by time.
+type events []event
+
+type event struct {
+	at time.Time
+	do func()
+}
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// queueSite is a site whose servers work on two requests at a time and queue
+// eight. Callers open a flow for each request, with two more tries if they are
+// turned away or the queue is full.
+type queueSite struct {
+	*site
+	events events
+	rnd    *rand.Rand
+	// slots are until when each server's slots are taken.
+	slots map[string][]time.Time
+
+	asked, inTime, late, failed int
+}
+
+const (
+	simWork      = 30 * time.Millisecond
+	simObjective = 100 * time.Millisecond
+	simQueue     = 8
+	simTries     = 3
+)
+
+func newQueueSite(t *testing.T) *queueSite {
+	q := &queueSite{site: newSite(t, 3, 3), rnd: rand.New(rand.NewPCG(5, 6)), slots: map[string][]time.Time{}}
+	q.node.Random = q.rnd.IntN
+	shares := []bronzeroute.Share{{Pool: "live", Weight: 1}}
+	q.directory.SetTable(&bronzeroute.Table{Version: 2, Routes: []bronzeroute.Route{
+		{Name: "live", Service: live, Shares: shares, Idempotent: true, Objective: simObjective},
+		{Name: "outline", Service: outline, Shares: shares, Objective: simObjective},
+	}}, q.now)
+	q.node.SetView(q.directory.View())
+	for _, s := range q.node.View().Servers {
+		q.slots[s.Instance] = make([]time.Time, s.Slots)
+	}
+	return q
+}
+
+func (q *queueSite) after(d time.Duration, do func()) {
+	heap.Push(&q.events, event{q.now.Add(d), do})
+}
+
+// run has callers come at a rate for some time, and lets all be served.
+func (q *queueSite) run(service netip.AddrPort, perSecond float64, d time.Duration) {
+	gap := time.Duration(float64(time.Second) / perSecond)
+	for at := time.Duration(0); at < d; at += gap {
+		q.after(at+time.Duration(q.rnd.Int64N(int64(gap))), func() {
+			q.asked++
+			q.try(service, q.now, simTries)
+		})
+	}
+	for sweep := time.Duration(0); sweep < d; sweep += 100 * time.Millisecond {
+		q.after(sweep, func() { q.node.Sweep(q.now) })
+	}
+	for len(q.events) > 0 {
+		e := heap.Pop(&q.events).(event)
+		q.now = e.at
+		e.do()
+	}
+}
+
+// try is one attempt of a caller whose request began at since.
+func (q *queueSite) try(service netip.AddrPort, since time.Time, tries int) {
+	if tries == 0 {
+		q.failed++
+		return
+	}
+	c, d := q.open(service)
+	if d.Kind != Forward {
+		q.after(time.Millisecond, func() { q.try(service, since, tries-1) })
+		return
+	}
+	c.accept()
+	c.ask()
+	slots := q.slots[c.server.Instance]
+	first := 0
+	for i := range slots {
+		if slots[i].Before(slots[first]) {
+			first = i
+		}
+	}
+	start := slots[first]
+	if start.Before(q.now) {
+		start = q.now
+	}
+	// With eight in the queue, a slot is free after four rounds of work.
+	if start.Sub(q.now) > simQueue/2*simWork {
+		q.after(time.Millisecond, func() { q.try(service, since, tries-1) })
+		return
+	}
+	work := simWork/2 + time.Duration(q.rnd.Int64N(int64(simWork)))
+	slots[first] = start.Add(work)
+	q.after(slots[first].Sub(q.now), func() {
+		c.answered()
+		if q.now.Sub(since) <= simObjective {
+			q.inTime++
+		} else {
+			q.late++
+		}
+	})
+}
+
+// Three times the usual callers come for eight seconds, a third more than the
+// servers can serve. Each finds a place in a queue in the end, and nearly all
+// are served late, although the servers work on as many requests as they can.
+// Those whose turn would come too late must be told at once, so that most of the
+// others are served in time.
+func TestMostAreServedInTimeWhenTooManyCome(t *testing.T) {
+	q := newQueueSite(t)
+	const capacity = 6 * 2 * float64(time.Second/simWork)
+	q.run(live, 1.3*capacity, 8*time.Second)
+	require.Equal(t, q.asked, q.inTime+q.late+q.failed)
+	require.Greater(t, float64(q.inTime)/float64(q.asked), 0.75, "1/1.3 can be")
+	require.Less(t, float64(q.late)/float64(q.asked), 0.02)
+}
+
+// Half as many callers again as usual find free slots: nobody is turned away.
+func TestNobodyIsTurnedAwayWhileThereIsRoom(t *testing.T) {
+	q := newQueueSite(t)
+	const capacity = 6 * 2 * float64(time.Second/simWork)
+	q.run(live, 0.7*capacity, 8*time.Second)
+	require.Zero(t, q.failed)
+	require.Greater(t, float64(q.inTime)/float64(q.asked), 0.99)
+}
+
+// The pool's other endpoint has a caller a second. They are not what fills
+// the queues, so none of them is turned away.
+func TestEndpointWithFewCallersIsNotTurnedAway(t *testing.T) {
+	q := newQueueSite(t)
+	for i := range 8 {
+		q.after(time.Duration(i)*time.Second, func() {
+			_, d := q.open(outline)
+			require.Equal(t, Forward, d.Kind)
+		})
+	}
+	const capacity = 6 * 2 * float64(time.Second/simWork)
+	q.run(live, 1.3*capacity, 8*time.Second)
+	require.NotZero(t, q.failed)
+}
--- a/bronzesteer/packet.go
+++ b/bronzesteer/packet.go
@@ -73,6 +73,11 @@
 	RouteWithdrawn
 	// NoServer: no server of the route may take the flow.
 	NoServer
+	// NoneAnswers: the servers of the route leave all callers without an answer.
+	NoneAnswers
+	// Overloaded: the route's servers have too much to do to serve another flow
+	// in time.
+	Overloaded
 	// ServerGone: the flow's server is no more.
 	ServerGone
 	// ServerSilent: the flow's server answers nobody, and the flow's requests
@@ -90,8 +95,8 @@
 )
 
 var reasonNames = [reasonCount]string{
-	"Placed", "Repeated", "Retried", "Steered", "NoRoute", "RouteWithdrawn", "NoServer", "ServerGone",
-	"ServerSilent", "NoToken", "TokenUnknown", "NotACaller", "NoView",
+	"Placed", "Repeated", "Retried", "Steered", "NoRoute", "RouteWithdrawn", "NoServer", "NoneAnswers",
+	"Overloaded", "ServerGone", "ServerSilent", "NoToken", "TokenUnknown", "NotACaller", "NoView",
 }
 
 // String returns the reason's name.
@@ -118,8 +123,12 @@
 	Server *bronzeroute.Server
 	Token  uint32
 	// Tried is the flow's server where that is why the flow goes elsewhere or
-	// ends: where Reason is Retried, ServerGone or ServerSilent.
+	// ends: where Reason is Retried, ServerGone or ServerSilent. Where it is
+	// NoneAnswers or Overloaded, it is the server that would have been asked.
 	Tried *bronzeroute.Server
+	// Takes is how long the requests at work in the pool will take, set where an
+	// opening is turned away.
+	Takes time.Duration
 	// Opened is how long the flow's opening took, set with the first packet
 	// of an open flow that this node has opened.
 	Opened time.Duration
--- a/bronzesteer/place.go
+++ b/bronzesteer/place.go
@@ -60,40 +60,54 @@
 	slots float64
 	// load is what this node has there at this moment, for each slot.
 	load float64
+	// work is the same without the flow that is placed and for all slots, rate
+	// what this node sends there and others what the other nodes do, in requests
+	// a second.
+	work   float64
+	rate   float64
+	others float64
+}
+
+// choice is the server that is to take a flow, its tier, and how many requests
+// its pool has at work for each slot.
+type choice struct {
+	server *bronzeroute.Server
+	tier   tier
+	atWork float64
 }
 
 // use is what the candidate has to do, in requests for each of its slots.
 func (c *candidate) use() float64 { return c.load + c.used }
 
-// place chooses the server for a new flow, not the one tried before; nil if
-// there is none. The pool is chosen by the route's weights. If none of its
-// servers can be reached, a pool of the route with a better one is used.
-func (s *Steerer) place(k *known, route *bronzeroute.Route, p *Packet, tried *backend, at time.Duration, now time.Time) *bronzeroute.Server {
+// place chooses the server for a new flow, not the one tried before; the choice
+// has none if there is none. The pool is chosen by the route's weights. If none
+// of its servers can be reached, a pool of the route with a better one is used.
+func (s *Steerer) place(k *known, route *bronzeroute.Route, p *Packet, tried *backend, at time.Duration, now time.Time) choice {
 	pool, ok := route.Pick(p.Key.Hash())
 	if !ok {
-		return nil
+		return choice{}
 	}
-	best, bestTier := s.choose(k.pools[pool], tried, at, now)
+	best := s.choose(k.pools[pool], tried, at, now)
 	for i := range route.Shares {
-		if bestTier > tierAvoided {
+		if best.tier > tierAvoided {
 			break
 		}
 		share := &route.Shares[i]
 		if share.Weight <= 0 || share.Pool == pool {
 			continue
 		}
-		if server, t := s.choose(k.pools[share.Pool], tried, at, now); t > bestTier {
-			best, bestTier = server, t
+		if c := s.choose(k.pools[share.Pool], tried, at, now); c.tier > best.tier {
+			best = c
 		}
 	}
 	return best
 }
 
-// choose returns the server of a pool that is to take a flow, and its tier.
-func (s *Steerer) choose(pool []member, tried *backend, at time.Duration, now time.Time) (*bronzeroute.Server, tier) {
+// choose returns the server of a pool that is to take a flow.
+func (s *Steerer) choose(pool []member, tried *backend, at time.Duration, now time.Time) choice {
 	candidates := s.candidates(pool, tried, at, now)
 	if len(candidates) == 0 {
-		return nil, tierNone
+		return choice{}
 	}
 	best := tierNone
 	for i := range candidates {
@@ -106,7 +120,7 @@
 			c = other
 		}
 	}
-	return c.server, c.tier
+	return choice{server: c.server, tier: c.tier, atWork: s.atWork(candidates)}
 }
 
 // candidates returns the servers that may take a flow at all.
@@ -261,9 +275,11 @@
 	if b.latency > latency {
 		slow = min(float64(b.latency)/float64(latency), slowMost)
 	}
+	work := float64(b.work + b.opening)
 	return candidate{
 		server: server, tier: t, slots: slots,
 		used: (b.rate + b.others) * latency.Seconds() * slow / slots,
-		load: (1 + float64(b.work+b.opening)) * slow / slots,
+		load: (1 + work) * slow / slots,
+		work: work, rate: b.rate, others: b.others,
 	}
 }
--- /dev/null
+++ b/bronzesteer/refuse.go
@@ -0,0 +1,84 @@
+package bronzesteer
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"bronzeusher.example/bronzeusher/bronzeroute"
+)
+
+const (
+	// freeRate and freeBurst are how many openings of one endpoint a second are
+	// never turned away, and how many at once. An endpoint with few callers isn't
+	// what fills a pool, so they don't pay for those of others; and the openings
+	// that are let through show the end of a cut. Five a second from each of six
+	// nodes fill the queues within the first seconds of a surge.
+	freeRate  = 1
+	freeBurst = 3
+)
+
+// refusal tells why an opening that would go to c is turned away at once, and not
+// sent to wait there; ok is false if it isn't.
+//
+// Only the first copy of an opening is turned away. An earlier copy may have
+// reached a server, and its acceptance be on the way: the reset would end a flow
+// that is open.
+func (s *Steerer) refusal(k *known, route *bronzeroute.Route, p *Packet, c choice, now time.Time) (d Decision, ok bool) {
+	if p.Copy > 0 {
+		return d, false
+	}
+	takes := time.Duration(c.atWork * float64(k.backends[c.server].service.get()))
+	part := shedPart(takes, route.Objective)
+	d = Decision{Kind: End, Tried: c.server, Takes: takes}
+	switch {
+	case c.tier <= tierAvoided && s.noneAnswers(k, route, s.since(now)):
+		d.Reason = NoneAnswers
+	case part > 0 && s.chance() < part:
+		d.Reason = Overloaded
+	default:
+		return d, false
+	}
+	return d, !s.isFree(route, now)
+}
+
+// noneAnswers reports whether all servers that may take a flow of the route are
+// silent, as in a zone that is cut off and has no server of the pool. A caller
+// would wait 1.4 s for nothing with each try.
+func (s *Steerer) noneAnswers(k *known, route *bronzeroute.Route, at time.Duration) bool {
+	for i := range route.Shares {
+		share := &route.Shares[i]
+		if share.Weight <= 0 {
+			continue
+		}
+		for _, m := range k.pools[share.Pool] {
+			if m.server.Status != bronzeroute.Draining && !s.silent(m.backend, at) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// isFree reports whether the opening is one of the few of its endpoint that are
+// not turned away.
+func (s *Steerer) isFree(route *bronzeroute.Route, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.free[route.Service]
+	if l == nil {
+		l = rate.NewLimiter(freeRate, freeBurst)
+		s.free[route.Service] = l
+	}
+	return l.AllowN(now, 1)
+}
+
+// forgetFree drops what is counted of endpoints that have no route; the caller
+// holds the lock.
+func (s *Steerer) forgetFree(v *bronzeroute.View) {
+	for service := range s.free {
+		if v.Route(service) == nil {
+			delete(s.free, service)
+		}
+	}
+}
--- /dev/null
+++ b/bronzesteer/refuse_test.go
@@ -0,0 +1,140 @@
+package bronzesteer
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bronzeusher.example/bronzeusher/bronzeconf"
+	"bronzeusher.example/bronzeusher/bronzeflow"
+	"bronzeusher.example/bronzeusher/bronzeroute"
+)
+
+var archive = netip.MustParseAddrPort("198.18.0.2:443")
+
+// newCutSite returns a site whose servers of the archive are in zone b alone,
+// with callers of zone a that are answered all the time.
+func newCutSite(t *testing.T) (s *site, own []*client) {
+	s = newSite(t, 4, 4)
+	s.directory.SetTable(&bronzeroute.Table{Version: 2, Routes: []bronzeroute.Route{
+		{Name: "live", Service: live, Shares: []bronzeroute.Share{{Pool: "live", Weight: 1}}, Idempotent: true},
+		{Name: "archive", Service: archive, Shares: []bronzeroute.Share{{Pool: "archive", Weight: 1}}, Idempotent: true},
+	}}, s.now)
+	for _, name := range []string{"x-0", "x-1"} {
+		s.directory.Register(bronzeroute.Server{
+			BackendServer: bronzeconf.BackendServer{
+				ID: bronzeflow.NewServerID("archive", name), Instance: name, AvailabilityZone: "b", Slots: 2,
+			},
+			Pool: "archive", Registered: 100,
+		})
+	}
+	s.node.SetView(s.directory.View())
+	return s, s.load(8, live)
+}
+
+// crowd is callers of the archive that come every 10 ms and repeat their
+// openings as callers do.
+type crowd struct {
+	site    *site
+	own     []*client
+	opening map[*client]time.Time
+	// healed says that servers of the archive accept.
+	healed bool
+	// turnedAway and forwarded count the first copies.
+	turnedAway int
+	forwarded  int
+}
+
+func newCrowd(t *testing.T) *crowd {
+	c := &crowd{opening: make(map[*client]time.Time)}
+	c.site, c.own = newCutSite(t)
+	return c
+}
+
+// run lets time pass, while callers of the own zone are answered.
+func (c *crowd) run(d time.Duration) {
+	s := c.site
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.round(c.own[:1])
+		c.repeat()
+		caller, decision := s.open(archive)
+		if decision.Kind == Forward {
+			c.forwarded++
+			c.opening[caller] = s.now
+			c.accept()
+			continue
+		}
+		require.Equal(s.t, NoneAnswers, decision.Reason)
+		c.turnedAway++
+	}
+}
+
+// accept has all openings accepted, if servers accept.
+func (c *crowd) accept() {
+	if !c.healed {
+		return
+	}
+	for caller := range c.opening {
+		caller.accept()
+	}
+	clear(c.opening)
+}
+
+// repeat repeats the openings that are due. None may be turned away.
+func (c *crowd) repeat() {
+	for caller, at := range c.opening {
+		age := c.site.now.Sub(at)
+		due := caller.packet.Copy == 0 && age >= 200*time.Millisecond || caller.packet.Copy == 1 && age >= 600*time.Millisecond
+		if due {
+			require.Equal(c.site.t, Forward, caller.repeat().Kind)
+		}
+		if age >= 1400*time.Millisecond {
+			delete(c.opening, caller)
+		}
+	}
+}
+
+// A zone is cut off, and none of its servers is of the archive's pool. The first
+// callers repeat their openings until they give up after 1.4 s. The next are told
+// at once, but for one in 200 ms; when the cut is healed that one is answered,
+// and all others are served.
+func TestCallersOfAPoolThatIsCutOffAreToldAtOnce(t *testing.T) {
+	c := newCrowd(t)
+	c.run(5 * time.Second)
+	c.turnedAway, c.forwarded = 0, 0
+	c.run(4 * time.Second)
+	require.Equal(t, 4*freeRate, c.forwarded)
+	require.Equal(t, 400-c.forwarded, c.turnedAway)
+
+	c.healed = true
+	c.run(time.Second / freeRate)
+	c.turnedAway = 0
+	c.run(time.Second)
+	require.Zero(t, c.turnedAway)
+}
+
+// A copy of an opening may follow one that a server has just accepted, at this
+// node or another: a reset would end a flow that is open.
+func TestCopiesOfOpeningsAreNotTurnedAway(t *testing.T) {
+	c := newCrowd(t)
+	c.run(3 * time.Second)
+	s := c.site
+	for range 40 {
+		s.port++
+		caller := netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), s.port)
+		p := Packet{Key: bronzeflow.NewKey(bronzeflow.TCP, caller, archive), Open: true, Copy: 1}
+		require.Equal(t, Forward, s.node.Decide(&p, s.now).Kind)
+	}
+}
+
+// A node that itself hears nobody doesn't know who is cut off.
+func TestNodeThatHearsNobodyTurnsNobodyAway(t *testing.T) {
+	s, _ := newCutSite(t)
+	for range 40 {
+		_, d := s.open(archive)
+		require.Equal(t, Forward, d.Kind)
+		s.pass(100 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/bronzesteer/shed.go
@@ -0,0 +1,90 @@
+package bronzesteer
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// shedFrom and shedFull bound, as parts of the objective of the route's
+	// requests, the time that the requests at work in a pool will take, between
+	// which more and more new flows are turned away: from none to all.
+	//
+	// When more callers come than servers can serve, all queues fill and stay
+	// full: as many answers are given as ever, but nearly all of them late. Of
+	// three times the usual requests, over six seconds, 0.76 are then in time in
+	// place of 0.35, 0.09 late in place of 0.54, and 0.145 fail in place of 0.11.
+	// At 1.7 times the usual nobody is turned away, at 2.2 times 8 of 15,000.
+	// Starting at 0.8, 56 of these are, and more of them fail than would have
+	// been late.
+	shedFrom = 1.0
+	shedFull = 1.2
+	// freeUse is the part of a server's slots up to which its answers show what
+	// the work itself takes, and servicePart the weight of one of them.
+	freeUse     = 0.7
+	servicePart = 0.02
+)
+
+// serviceTime is how long a pool's servers work on a request, without the time
+// that it waits for a slot. All methods may be called concurrently.
+type serviceTime struct {
+	mu   sync.Mutex
+	mean time.Duration
+}
+
+// observe takes in what an answer took at a server with free slots.
+func (t *serviceTime) observe(took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.mean == 0 {
+		t.mean = took
+		return
+	}
+	t.mean += time.Duration(servicePart * float64(took-t.mean))
+}
+
+// get returns the time, 0 if nothing was observed.
+func (t *serviceTime) get() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.mean
+}
+
+// atWork returns how many requests the candidates have at work for each slot,
+// those of all nodes taken together. What this node has there shows a surge at
+// once; the rates that nodes tell each other, which are seconds old, show what
+// part of all that is. To go by the answers' delay instead doesn't work: it
+// shows a full queue only when that is behind them, and an empty one likewise,
+// so that all are turned away by turns and none.
+func (s *Steerer) atWork(candidates []candidate) float64 {
+	var work, slots, own, all float64
+	for i := range candidates {
+		c := &candidates[i]
+		if c.tier <= tierAvoided {
+			continue
+		}
+		work += c.work
+		slots += c.slots
+		own += c.rate
+		all += c.rate + c.others
+	}
+	if slots == 0 {
+		return 0
+	}
+	nodes := float64(s.others.Load() + 1)
+	if own > 0 {
+		nodes = min(nodes, all/own)
+	}
+	return work * nodes / slots
+}
+
+// shedPart returns the part of new flows that is to be turned away, 0 to 1,
+// where requests will take so long and should take objective. It is 0 where one
+// of them isn't known.
+func shedPart(takes, objective time.Duration) float64 {
+	if objective <= 0 {
+		return 0
+	}
+	part := float64(takes) / float64(objective)
+	return min(max((part-shedFrom)/(shedFull-shedFrom), 0), 1)
+}
--- a/bronzesteer/steer.go
+++ b/bronzesteer/steer.go
@@ -2,10 +2,13 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"bronzeusher.example/bronzeusher/bronzeroute"
 )
 
@@ -37,6 +40,9 @@
 	backends map[string]*backend
 	zones    map[string]*zone
 	nodes    map[string]nodeLoads
+	services map[string]*serviceTime
+	// free counts the openings that aren't turned away where others are.
+	free map[netip.AddrPort]*rate.Limiter
 	// own is the node's zone; it is set once.
 	own *zone
 
@@ -123,6 +129,8 @@
 		s.backends = make(map[string]*backend)
 		s.zones = make(map[string]*zone)
 		s.nodes = make(map[string]nodeLoads)
+		s.services = make(map[string]*serviceTime)
+		s.free = make(map[netip.AddrPort]*rate.Limiter)
 		s.own = s.zone(s.AvailabilityZone)
 		for i := range s.shards {
 			s.shards[i].flows = make(map[flowKey]*flow)
@@ -173,10 +181,14 @@
 	if f := sh.flows[p.Key]; f != nil {
 		return s.repeat(k, route, f, p, at, now)
 	}
-	server := s.place(k, route, p, nil, at, now)
+	c := s.place(k, route, p, nil, at, now)
+	server := c.server
 	if server == nil {
 		return Decision{Kind: End, Reason: NoServer}
 	}
+	if d, ok := s.refusal(k, route, p, c, now); ok {
+		return d
+	}
 	token := v.Token(service, server)
 	if !sh.full() {
 		f := &flow{backend: k.backends[server], token: token, idempotent: route.Idempotent, openedAt: at, seenAt: at}
@@ -203,7 +215,7 @@
 		return Decision{Kind: Forward, Reason: Repeated, Server: server, Token: f.token}
 	}
 	s.unanswered(f.backend, f.sentAt(f.openedAt), at, openingWeight)
-	next := s.place(k, route, p, f.backend, at, now)
+	next := s.place(k, route, p, f.backend, at, now).server
 	if next == nil {
 		if server == nil || server.Status == bronzeroute.Gone {
 			return Decision{Kind: End, Reason: NoServer}
