Bound what a Customer's flows take of a node by the accounts of bronzepool

Cause: the token way had a bound of its own for the flows that it follows, for each shard and for nobody in particular; a flood of openings to one Customer blinded a node for the flows of all others, and what both ways of steering share was to exist once.

bronzepool.Admission gives each Customer a fair part of the flows that a node follows, and bounds those that aren't open to an eighth. What isn't followed is forwarded as before, and counted by reason.

Follower.Contact, which its tests alone called, is gone; the test sees the same from the events.

--- a/bronzeedge/packets.go
+++ b/bronzeedge/packets.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"bronzeusher.example/bronzeusher/bronzepool"
 	"bronzeusher.example/bronzeusher/bronzesteer"
 	"bronzeusher.example/bronzeusher/bronzewire"
 )
@@ -82,6 +83,9 @@
 		w.hold(b)
 	}
 	e.counts.decision(&d)
+	if d.NotFollowed != bronzepool.Admitted {
+		e.count("NotFollowed" + d.NotFollowed.String())
+	}
 	if d.Opened > 0 {
 		e.counts.opening.RecordDuration(d.Opened)
 	}
--- a/bronzerecord/follower.go
+++ b/bronzerecord/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -89,16 +88,6 @@
 	backoff bronzeretry.Backoff
 	// reload asks for the whole contents next.
 	reload bool
-	// contact is when the store last answered.
-	contact atomic.Pointer[time.Time]
-}
-
-// Contact returns when the store last answered, the zero time if never.
-func (f *Follower) Contact() time.Time {
-	if at := f.contact.Load(); at != nil {
-		return *at
-	}
-	return time.Time{}
 }
 
 // Run follows until ctx is done and returns the cause.
@@ -125,7 +114,6 @@
 	}
 	if errors.Is(err, ErrCompacted) {
 		f.reload = true
-		f.heard()
 		f.event(Event{Kind: Compacted, Took: took, Err: err})
 		return 0
 	}
@@ -134,7 +122,6 @@
 		return f.backoff.Next()
 	}
 	f.backoff.Reset()
-	f.heard()
 	return f.take(d, whole, took)
 }
 
@@ -177,11 +164,6 @@
 	return DefaultGather
 }
 
-func (f *Follower) heard() {
-	now := time.Now()
-	f.contact.Store(&now)
-}
-
 func (f *Follower) event(e Event) {
 	if f.OnEvent != nil {
 		e.Revision = f.Set.Revision()
--- a/bronzerecord/follower_test.go
+++ b/bronzerecord/follower_test.go
@@ -133,8 +133,11 @@
 		f := &fakeStore{h: newHistory()}
 		f.h.change("a", false)
 		var s Set
-		var failed atomic.Int64
+		var failed, answeredAt atomic.Int64
 		follower := Follower{Source: f.source(), Set: &s, OnEvent: func(e Event) {
+			if e.Err == nil {
+				answeredAt.Store(time.Now().UnixNano())
+			}
 			if e.Kind == Failed {
 				require.True(t, errors.Is(e.Err, ErrUnavailable))
 				failed.Add(1)
@@ -146,14 +149,14 @@
 		f.do(func() { f.down = true })
 		time.Sleep(30 * time.Second)
 		require.Less(t, failed.Load(), int64(90))
-		contact := follower.Contact()
+		before := answeredAt.Load()
 		f.do(func() {
 			f.h.change("a", false)
 			f.down = false
 		})
 		time.Sleep(maxBackoff)
 		require.EqualValues(t, 2, s.Revision())
-		require.True(t, follower.Contact().After(contact))
+		require.Greater(t, answeredAt.Load(), before)
 		cancel()
 		synctest.Wait()
 	})
--- a/bronzeroute/table.go
+++ b/bronzeroute/table.go
@@ -17,7 +17,10 @@
 type Route struct {
 	Name    string
 	Service netip.AddrPort
-	Shares  []Share
+	// Customer is whose service it is. What it uses of a node is bounded so that
+	// others have room.
+	Customer string
+	Shares   []Share
 	// Idempotent says that callers repeat the requests in these flows after
 	// any failure, so that ending a flow early loses nothing.
 	Idempotent bool
--- /dev/null
+++ b/bronzesteer/account.go
@@ -0,0 +1,51 @@
+package bronzesteer
+
+import (
+	"bronzeusher.example/bronzeusher/bronzeconf"
+	"bronzeusher.example/bronzeusher/bronzepool"
+	"bronzeusher.example/bronzeusher/bronzeroute"
+)
+
+const (
+	// maxFlows bounds the flows that are followed, about 100 MB, and maxHalfOpen
+	// those of them that aren't open: a flood of openings that nobody goes on
+	// with takes an eighth of the memory. Flows beyond are forwarded all the
+	// same; what is lost is their part in judging servers. Each Customer has a
+	// fair part of both, so a flood to one doesn't blind the node for others.
+	maxFlows    = 400_000
+	maxHalfOpen = maxFlows / 8
+)
+
+// account is what the flows of one endpoint use of the node.
+type account struct {
+	service bronzeconf.Service
+	use     *bronzepool.Account
+}
+
+// account returns the account of a route's endpoint.
+func (s *Steerer) account(route *bronzeroute.Route) *bronzepool.Account {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.accounts[route.Service]
+	if a != nil && a.service.Customer == route.Customer {
+		return a.use
+	}
+	if a != nil {
+		s.admission.Remove(&a.service)
+	}
+	a = &account{service: bronzeconf.Service{Customer: route.Customer, Name: route.Service.String()}}
+	a.use = s.admission.Set(&a.service)
+	s.accounts[route.Service] = a
+	return a.use
+}
+
+// forgetAccounts drops the accounts of endpoints that have no route; the caller
+// holds the lock.
+func (s *Steerer) forgetAccounts(v *bronzeroute.View) {
+	for endpoint, a := range s.accounts {
+		if v.Route(endpoint) == nil {
+			s.admission.Remove(&a.service)
+			delete(s.accounts, endpoint)
+		}
+	}
+}
--- a/bronzesteer/backend.go
+++ b/bronzesteer/backend.go
@@ -84,6 +84,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.forgetFree(v)
+	s.forgetAccounts(v)
 	for name, b := range s.backends {
 		if server := v.ByName(name); server == nil || server.Status == bronzeroute.Gone {
 			b.zone.forget(b)
--- a/bronzesteer/flow.go
+++ b/bronzesteer/flow.go
@@ -5,14 +5,12 @@
 	"time"
 
 	"bronzeusher.example/bronzeusher/bronzeflow"
+	"bronzeusher.example/bronzeusher/bronzepool"
 	"bronzeusher.example/bronzeusher/bronzeroute"
 )
 
 const (
 	shardCount = 16
-	// maxFlows bounds the flows that are followed, about 100 MB. Those beyond
-	// are forwarded all the same.
-	maxFlows = 400_000
 	// idleFor is how long a flow without packets is followed. It only bounds
 	// memory: the flow itself lives on.
 	idleFor = 20 * time.Second
@@ -42,6 +40,7 @@
 // flow is what this node has seen of a flow. Times are distances from the
 // Steerer's start.
 type flow struct {
+	account    *bronzepool.Account
 	backend    *backend
 	token      uint32
 	open       bool
@@ -65,10 +64,6 @@
 	return max(openedAt, f.retriedAt)
 }
 
-// full reports whether no more flows are followed. A flood of openings must
-// not take the memory that the node needs; they are placed all the same.
-func (sh *shard) full() bool { return len(sh.flows) >= maxFlows/shardCount }
-
 func (s *Steerer) shard(p *Packet) *shard {
 	return &s.shards[p.Key.Hash()%shardCount]
 }
@@ -83,9 +78,10 @@
 	delete(sh.flows, key)
 }
 
-// release takes the flow out of its server's figures.
+// release takes the flow out of its server's and its Customer's figures.
 func (f *flow) release() {
 	f.finish()
+	f.account.Ended(f.open)
 	if f.open {
 		f.backend.addFlows(-1)
 	} else {
@@ -130,6 +126,7 @@
 
 // established notes that the caller has taken a server's acceptance.
 func (s *Steerer) established(f *flow, b *backend, token uint32, p *Packet, at time.Duration) {
+	f.account.Established()
 	f.backend.addOpening(-1)
 	f.open, f.backend, f.token = true, b, token
 	f.sequence, f.acknowledged = p.Sequence, p.Acknowledged
--- a/bronzesteer/memory_test.go
+++ b/bronzesteer/memory_test.go
@@ -8,7 +8,7 @@
 	"bronzeusher.example/bronzeusher/bronzeflow"
 )
 
-// BenchmarkFlowMemory reports what one flow that is followed takes.
+// BenchmarkFlowMemory reports what one open flow that is followed takes.
 func BenchmarkFlowMemory(b *testing.B) {
 	const flows = 100_000
 	for b.Loop() {
@@ -19,6 +19,8 @@
 		for i := range flows {
 			caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(i >> 16), byte(i >> 8)}), uint16(1024+i&0xff))
 			p := Packet{Key: bronzeflow.NewKey(bronzeflow.TCP, caller, live), Open: true}
+			p.Token = s.node.Decide(&p, s.now).Token
+			p.Open = false
 			s.node.Decide(&p, s.now)
 		}
 		runtime.GC()
--- a/bronzesteer/steer.go
+++ b/bronzesteer/steer.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/time/rate"
 
+	"bronzeusher.example/bronzeusher/bronzepool"
 	"bronzeusher.example/bronzeusher/bronzeroute"
 )
 
@@ -33,6 +34,8 @@
 	start  time.Time
 	shards [shardCount]shard
 
+	admission bronzepool.Admission
+
 	// goodAt is when any server was last seen to answer, since start.
 	goodAt atomic.Int64
 
@@ -41,6 +44,7 @@
 	zones    map[string]*zone
 	nodes    map[string]nodeLoads
 	services map[string]*serviceTime
+	accounts map[netip.AddrPort]*account
 	// free counts the openings that aren't turned away where others are.
 	free map[netip.AddrPort]*rate.Limiter
 	// own is the node's zone; it is set once.
@@ -130,6 +134,8 @@
 		s.zones = make(map[string]*zone)
 		s.nodes = make(map[string]nodeLoads)
 		s.services = make(map[string]*serviceTime)
+		s.accounts = make(map[netip.AddrPort]*account)
+		s.admission.Open, s.admission.HalfOpen = maxFlows, maxHalfOpen
 		s.free = make(map[netip.AddrPort]*rate.Limiter)
 		s.own = s.zone(s.AvailabilityZone)
 		for i := range s.shards {
@@ -190,12 +196,17 @@
 		return d
 	}
 	token := v.Token(service, server)
-	if !sh.full() {
-		f := &flow{backend: k.backends[server], token: token, idempotent: route.Idempotent, openedAt: at, seenAt: at}
+	d := Decision{Kind: Forward, Reason: Placed, Server: server, Token: token}
+	account := s.account(route)
+	if d.NotFollowed = account.Admit(); d.NotFollowed == bronzepool.Admitted {
+		f := &flow{
+			account: account, backend: k.backends[server], token: token,
+			idempotent: route.Idempotent, openedAt: at, seenAt: at,
+		}
 		f.backend.addOpening(1)
 		sh.flows[p.Key] = f
 	}
-	return Decision{Kind: Forward, Reason: Placed, Server: server, Token: token}
+	return d
 }
 
 // repeat handles a further opening of a flow that this node has placed. The
@@ -232,7 +243,8 @@
 func (s *Steerer) steer(k *known, p *Packet, now time.Time) Decision {
 	v := k.view
 	service := p.Key.ServiceAddrPort()
-	if v.Route(service) == nil {
+	route := v.Route(service)
+	if route == nil {
 		if v.Withdrawn(service) {
 			return Decision{Kind: End, Reason: RouteWithdrawn}
 		}
@@ -263,10 +275,11 @@
 	}
 	b := k.backends[server]
 	if f == nil {
-		if sh.full() {
-			return Decision{Kind: Forward, Reason: Steered, Server: server, Token: token}
+		account := s.account(route)
+		if denial := account.Admit(); denial != bronzepool.Admitted {
+			return Decision{Kind: Forward, Reason: Steered, Server: server, Token: token, NotFollowed: denial}
 		}
-		f = adopt(sh, v, p, b, token, at)
+		f = adopt(sh, route, account, p, b, token, at)
 	}
 	opened := time.Duration(0)
 	if !f.open {
@@ -284,13 +297,14 @@
 }
 
 // adopt makes an entry for a flow that another node has opened.
-func adopt(sh *shard, v *bronzeroute.View, p *Packet, b *backend, token uint32, at time.Duration) *flow {
+func adopt(sh *shard, route *bronzeroute.Route, account *bronzepool.Account, p *Packet, b *backend, token uint32, at time.Duration) *flow {
 	f := &flow{
-		token: token, backend: b, open: true,
+		account: account, token: token, backend: b, open: true,
 		openedAt: at, seenAt: at,
 		sequence: p.Sequence, acknowledged: p.Acknowledged,
-		idempotent: v.Route(p.Key.ServiceAddrPort()).Idempotent,
+		idempotent: route.Idempotent,
 	}
+	account.Established()
 	f.backend.addFlows(1)
 	sh.flows[p.Key] = f
 	return f
--- a/bronzesteer/steer_test.go
+++ b/bronzesteer/steer_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"bronzeusher.example/bronzeusher/bronzeflow"
+	"bronzeusher.example/bronzeusher/bronzepool"
 	"bronzeusher.example/bronzeusher/bronzeroute"
 )
 
@@ -202,24 +203,48 @@
 	return c.ask()
 }
 
-// A flood of openings fills what a node follows. Memory stays bounded, and
-// flows that no more is known of are served all the same.
+// A flood of openings to one Customer fills what a node follows of it. Memory
+// stays bounded, and flows that no more is known of are served all the same. A
+// flow of another Customer is followed as ever.
 func TestFloodOfOpeningsIsBounded(t *testing.T) {
 	s := newSite(t, 2)
-	s.serve(live)
-	for i := range s.node.shards {
-		sh := &s.node.shards[i]
-		for n := 0; !sh.full(); n++ {
-			sh.flows[bronzeflow.Key{Caller: [16]byte{byte(n >> 16), byte(n >> 8), byte(n)}}] = &flow{}
-		}
+	shares := []bronzeroute.Share{{Pool: "live", Weight: 1}}
+	s.directory.SetTable(&bronzeroute.Table{Version: 2, Routes: []bronzeroute.Route{
+		{Name: "live", Service: live, Shares: shares, Customer: "flooded"},
+		{Name: "outline", Service: outline, Shares: shares, Customer: "other"},
+	}}, s.now)
+	s.node.SetView(s.directory.View())
+	flood := s.node.account(s.node.View().Route(live))
+	for flood.Admit() == bronzepool.Admitted {
+		flood.Established()
 	}
 	before := s.node.Flows()
 	c, d := s.open(live)
 	require.Equal(t, Placed, d.Reason)
+	require.Equal(t, bronzepool.NodeOpenDenied, d.NotFollowed)
 	require.Equal(t, Steered, c.accept().Reason)
 	require.Equal(t, Steered, c.ask().Reason)
 	require.Equal(t, before, s.node.Flows())
 	for _, status := range s.node.Servers(s.now) {
 		require.Zero(t, status.Work, "nothing is counted that would never be taken back")
 	}
+
+	_, d = s.open(outline)
+	require.Equal(t, bronzepool.Admitted, d.NotFollowed)
+	require.Equal(t, before+1, s.node.Flows())
+}
+
+// Half-open flows are what a flood uses up; they are bounded by themselves, and
+// given back when their callers don't go on.
+func TestHalfOpenFlowsAreBounded(t *testing.T) {
+	s := newSite(t, 2)
+	for range maxHalfOpen {
+		s.open(live)
+	}
+	_, d := s.open(live)
+	require.Equal(t, bronzepool.NodeHalfOpenDenied, d.NotFollowed)
+	s.pass(openingFor + time.Second)
+	_, d = s.open(live)
+	require.Equal(t, bronzepool.Admitted, d.NotFollowed)
+	require.Equal(t, 1, s.node.Flows())
 }
