Soak real nodes in faults from outside

One command, bronzesoak, plays plans that are drawn from seeds or read from a file: real processes of bronzeedge, killed, paused, told to leave and to reload, between stand-ins of the store, the routers, callers and servers by the published protocols (platform/standin), with proxies on loopback that silence, reset, slow, lose and cut. Twelve promises are checked while it runs from what callers and servers see.

Nodes got a setting for where others reach them (PeerPublicAddress), so that a proxy can stand between them.

--- a/bronzeedge/config.go
+++ b/bronzeedge/config.go
@@ -41,6 +41,9 @@
 	ControlAddress netip.AddrPort
 	// PeerAddress takes other nodes' datagrams (UDP).
 	PeerAddress netip.AddrPort
+	// PeerPublicAddress is where other nodes reach PeerAddress, if that is another
+	// address, as where addresses are translated on the way.
+	PeerPublicAddress netip.AddrPort
 	// MetricsAddress serves metrics and the node's state (HTTP), none if it is
 	// left out.
 	MetricsAddress netip.AddrPort
--- a/bronzeedge/peers.go
+++ b/bronzeedge/peers.go
@@ -40,11 +40,15 @@
 // connectPeers sets the gossip up.
 func (e *Edge) connectPeers() {
 	e.fetches = &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	public := e.cfg.PeerPublicAddress
+	if !public.IsValid() {
+		public = e.cfg.PeerAddress
+	}
 	g := &e.gossip
 	g.Self = bronzegossip.Peer{
 		Name:             e.cfg.Name,
 		Incarnation:      uint64(e.started.UnixMilli()),
-		Address:          e.cfg.PeerAddress,
+		Address:          public,
 		Records:          e.cfg.ControlAddress,
 		AvailabilityZone: e.cfg.AvailabilityZone,
 	}
--- /dev/null
+++ b/bronzesoak/check_test.go
@@ -0,0 +1,182 @@
+package bronzesoak
+
+import (
+	"encoding/binary"
+	"net"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bronzeusher.example/bronzeusher/platform/standin"
+)
+
+var (
+	liveRoute    = netip.MustParseAddrPort("198.18.0.1:443")
+	archiveRoute = netip.MustParseAddrPort("198.18.0.2:443")
+	caller       = netip.MustParseAddrPort("127.9.3.1:4000")
+)
+
+// newChecked returns a soak with a node and two servers of the live pool that
+// have all been left alone for long, and no sockets but the servers' own.
+func newChecked(t *testing.T) (s *soak, n *node, servers []*server) {
+	s = &soak{network: newNetwork(), store: &standin.Store{}, ledger: newLedger()}
+	s.network.random = func() float64 { return 1 }
+	s.plan.WorkMS = 1
+	n = &node{soak: s, name: "node-0", zone: "zone-0"}
+	s.nodes = []*node{n}
+	s.network.nodes[netip.MustParseAddr("127.9.1.1")] = n.name
+	s.ledger.add(&route{service: liveRoute, pool: "live", addedAt: time.Now()})
+	s.ledger.add(&route{service: archiveRoute, pool: "archive", addedAt: time.Now()})
+	for i := range 2 {
+		conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		server := &server{soak: s, pool: "live", zone: "zone-0", conn: conn, flows: map[flowKey]*serverFlow{}}
+		server.name, server.number = serverName(i)
+		servers = append(servers, server)
+	}
+	s.servers = servers
+	return s, n, servers
+}
+
+// broken returns the promises that were found broken.
+func (s *soak) broken() (list []Promise) {
+	for _, b := range s.journal.broken {
+		list = append(list, b.Promise)
+	}
+	return list
+}
+
+// opening and data are packets of the caller's flow.
+func opening(to netip.AddrPort) *standin.Packet {
+	return &standin.Packet{Source: caller, Destination: to, Open: true, Sequence: 99, Genuine: true}
+}
+
+func data(s *server, to netip.AddrPort, payload []byte) *standin.Packet {
+	f := s.flows[flowKey{caller, to}]
+	return &standin.Packet{
+		Source: caller, Destination: to, Sequence: f.next, Acknowledged: f.sequence + 1, Payload: payload, Genuine: true,
+	}
+}
+
+// openAt opens the caller's flow at a server.
+func openAt(n *node, s *server) {
+	s.take(n, opening(liveRoute))
+	s.take(n, data(s, liveRoute, nil))
+}
+
+func TestServerOfAnotherPool(t *testing.T) {
+	s, n, servers := newChecked(t)
+	servers[0].take(n, opening(archiveRoute))
+	servers[0].take(n, opening(netip.MustParseAddrPort("198.18.0.9:443")))
+	require.Equal(t, []Promise{Misrouted, Misrouted}, s.broken())
+}
+
+func TestAlteredPacket(t *testing.T) {
+	s, _, servers := newChecked(t)
+	b := opening(liveRoute).Bytes()
+	guarded := append(binary.BigEndian.AppendUint64(nil, servers[0].number), b...)
+	guarded[8+4]++ // the sequence number
+	servers[0].receive("node-0", guarded)
+	require.Equal(t, []Promise{Altered}, s.broken())
+	guarded[8+4]--
+	guarded[8]++ // the token, which nodes write
+	servers[0].receive("node-0", guarded)
+	require.Len(t, s.broken(), 1)
+	require.Len(t, servers[0].flows, 1)
+}
+
+// A node ends a flow whose server is there. It counts unless the server or the
+// node was harmed within settled, or the route is gone.
+func TestResetOfAnOpenFlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, n, servers := newChecked(t)
+		openAt(n, servers[0])
+		f := &callerFlow{key: flowKey{caller, liveRoute}}
+		reset := arrival{Packet: standin.Packet{End: true}, from: netip.MustParseAddr("127.9.1.1")}
+		own := reset
+		own.Genuine = true
+		s.judgeReset(f, &own)
+		require.Empty(t, s.broken(), "the server itself")
+
+		n.disturb(0, false)
+		s.judgeReset(f, &reset)
+		time.Sleep(settled)
+		servers[0].calm.disturb(time.Now())
+		s.judgeReset(f, &reset)
+		require.Empty(t, s.broken(), "after harm")
+
+		time.Sleep(settled)
+		n.disturb(0, true)
+		s.judgeReset(f, &reset)
+		require.Equal(t, []Promise{BrokenFlow}, s.broken(), "planned work is no excuse")
+
+		s.ledger.remove(liveRoute, time.Now())
+		s.judgeReset(f, &reset)
+		require.Len(t, s.broken(), 1, "the route is gone")
+	})
+}
+
+func TestPacketsThatStray(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, n, servers := newChecked(t)
+		openAt(n, servers[0])
+		stray := &standin.Packet{Source: caller, Destination: liveRoute, Genuine: true}
+		time.Sleep(strayedFor)
+		for range strayedMost - 1 {
+			servers[1].take(n, stray)
+		}
+		require.Empty(t, s.broken())
+		servers[1].take(n, stray)
+		require.Equal(t, []Promise{Strayed}, s.broken())
+		servers[0].take(n, data(servers[0], liveRoute, nil))
+		servers[1].take(n, stray)
+		require.Len(t, s.broken(), 1)
+	})
+}
+
+func TestRequestThatRunsTwice(t *testing.T) {
+	s, n, servers := newChecked(t)
+	request := append(binary.LittleEndian.AppendUint64(nil, 42), 0)
+	for i, server := range servers {
+		server.take(n, opening(liveRoute))
+		server.take(n, data(server, liveRoute, request))
+		require.Len(t, s.broken(), i)
+	}
+	require.Equal(t, []Promise{RanTwice}, s.broken())
+}
+
+// New flows on a draining server, or by a withdrawn route, count from three
+// seconds on.
+func TestOpeningsThatComeTooLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, n, servers := newChecked(t)
+		servers[0].drainedAt = time.Now()
+		servers[0].take(n, opening(liveRoute))
+		require.Empty(t, s.broken())
+		time.Sleep(published + copies + time.Millisecond)
+		servers[0].take(n, opening(liveRoute))
+		require.Equal(t, []Promise{NewOnDraining}, s.broken())
+		s.ledger.remove(liveRoute, time.Now())
+		time.Sleep(published + copies + time.Millisecond)
+		servers[1].take(n, opening(liveRoute))
+		require.Equal(t, []Promise{NewOnDraining, OldTable}, s.broken())
+		n.disturb(0, false)
+		servers[1].take(n, opening(liveRoute))
+		require.Len(t, s.broken(), 2)
+	})
+}
+
+func TestTooFewAreServedInTheEnd(t *testing.T) {
+	for _, served := range []int{89, 90} {
+		s, _, _ := newChecked(t)
+		s.plan.Seconds = 10
+		s.counts.seconds = make([]Second, 10)
+		s.counts.seconds[8] = Second{Served: served, Failed: 100 - served}
+		r := s.result()
+		require.Equal(t, served < 90, r.BrokenTotal == 1)
+	}
+}
--- /dev/null
+++ b/bronzesoak/counts.go
@@ -0,0 +1,77 @@
+package bronzesoak
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Second is what became of the requests that callers began in one second.
+type Second struct {
+	Served   int
+	Failed   int
+	Rejected int
+	// WorstMS is the 99th percentile of the times of those served.
+	WorstMS int64
+
+	took []time.Duration
+}
+
+func (s *Second) total() int { return s.Served + s.Failed + s.Rejected }
+
+// counts counts requests by the second in which they began.
+type counts struct {
+	mu      sync.Mutex
+	begun   time.Time
+	seconds []Second
+}
+
+func (c *counts) add(at time.Time, took time.Duration, o outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := int(at.Sub(c.begun) / time.Second)
+	if i < 0 {
+		return
+	}
+	for len(c.seconds) <= i {
+		c.seconds = append(c.seconds, Second{})
+	}
+	s := &c.seconds[i]
+	switch o {
+	case served:
+		s.Served++
+		s.took = append(s.took, took)
+	case rejected:
+		s.Rejected++
+	default:
+		s.Failed++
+	}
+}
+
+// worst is the percentile of times that is reported.
+const worst = 0.99
+
+func (c *counts) list() []Second {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := slices.Clone(c.seconds)
+	for i := range list {
+		s := &list[i]
+		slices.Sort(s.took)
+		if n := len(s.took); n > 0 {
+			s.WorstMS = s.took[min(int(worst*float64(n)), n-1)].Milliseconds()
+		}
+	}
+	return list
+}
+
+// sum adds seconds up.
+func sum(seconds []Second) (total Second) {
+	for i := range seconds {
+		total.Served += seconds[i].Served
+		total.Failed += seconds[i].Failed
+		total.Rejected += seconds[i].Rejected
+		total.WorstMS = max(total.WorstMS, seconds[i].WorstMS)
+	}
+	return total
+}
--- /dev/null
+++ b/bronzesoak/event.go
@@ -0,0 +1,234 @@
+package bronzesoak
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"time"
+)
+
+// apply does what an event says and returns when it is over.
+func (s *soak) apply(ctx context.Context, e *Event) {
+	n := s.nodes[e.Target%len(s.nodes)]
+	zone := zoneName(e.Target % s.plan.Zones)
+	switch e.Kind {
+	case KillNode:
+		n.kill(ctx, e.lasts())
+	case KillAll:
+		s.killAll(ctx, e.lasts())
+	case LeaveNode:
+		n.restart(ctx)
+	case RollNodes:
+		s.roll(ctx, e.lasts())
+	case PauseNode:
+		n.pause(ctx, e.lasts())
+	case ReloadNode:
+		n.reload()
+	case CutStore:
+		s.cutStore(ctx, n, e)
+	case CutPeers:
+		n.disturb(e.lasts(), false)
+		s.during(ctx, e.lasts(), func(by int) { s.network.peers[n.name] += by })
+		n.disturb(0, false)
+	case CutZone:
+		s.cutZone(ctx, zone, e.lasts(), s.network.cut)
+	case LoseZone:
+		s.cutZone(ctx, zone, e.lasts(), s.network.lossy)
+	case StoreDown:
+		s.storeDown(ctx, e)
+	case StoreForgets:
+		s.storeForgets(ctx, e.lasts())
+	default:
+		s.applyToServers(ctx, e)
+	}
+}
+
+// applyToServers does what an event says of servers, routes and callers.
+func (s *soak) applyToServers(ctx context.Context, e *Event) {
+	switch e.Kind {
+	case CrashServer:
+		old := s.takeServer(e.Target)
+		old.crash()
+		s.store.RemoveServer(old.name)
+		sleep(ctx, e.lasts())
+		s.addServer(ctx, old.pool, old.zone, netip.AddrPort{})
+	case ReplaceServer:
+		s.replaceServer(ctx, e.Target)
+	case ReuseAddress:
+		s.reuseAddress(ctx, e)
+	case AddRoute:
+		s.addRoute()
+	case RemoveRoute:
+		s.removeRoute()
+	case Surge:
+		s.surge(ctx, e.lasts())
+	}
+}
+
+// during calls change with 1 and, after d, with -1.
+func (s *soak) during(ctx context.Context, d time.Duration, change func(by int)) {
+	s.network.change(func() { change(1) })
+	sleep(ctx, d)
+	s.network.change(func() { change(-1) })
+}
+
+func (s *soak) killAll(ctx context.Context, d time.Duration) {
+	done := make(chan struct{})
+	for _, n := range s.nodes {
+		go func() {
+			n.kill(ctx, d)
+			done <- struct{}{}
+		}()
+	}
+	for range s.nodes {
+		<-done
+	}
+}
+
+// roll restarts all nodes, one after the other, for as long as there are events.
+func (s *soak) roll(ctx context.Context, each time.Duration) {
+	for _, n := range s.nodes {
+		if time.Since(s.journal.begun) > s.plan.length()-quiet {
+			return
+		}
+		go n.restart(ctx)
+		sleep(ctx, each)
+	}
+}
+
+func (s *soak) cutStore(ctx context.Context, n *node, e *Event) {
+	n.disturb(e.lasts(), false)
+	s.network.change(func() { s.network.store[n.name] = append(s.network.store[n.name], e.Mode) })
+	sleep(ctx, e.lasts())
+	s.network.change(func() { s.network.store[n.name] = s.network.store[n.name][1:] })
+	n.disturb(0, false)
+}
+
+// cutZone counts a zone among those that are cut off, or lossy, for d.
+func (s *soak) cutZone(ctx context.Context, zone string, d time.Duration, which map[string]int) {
+	disturb := func(d time.Duration) {
+		for _, n := range s.nodes {
+			if n.zone == zone {
+				n.disturb(d, false)
+			}
+		}
+		for _, server := range s.serversOf("") {
+			if server.zone == zone {
+				server.calm.disturb(time.Now().Add(d))
+			}
+		}
+	}
+	disturb(d)
+	s.during(ctx, d, func(by int) { which[zone] += by })
+	disturb(0)
+}
+
+// storeDown has the store fail for everybody; registrations lapse meanwhile, and
+// are back when it is.
+func (s *soak) storeDown(ctx context.Context, e *Event) {
+	s.storeCalm.disturb(time.Now().Add(e.lasts()))
+	if e.Mode == Refused {
+		s.store.SetStatus(http.StatusServiceUnavailable)
+	}
+	s.network.change(func() { s.network.down = append(s.network.down, e.Mode) })
+	sleep(ctx, e.lasts())
+	s.network.change(func() { s.network.down = s.network.down[1:] })
+	s.store.SetStatus(0)
+	s.storeCalm.disturb(time.Now())
+}
+
+func (s *soak) storeForgets(ctx context.Context, d time.Duration) {
+	s.storeCalm.disturb(time.Now().Add(d))
+	s.store.SetDeaf(true)
+	s.addRoute()
+	sleep(ctx, d)
+	s.store.Compact()
+	s.store.SetDeaf(false)
+	s.storeCalm.disturb(time.Now())
+}
+
+// takeServer picks a server and takes it out of those that events are for.
+func (s *soak) takeServer(target int) *server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := target % len(s.servers)
+	server := s.servers[i]
+	if len(s.servers) > 1 {
+		s.servers = append(s.servers[:i:i], s.servers[i+1:]...)
+	}
+	return server
+}
+
+// register writes a server's registration.
+func (s *soak) register(server *server) {
+	if err := s.store.PutServer(server.registration()); err != nil {
+		s.fail(err)
+	}
+}
+
+func (s *soak) replaceServer(ctx context.Context, target int) {
+	old := s.takeServer(target)
+	s.addServer(ctx, old.pool, old.zone, netip.AddrPort{})
+	old.mu.Lock()
+	old.drainedAt = time.Now()
+	s.register(old)
+	old.mu.Unlock()
+	sleep(ctx, drainFor)
+	old.crash()
+	s.store.RemoveServer(old.name)
+}
+
+// reuseAddress crashes a server; when its registration has lapsed one of the
+// other pool gets its address.
+func (s *soak) reuseAddress(ctx context.Context, e *Event) {
+	old := s.takeServer(e.Target)
+	old.crash()
+	sleep(ctx, e.lasts())
+	s.store.RemoveServer(old.name)
+	address := old.registration().Address
+	_ = old.proxy.conn.Close()
+	pool := pools[0]
+	if old.pool == pools[0] {
+		pool = pools[1]
+	}
+	s.addServer(ctx, pool, old.zone, address)
+	s.addServer(ctx, old.pool, old.zone, netip.AddrPort{})
+}
+
+func (s *soak) addRoute() {
+	s.events.Lock()
+	defer s.events.Unlock()
+	n := len(s.ledger.order)
+	r := &route{
+		service: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(n >> 8), byte(n)}), 443),
+		pool:    pools[n%len(pools)], idempotent: n%3 != 0,
+	}
+	s.ledger.add(r)
+	s.publish()
+	s.ledger.mu.Lock()
+	r.addedAt = time.Now()
+	s.ledger.mu.Unlock()
+}
+
+// removeRoute withdraws a route, but for the first ones.
+func (s *soak) removeRoute() {
+	s.events.Lock()
+	defer s.events.Unlock()
+	routes := s.ledger.inForce()
+	if len(routes) <= firstRoutes {
+		return
+	}
+	r := routes[firstRoutes+rand.IntN(len(routes)-firstRoutes)]
+	s.ledger.remove(r.service, time.Now())
+	s.publish()
+	s.ledger.remove(r.service, time.Now())
+}
+
+// surge adds as many callers again for d.
+func (s *soak) surge(ctx context.Context, d time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	s.callers(ctx)
+	<-ctx.Done()
+}
--- /dev/null
+++ b/bronzesoak/network_test.go
@@ -0,0 +1,127 @@
+package bronzesoak
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestWhatACutLetsThrough(t *testing.T) {
+	n := newNetwork()
+	draw := 1.0
+	n.random = func() float64 { return draw }
+	n.zones["node-0"], n.zones["node-1"], n.zones["node-2"] = "a", "b", "b"
+	require.True(t, n.passes("a", "b"))
+	n.change(func() { n.cut["a"]++ })
+	require.False(t, n.passes("a", "b"))
+	require.False(t, n.passes("b", "a"))
+	require.True(t, n.passes("a", "a"))
+	require.False(t, n.passesPeers("node-0", "node-1"))
+	require.True(t, n.passesPeers("node-1", "node-2"))
+	mode, _, _ := n.modeOf("node-0")
+	require.Equal(t, Silent, mode)
+	n.change(func() { n.cut["a"]--; n.peers["node-2"]++; n.lossy["a"]++ })
+	require.False(t, n.passesPeers("node-1", "node-2"))
+	draw = lossShare / 2
+	require.False(t, n.passes("a", "b"))
+	require.True(t, n.passes("b", "b"))
+	draw = 0
+	require.False(t, n.passes("b", "b"), "any packet may be lost")
+}
+
+// link is a store behind a proxy.
+type link struct {
+	network *network
+	address string
+	asked   chan string
+	cancel  context.CancelFunc
+}
+
+func newLink(t *testing.T) *link {
+	l := &link{network: newNetwork(), asked: make(chan string, 8)}
+	l.network.zones["node-0"] = "a"
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { l.asked <- r.URL.Path }))
+	t.Cleanup(server.Close)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l.address = listener.Addr().String()
+	var ctx context.Context
+	ctx, l.cancel = context.WithCancel(t.Context())
+	t.Cleanup(l.cancel)
+	p := &storeProxy{network: l.network, node: "node-0", store: strings.TrimPrefix(server.URL, "http://"), listener: listener}
+	go p.run(ctx)
+	return l
+}
+
+func (l *link) set(modes ...Mode) {
+	l.network.change(func() { l.network.store["node-0"] = modes })
+}
+
+func (l *link) dial(t *testing.T) net.Conn {
+	conn, err := net.Dial("tcp", l.address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+func send(t *testing.T, conn net.Conn, path string) {
+	_, err := io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: store\r\n\r\n")
+	require.NoError(t, err)
+}
+
+// works has a new connection be answered, and returns it.
+func (l *link) works(t *testing.T) (conn net.Conn, r *bufio.Reader) {
+	conn = l.dial(t)
+	send(t, conn, "/works")
+	r = bufio.NewReader(conn)
+	res, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	require.NoError(t, res.Body.Close())
+	require.Equal(t, http.StatusOK, res.StatusCode)
+	require.Equal(t, "/works", <-l.asked)
+	return conn, r
+}
+
+// A connection that went silent stays open and carries nothing more, also when
+// new ones work again.
+func TestSilentConnectionStaysSilent(t *testing.T) {
+	l := newLink(t)
+	conn, r := l.works(t)
+	l.set(Silent)
+	l.set()
+	send(t, conn, "/silent")
+	l.works(t)
+	l.cancel()
+	b, _ := io.ReadAll(r)
+	require.Empty(t, b)
+}
+
+func TestLostAnswersWereAsked(t *testing.T) {
+	l := newLink(t)
+	l.set(AnswersLost)
+	conn := l.dial(t)
+	send(t, conn, "/lost")
+	require.Equal(t, "/lost", <-l.asked)
+	l.cancel()
+	b, _ := io.ReadAll(conn)
+	require.Empty(t, b)
+}
+
+func TestResetEndsConnections(t *testing.T) {
+	l := newLink(t)
+	conn := l.dial(t)
+	send(t, conn, "/before")
+	<-l.asked
+	l.set(Reset)
+	_, err := io.ReadAll(conn)
+	require.Error(t, err)
+	l.set()
+	l.works(t)
+}
--- /dev/null
+++ b/bronzesoak/node.go
@@ -0,0 +1,215 @@
+package bronzesoak
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bronzeusher.example/bronzeusher/bronzeedge"
+)
+
+const (
+	// grace is how long nodes are given to leave, lateBy how much longer they
+	// may take on a busy machine before that is a fault.
+	grace  = 4 * time.Second
+	lateBy = 2 * time.Second
+	// restartAfter is how long a process that ended takes to be started again.
+	restartAfter = 200 * time.Millisecond
+)
+
+// node is a process of the program under test, with its addresses.
+type node struct {
+	soak *soak
+	name string
+	zone string
+	data netip.AddrPort
+	cfg  bronzeedge.Config
+	// calm is since when nothing at all was done to it, unharmed since when
+	// nothing but planned work.
+	calm     calm
+	unharmed calm
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{} // closed when cmd has
+	starts int
+	// leaveAt is when the process was told to leave, the zero time if it wasn't.
+	leaveAt time.Time
+	// ending says that the process is to end, so that its exit is no fault.
+	ending bool
+}
+
+func (n *node) settingsPath() string { return filepath.Join(n.soak.dir, n.name+".json") }
+
+// writeSettings writes the node's settings, all at once.
+func (n *node) writeSettings() (err error) {
+	b, err := json.Marshal(n.cfg)
+	if err != nil {
+		return err
+	}
+	if err = os.WriteFile(n.settingsPath()+".new", b, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(n.settingsPath()+".new", n.settingsPath())
+}
+
+// start starts the process, if it doesn't run.
+func (n *node) start(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrap(err, "start "+n.name) }()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cmd != nil || ctx.Err() != nil {
+		return nil
+	}
+	if err = n.writeSettings(); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(n.soak.dir, n.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(n.soak.program, "--settings", n.settingsPath())
+	cmd.Stdout, cmd.Stderr = log, log
+	if err = cmd.Start(); err != nil {
+		_ = log.Close()
+		return err
+	}
+	n.cmd, n.exited = cmd, make(chan struct{})
+	n.starts++
+	n.leaveAt, n.ending = time.Time{}, false
+	go n.wait(cmd, n.exited, log)
+	return nil
+}
+
+// wait waits for the process's end and notes it.
+func (n *node) wait(cmd *exec.Cmd, exited chan struct{}, log *os.File) {
+	err := cmd.Wait()
+	_ = log.Close()
+	n.mu.Lock()
+	if !n.ending {
+		n.soak.journal.add(Exited, "%s ended by itself: %v", n.name, err)
+	}
+	n.cmd = nil
+	n.mu.Unlock()
+	close(exited)
+}
+
+// signal sends a signal to the process, if it runs, and returns what is closed
+// at its end.
+func (n *node) signal(sig syscall.Signal) (exited <-chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cmd == nil {
+		return nil
+	}
+	switch sig {
+	case syscall.SIGTERM:
+		n.leaveAt, n.ending = time.Now(), true
+	case syscall.SIGKILL:
+		n.ending = true
+	}
+	if err := n.cmd.Process.Signal(sig); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		n.soak.fail(errors.Wrap(err, "signal "+n.name))
+	}
+	return n.exited
+}
+
+// nodeStart returns which start of the node runs.
+func (n *node) nodeStart() nodeStart {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return nodeStart{n.name, n.starts}
+}
+
+// leavingFor returns how long ago the process was told to leave, 0 if it wasn't.
+func (n *node) leavingFor() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.leaveAt.IsZero() {
+		return 0
+	}
+	return time.Since(n.leaveAt)
+}
+
+// disturb notes that something is done to the node for d.
+func (n *node) disturb(d time.Duration, planned bool) {
+	until := time.Now().Add(d)
+	n.calm.disturb(until)
+	if !planned {
+		n.unharmed.disturb(until)
+	}
+}
+
+// kill kills the process and starts it again after d.
+func (n *node) kill(ctx context.Context, d time.Duration) {
+	n.disturb(d+restartAfter, false)
+	exited := n.signal(syscall.SIGKILL)
+	if exited != nil {
+		<-exited
+	}
+	sleep(ctx, d)
+	n.disturb(0, false)
+	if err := n.start(ctx); err != nil {
+		n.soak.fail(err)
+	}
+}
+
+// leave has the process end by itself.
+func (n *node) leave() {
+	n.disturb(grace, true)
+	exited := n.signal(syscall.SIGTERM)
+	if exited == nil {
+		return
+	}
+	timer := time.NewTimer(grace + lateBy)
+	defer timer.Stop()
+	select {
+	case <-exited:
+	case <-timer.C:
+		if n.unharmed.settled() {
+			n.soak.journal.add(LeftLate, "%s has not left %v after it was told to", n.name, grace+lateBy)
+		}
+		n.signal(syscall.SIGCONT)
+		n.signal(syscall.SIGKILL)
+		<-exited
+	}
+}
+
+// restart has the process leave and starts it again.
+func (n *node) restart(ctx context.Context) {
+	n.leave()
+	sleep(ctx, restartAfter)
+	n.disturb(0, true)
+	if err := n.start(ctx); err != nil {
+		n.soak.fail(err)
+	}
+}
+
+// pause stops the process for d.
+func (n *node) pause(ctx context.Context, d time.Duration) {
+	n.disturb(d, false)
+	n.signal(syscall.SIGSTOP)
+	sleep(ctx, d)
+	n.disturb(0, false)
+	n.signal(syscall.SIGCONT)
+}
+
+// reload changes the settings and says so.
+func (n *node) reload() {
+	n.mu.Lock()
+	n.cfg.QuietSeconds += 0.001
+	n.mu.Unlock()
+	if err := n.writeSettings(); err != nil {
+		n.soak.fail(err)
+		return
+	}
+	n.signal(syscall.SIGHUP)
+}
--- /dev/null
+++ b/bronzesoak/promise.go
@@ -0,0 +1,101 @@
+package bronzesoak
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Promise is something that callers or servers are promised.
+type Promise string
+
+// The promises.
+const (
+	// Misrouted: a server got a packet for an endpoint whose routes never named
+	// its pool.
+	Misrouted Promise = "Misrouted"
+	// Altered: an end got a packet that the other end had not written so.
+	Altered Promise = "Altered"
+	// BrokenFlow: the caller of an open flow was told its end by a node, though
+	// its server was there.
+	BrokenFlow Promise = "BrokenFlow"
+	// Strayed: packets of an open flow went to other servers for two seconds, and
+	// none to its own.
+	Strayed Promise = "Strayed"
+	// RanTwice: a request that must not be repeated ran twice.
+	RanTwice Promise = "RanTwice"
+	// NewOnDraining: a server got a new flow three seconds after it said that it
+	// drains.
+	NewOnDraining Promise = "NewOnDraining"
+	// OldTable: a node went by an older table three seconds after a newer one.
+	OldTable Promise = "OldTable"
+	// WentBack: a node went by an older table after it had used a newer one.
+	WentBack Promise = "WentBack"
+	// ReadyAgain: a node that leaves was ready again.
+	ReadyAgain Promise = "ReadyAgain"
+	// LeftLate: a node that was told to end took longer than its grace.
+	LeftLate Promise = "LeftLate"
+	// Exited: a node ended by itself.
+	Exited Promise = "Exited"
+	// Unserved: of the requests at the end, when all has been well for seconds,
+	// fewer than nine tenths were served.
+	Unserved Promise = "Unserved"
+)
+
+// Broken is a promise that did not hold.
+type Broken struct {
+	Promise Promise
+	// AtMS is when, from the start of traffic.
+	AtMS int64
+	What string
+}
+
+// String returns it as one line.
+func (b Broken) String() string {
+	return fmt.Sprintf("%.3f s %s: %s", float64(b.AtMS)/1000, b.Promise, b.What)
+}
+
+// maxBroken bounds what is kept of broken promises.
+const maxBroken = 50
+
+// journal keeps what was broken.
+type journal struct {
+	mu     sync.Mutex
+	begun  time.Time
+	broken []Broken
+	total  int
+}
+
+func (j *journal) add(p Promise, format string, args ...any) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.total++
+	if len(j.broken) < maxBroken {
+		j.broken = append(j.broken, Broken{Promise: p, AtMS: time.Since(j.begun).Milliseconds(), What: fmt.Sprintf(format, args...)})
+	}
+}
+
+// calm is since when something has been left alone.
+type calm struct {
+	mu    sync.Mutex
+	since time.Time
+}
+
+// disturb notes that something is done to it until a time.
+func (c *calm) disturb(until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if until.After(c.since) {
+		c.since = until
+	}
+}
+
+// settled is how long something must have been left alone for promises with a
+// bound in time to count.
+const settled = 4 * time.Second
+
+func (c *calm) settled() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.since) >= settled
+}
--- /dev/null
+++ b/bronzesoak/router.go
@@ -0,0 +1,112 @@
+package bronzesoak
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bronzeusher.example/bronzeusher/platform/standin"
+)
+
+const (
+	probeEvery = 500 * time.Millisecond
+	// missesOut is how many answers in a row a node misses until it is left out.
+	missesOut = 2
+	// leavingBy is how long after it was told to leave a node must not say any
+	// more that it is ready.
+	leavingBy = time.Second
+)
+
+// router is a stand-in of the platform's routers: it sends each flow to a node
+// of the caller's zone, and only the flows of a node move when that node goes.
+type router struct {
+	soak  *soak
+	nodes []*node
+
+	mu     sync.Mutex
+	misses map[*node]int
+}
+
+// run asks a node whether it is ready until ctx is done.
+func (r *router) run(ctx context.Context, n *node) {
+	client := &http.Client{Timeout: probeEvery, Transport: &http.Transport{DisableKeepAlives: true}}
+	ticker := time.NewTicker(probeEvery)
+	defer ticker.Stop()
+	for {
+		begun, leaving := n.nodeStart(), n.leavingFor()
+		status := ask(ctx, client, "http://"+n.cfg.ReadyAddress.String()+standin.ReadyPath)
+		r.note(n, status == http.StatusOK)
+		if status == http.StatusOK && leaving >= leavingBy && n.nodeStart() == begun {
+			r.soak.journal.add(ReadyAgain, "%s is ready though it leaves, for %v", n.name, leaving)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// ask returns the status of an answer, 0 if there is none.
+func ask(ctx context.Context, client *http.Client, url string) int {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return 0
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = res.Body.Close() }()
+	if _, err = io.Copy(io.Discard, res.Body); err != nil {
+		return 0
+	}
+	return res.StatusCode
+}
+
+func (r *router) note(n *node, ready bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if ready {
+		r.misses[n] = 0
+		return
+	}
+	r.misses[n]++
+}
+
+// ready reports whether a node is in rotation.
+func (r *router) ready(n *node) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.misses[n] < missesOut
+}
+
+// pick returns the node that a flow's packets go to now.
+func (r *router) pick(zone string, key flowKey) *node {
+	var all, in []*node
+	for _, n := range r.nodes {
+		if n.zone != zone {
+			continue
+		}
+		all = append(all, n)
+		if r.ready(n) {
+			in = append(in, n)
+		}
+	}
+	if 2*len(in) < len(all) {
+		in = all
+	}
+	var best *node
+	most := uint64(0)
+	for _, n := range in {
+		h := xxhash.Sum64String(n.name + key.caller.String() + key.service.String())
+		if best == nil || h > most {
+			best, most = n, h
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/bronzesoak/run.go
@@ -0,0 +1,331 @@
+package bronzesoak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bronzeusher.example/bronzeusher/bronzeedge"
+	"bronzeusher.example/bronzeusher/platform/standin"
+)
+
+const (
+	// startFor is how long nodes have before callers come.
+	startFor = time.Second
+	// hostsPerZone is on how many addresses a zone's callers are.
+	hostsPerZone = 3
+	// firstRoutes is how many routes there are at the start; they stay.
+	firstRoutes = 4
+	// endFrom and endTo bound the requests whose share must be served in the
+	// end, counted back from when callers stop.
+	endFrom  = 4
+	endTo    = 1
+	endShare = 0.9
+)
+
+// ports are the ports of all nodes: the platform has the same on all VMs.
+type ports struct{ data, peer, ready, control uint16 }
+
+// Result is what a run showed.
+type Result struct {
+	Plan   Plan
+	Served int
+	Failed int
+	// Rejected were told by a server that it has no room.
+	Rejected int
+	// Stalls is how often the machine was too busy for what it was to do.
+	Stalls int64
+	// Broken are the first promises that did not hold, BrokenTotal all.
+	Broken      []Broken
+	BrokenTotal int
+	Seconds     []Second
+}
+
+func (p *Plan) length() time.Duration { return time.Duration(p.Seconds * float64(time.Second)) }
+
+// Run plays a plan. An error is one of the soak itself; promises that did not
+// hold are in the result.
+func Run(ctx context.Context, plan Plan, opts Options) (result Result, err error) {
+	defer func() { err = errors.Wrapf(err, "soak with seed %d", plan.Seed) }()
+	if err = plan.Check(); err != nil {
+		return result, err
+	}
+	s := &soak{
+		plan: plan, program: opts.Program, dir: opts.Dir, network: newNetwork(), store: &standin.Store{}, ledger: newLedger(),
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if err = s.build(ctx); err != nil {
+		return result, err
+	}
+	defer s.stop()
+	if err = s.startAll(ctx); err != nil {
+		return result, err
+	}
+	s.play(ctx)
+	return s.result(), s.failure
+}
+
+// build opens all addresses, and fills the store.
+func (s *soak) build(ctx context.Context) (err error) {
+	if err = s.choosePorts(); err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", s.address(5, 0, 0).String())
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: s.store, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(listener) }()
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	for range firstRoutes {
+		s.addRoute()
+	}
+	for i := range s.plan.Zones {
+		for j := range s.plan.NodesPerZone {
+			if err = s.addNode(ctx, i*s.plan.NodesPerZone+j, zoneName(i), listener.Addr().String()); err != nil {
+				return err
+			}
+		}
+		for j := range hostsPerZone {
+			if err = s.addHost(ctx, i*hostsPerZone+j, zoneName(i)); err != nil {
+				return err
+			}
+		}
+		for range s.plan.ServersPerZone {
+			for _, pool := range pools {
+				s.addServer(ctx, pool, zoneName(i), netip.AddrPort{})
+			}
+		}
+	}
+	s.router = &router{soak: s, nodes: s.nodes, misses: map[*node]int{}}
+	return s.failure
+}
+
+func zoneName(i int) string { return fmt.Sprintf("zone-%d", i) }
+
+// address returns an address of this run: of a kind of things, by its index.
+func (s *soak) address(kind byte, i int, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, s.net, kind, byte(i + 1)}), port)
+}
+
+// choosePorts picks a net of loopback addresses that nobody uses, and ports that
+// are free there.
+func (s *soak) choosePorts() (err error) {
+	for range 20 {
+		s.net = byte(10 + rand.IntN(240))
+		var udp [2]*net.UDPConn
+		var tcp [2]net.Listener
+		for i := range udp {
+			if udp[i], err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.address(1, 0, 0))); err != nil {
+				return err
+			}
+			defer func() { _ = udp[i].Close() }()
+			if tcp[i], err = net.Listen("tcp", s.address(1, 0, 0).String()); err != nil {
+				return err
+			}
+			defer func() { _ = tcp[i].Close() }()
+		}
+		s.ports = ports{
+			data: port(udp[0].LocalAddr()), peer: port(udp[1].LocalAddr()),
+			ready: port(tcp[0].Addr()), control: port(tcp[1].Addr()),
+		}
+		probe, err := net.Listen("tcp", s.address(6, 0, s.ports.ready).String())
+		if err == nil {
+			return probe.Close()
+		}
+	}
+	return errors.New("no free addresses")
+}
+
+func port(a net.Addr) uint16 { return netip.MustParseAddrPort(a.String()).Port() }
+
+func (s *soak) addNode(ctx context.Context, i int, zone, store string) (err error) {
+	name := fmt.Sprintf("node-%d", i)
+	proxy, err := net.Listen("tcp", s.address(7, i, 0).String())
+	if err != nil {
+		return err
+	}
+	public, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.address(4, i, s.ports.peer)))
+	if err != nil {
+		return err
+	}
+	n := &node{soak: s, name: name, zone: zone, data: s.address(1, i, s.ports.data)}
+	n.cfg = bronzeedge.Config{
+		Name: name, Region: "region", AvailabilityZone: zone, Regions: map[string]string{},
+		DataAddress: n.data, ReadyAddress: s.address(1, i, s.ports.ready), ControlAddress: s.address(1, i, s.ports.control),
+		PeerAddress: s.address(1, i, s.ports.peer), PeerPublicAddress: s.address(4, i, s.ports.peer),
+		Store: proxy.Addr().String(), GraceSeconds: grace.Seconds(), QuietSeconds: 0.7,
+	}
+	for z := range s.plan.Zones {
+		n.cfg.Regions[zoneName(z)] = "region"
+	}
+	for seed := range min(3, s.plan.Zones*s.plan.NodesPerZone) {
+		n.cfg.Seeds = append(n.cfg.Seeds, s.address(4, seed, s.ports.control))
+	}
+	s.network.change(func() {
+		s.network.nodes[n.data.Addr()] = name
+		s.network.zones[name] = zone
+	})
+	s.nodes = append(s.nodes, n)
+	go (&storeProxy{network: s.network, node: name, store: store, listener: proxy}).run(ctx)
+	go (&datagramProxy{conn: public, network: s.network, deliver: func(from string, b []byte) {
+		if s.network.passesPeers(from, name) {
+			// Datagrams may be lost.
+			_, _ = public.WriteToUDPAddrPort(b, n.cfg.PeerAddress)
+		}
+	}}).run(ctx)
+	return nil
+}
+
+func (s *soak) addHost(ctx context.Context, i int, zone string) (err error) {
+	a := s.address(3, i, s.ports.data)
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
+	if err != nil {
+		return err
+	}
+	h := &host{soak: s, zone: zone, addr: a.Addr(), conn: conn, ports: map[uint16]*callerFlow{}}
+	s.hosts = append(s.hosts, h)
+	go h.run(ctx)
+	return nil
+}
+
+// addServer starts a server and registers it, at an address or any.
+func (s *soak) addServer(ctx context.Context, pool, zone string, address netip.AddrPort) {
+	s.mu.Lock()
+	i := s.serverN
+	s.serverN++
+	s.mu.Unlock()
+	if !address.IsValid() {
+		address = s.address(2, i%250, 0)
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		s.fail(errors.Wrap(err, "add a server"))
+		return
+	}
+	server := &server{soak: s, pool: pool, zone: zone, conn: conn, flows: map[flowKey]*serverFlow{}}
+	server.name, server.number = serverName(i)
+	server.proxy = &datagramProxy{conn: conn, network: s.network, deliver: server.receive}
+	go server.proxy.run(ctx)
+	s.register(server)
+	s.mu.Lock()
+	s.servers = append(s.servers, server)
+	s.mu.Unlock()
+}
+
+// startAll starts all nodes and gives them time to know everything.
+func (s *soak) startAll(ctx context.Context) (err error) {
+	for _, n := range s.nodes {
+		n.disturb(0, false)
+		if err = n.start(ctx); err != nil {
+			return err
+		}
+		go s.router.run(ctx, n)
+	}
+	s.storeCalm.disturb(time.Now())
+	sleep(ctx, startFor)
+	return nil
+}
+
+// play has callers come and does what the plan says.
+func (s *soak) play(ctx context.Context) {
+	s.journal.begun, s.counts.begun = time.Now(), time.Now()
+	ctx, cancel := context.WithTimeout(ctx, s.plan.length())
+	defer cancel()
+	s.callers(ctx)
+	go s.probe(ctx, s.hosts[0])
+	go s.watchMachine(ctx)
+	var over sync.WaitGroup
+	for i := range s.plan.Events {
+		e := &s.plan.Events[i]
+		sleep(ctx, e.at()-time.Since(s.journal.begun))
+		if ctx.Err() != nil {
+			break
+		}
+		over.Go(func() { s.apply(ctx, e) })
+	}
+	<-ctx.Done()
+	over.Wait()
+}
+
+// A machine that is too busy holds everything up, which is no fault of nodes. It
+// counts as held up where a timer of stallTick is late by stallLate.
+const (
+	stallTick = 20 * time.Millisecond
+	stallLate = 100 * time.Millisecond
+)
+
+// watchMachine notes when the machine holds this process up, until ctx is done.
+// All that is under test counts as disturbed then, and the result says how often.
+func (s *soak) watchMachine(ctx context.Context) {
+	for ctx.Err() == nil {
+		begun := time.Now()
+		sleep(ctx, stallTick)
+		if late := time.Since(begun) - stallTick; late < stallLate {
+			continue
+		}
+		s.stalls.Add(1)
+		for _, n := range s.nodes {
+			n.disturb(0, false)
+		}
+		for _, server := range s.serversOf("") {
+			server.calm.disturb(time.Now())
+		}
+		s.storeCalm.disturb(time.Now())
+	}
+}
+
+// callers has callers make requests until ctx is done.
+func (s *soak) callers(ctx context.Context) {
+	pause := time.Duration(s.plan.PauseMS) * time.Millisecond
+	for i := range s.plan.Callers {
+		h := s.hosts[i%len(s.hosts)]
+		go h.call(ctx, s.pickRoute, pause)
+	}
+}
+
+// pickRoute returns one of the routes in force.
+func (s *soak) pickRoute() (r route, ok bool) {
+	routes := s.ledger.inForce()
+	if len(routes) == 0 {
+		return r, false
+	}
+	return routes[rand.IntN(len(routes))], true
+}
+
+// stop ends all nodes, and waits for them.
+func (s *soak) stop() {
+	var over sync.WaitGroup
+	for _, n := range s.nodes {
+		over.Go(func() {
+			n.signal(syscall.SIGCONT)
+			n.leave()
+		})
+	}
+	over.Wait()
+}
+
+// result returns what the run showed.
+func (s *soak) result() (r Result) {
+	r = Result{Plan: s.plan, Stalls: s.stalls.Load(), Seconds: s.counts.list()}
+	all := sum(r.Seconds)
+	r.Served, r.Failed, r.Rejected = all.Served, all.Failed, all.Rejected
+	last := int(s.plan.Seconds)
+	end := sum(r.Seconds[min(max(last-endFrom, 0), len(r.Seconds)):min(max(last-endTo, 0), len(r.Seconds))])
+	if r.Stalls == 0 && float64(end.Served) < endShare*float64(max(end.total(), 1)) {
+		s.journal.add(Unserved, "%d of %d requests", end.Served, end.total())
+	}
+	s.journal.mu.Lock()
+	defer s.journal.mu.Unlock()
+	r.Broken, r.BrokenTotal = s.journal.broken, s.journal.total
+	return r
+}
--- /dev/null
+++ b/cmd/bronzesoak/main.go
@@ -0,0 +1,142 @@
+// Command bronzesoak does harm to real balancers between stand-ins of their
+// platform and checks what callers and BackendServers are promised (package
+// bronzesoak). It exits with 1 if a promise did not hold.
+//
+//	bronzesoak --from 1 --seeds 50 --seconds 20
+//	bronzesoak --plan plan.json --json result.json --plot result.svg
+//
+// With --write-plan it writes the plan of a seed to a file, as a start for one
+// of one's own: rate, callers, sizes and events.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+
+	"bronzeusher.example/bronzeusher/bronzereport"
+	"bronzeusher.example/bronzeusher/bronzesoak"
+)
+
+// flags is the grammar of the command line.
+type flags struct {
+	From      uint64        `default:"1" help:"First seed."`
+	Seeds     int           `default:"1" help:"How many seeds to play."`
+	Length    time.Duration `default:"20s" help:"How long callers come in each."`
+	Plan      string        `help:"Play this plan (JSON) in place of seeds." type:"existingfile"`
+	WritePlan string        `help:"Write the plan of the first seed to this file, and play nothing."`
+	Program   string        `help:"The program under test; built from this module if left out." type:"existingfile"`
+	Logs      string        `help:"Keep the logs of nodes below this directory; a temporary one if left out."`
+	JSON      string        `name:"json" help:"Write the results to this file."`
+	Plot      string        `help:"Draw the requests of each second into this file (SVG)."`
+}
+
+func main() {
+	var f flags
+	kong.Parse(&f, kong.Name("bronzesoak"), kong.Description("Does harm to balancers and checks their promises."))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	held, err := run(ctx, &f)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	if err != nil || !held {
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, f *flags) (held bool, err error) {
+	plans, err := f.plans()
+	if err != nil {
+		return false, err
+	}
+	if f.WritePlan != "" {
+		return true, bronzereport.SaveJSON(f.WritePlan, plans[0])
+	}
+	dir, err := f.directory()
+	if err != nil {
+		return false, err
+	}
+	if f.Program == "" {
+		if f.Program, err = build(ctx, dir); err != nil {
+			return false, err
+		}
+	}
+	var results []bronzesoak.Result
+	held = true
+	for _, plan := range plans {
+		r, err := play(ctx, plan, f.Program, dir)
+		if err != nil {
+			return false, err
+		}
+		results = append(results, r)
+		held = held && r.BrokenTotal == 0
+	}
+	fmt.Print(bronzesoak.Table(results).Markdown())
+	return held, f.save(results)
+}
+
+func (f *flags) plans() (plans []bronzesoak.Plan, err error) {
+	if f.Plan != "" {
+		p, err := bronzesoak.ReadPlan(f.Plan)
+		return []bronzesoak.Plan{p}, err
+	}
+	for i := range max(f.Seeds, 1) {
+		plans = append(plans, bronzesoak.NewPlan(f.From+uint64(i), f.Length))
+	}
+	return plans, nil
+}
+
+func (f *flags) directory() (dir string, err error) {
+	if f.Logs == "" {
+		return os.MkdirTemp("", "bronzesoak-")
+	}
+	return f.Logs, os.MkdirAll(f.Logs, 0o700)
+}
+
+// build builds the program under test.
+func build(ctx context.Context, dir string) (program string, err error) {
+	program = filepath.Join(dir, "bronzeedge")
+	cmd := exec.CommandContext(ctx, "go", "build", "-o", program, "bronzeusher.example/bronzeusher/cmd/bronzeedge")
+	cmd.Stdout, cmd.Stderr = os.Stderr, os.Stderr
+	return program, errors.Wrap(cmd.Run(), "build the program under test")
+}
+
+// play plays one plan and prints what was broken.
+func play(ctx context.Context, plan bronzesoak.Plan, program, dir string) (r bronzesoak.Result, err error) {
+	logs := filepath.Join(dir, strconv.FormatUint(plan.Seed, 10))
+	if err = os.MkdirAll(logs, 0o700); err != nil {
+		return r, err
+	}
+	if r, err = bronzesoak.Run(ctx, plan, bronzesoak.Options{Program: program, Dir: logs}); err != nil {
+		return r, err
+	}
+	for _, b := range r.Broken {
+		fmt.Fprintf(os.Stderr, "seed %d: %s (logs in %s)\n", plan.Seed, b, logs)
+	}
+	if r.BrokenTotal == 0 {
+		return r, os.RemoveAll(logs)
+	}
+	return r, nil
+}
+
+func (f *flags) save(results []bronzesoak.Result) (err error) {
+	if f.JSON != "" {
+		if err = bronzereport.SaveJSON(f.JSON, results); err != nil {
+			return err
+		}
+	}
+	if f.Plot != "" {
+		return bronzesoak.Plot(f.Plot, results)
+	}
+	return nil
+}
