Count calls to the store, messages between nodes, ages and times of decisions

An on-call engineer couldn't see from the metrics whether a node reads the store and how that goes: the client had a seam for it that nobody filled. Now StoreCalls by kind and outcome, PeerMessages and PeerBytes by direction, and histograms of the time to a decision (one clock reading for a batch) and of the age of what the node knows.

--- a/bronzeedge/config.go
+++ b/bronzeedge/config.go
@@ -142,8 +142,10 @@
 
 // Seams are what the daemon speaks to the outside by.
 type Seams struct {
-	Wire    Wire
-	Source  bronzerecord.Source
+	Wire Wire
+	// Source returns what the store is read by; count is called with the kind of
+	// each call and how it went.
+	Source  func(count func(call, outcome string)) bronzerecord.Source
 	Decoder Decoder
 	// ReadyPath is the path that is asked whether the node is ready.
 	ReadyPath string
--- a/bronzeedge/counters.go
+++ b/bronzeedge/counters.go
@@ -21,13 +21,41 @@
 type counters struct {
 	scope     tally.TestScope
 	decisions [bronzesteer.Wait + 1][]tally.Counter
+	// opening is the time from an opening to the caller's next packet, deciding
+	// that to a decision on a packet, and knowledge how long ago the store
+	// confirmed this node's records.
 	opening   tally.Histogram
+	deciding  tally.Histogram
+	knowledge tally.Histogram
+	// sent and received are of messages between nodes.
+	sent     messages
+	received messages
 
 	mu     sync.Mutex
+	calls  map[callOutcome]tally.Counter
 	events map[string]tally.Counter
 	gauges map[string]tally.Gauge
 }
 
+// messages counts messages between nodes, and their bytes.
+type messages struct {
+	count tally.Counter
+	bytes tally.Counter
+}
+
+func newMessages(scope tally.Scope, direction string) messages {
+	tagged := scope.Tagged(map[string]string{"Direction": direction})
+	return messages{count: tagged.Counter("PeerMessages"), bytes: tagged.Counter("PeerBytes")}
+}
+
+func (m *messages) add(bytes int) {
+	m.count.Inc(1)
+	m.bytes.Inc(int64(bytes))
+}
+
+// callOutcome is a kind of call to the store, and how it went.
+type callOutcome struct{ call, outcome string }
+
 // openingBuckets are the bounds of the times from an opening to the caller's
 // next packet, around the 200 ms after which callers repeat an opening.
 var openingBuckets = tally.DurationBuckets{
@@ -35,13 +63,32 @@
 	50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond, time.Second,
 }
 
+// decidingBuckets are the bounds of the times to a decision, which takes
+// microseconds on a core and ten times as long on a tenth of one.
+var decidingBuckets = tally.DurationBuckets{
+	time.Microsecond, 2 * time.Microsecond, 5 * time.Microsecond, 10 * time.Microsecond, 20 * time.Microsecond,
+	50 * time.Microsecond, 100 * time.Microsecond, time.Millisecond, 10 * time.Millisecond,
+}
+
+// knowledgeBuckets are the bounds of the ages of what a node knows, around the
+// three seconds in which a change is to be in force everywhere.
+var knowledgeBuckets = tally.DurationBuckets{
+	200 * time.Millisecond, 500 * time.Millisecond, time.Second, 1500 * time.Millisecond, 2 * time.Second,
+	3 * time.Second, 5 * time.Second, 10 * time.Second, time.Minute,
+}
+
 const metricPrefix = "bronzeusher"
 
 func newCounters() *counters {
 	scope := tally.NewTestScope(metricPrefix, nil)
 	c := &counters{
 		scope: scope, events: make(map[string]tally.Counter), gauges: make(map[string]tally.Gauge),
-		opening: scope.Histogram("OpeningSeconds", openingBuckets),
+		calls:     make(map[callOutcome]tally.Counter),
+		opening:   scope.Histogram("OpeningSeconds", openingBuckets),
+		deciding:  scope.Histogram("DecisionSeconds", decidingBuckets),
+		knowledge: scope.Histogram("KnowledgeSeconds", knowledgeBuckets),
+		sent:      newMessages(scope, "Sent"),
+		received:  newMessages(scope, "Received"),
 	}
 	for kind := range c.decisions {
 		for _, r := range bronzesteer.Reasons() {
@@ -69,6 +116,18 @@
 	k.Inc(1)
 }
 
+// call counts a call to the store by its kind and how it went.
+func (c *counters) call(call, outcome string) {
+	c.mu.Lock()
+	k := c.calls[callOutcome{call, outcome}]
+	if k == nil {
+		k = c.scope.Tagged(map[string]string{"Call": call, "Outcome": outcome}).Counter("StoreCalls")
+		c.calls[callOutcome{call, outcome}] = k
+	}
+	c.mu.Unlock()
+	k.Inc(1)
+}
+
 func (c *counters) gauge(name string, value float64) {
 	c.mu.Lock()
 	g := c.gauges[name]
--- a/bronzeedge/edge.go
+++ b/bronzeedge/edge.go
@@ -83,7 +83,9 @@
 	bound := e.Addresses()
 	e.cfg.DataAddress, e.cfg.PeerAddress, e.cfg.ControlAddress = bound.Data, bound.Peer, bound.Control
 	e.connectPeers()
-	e.follower = bronzerecord.Follower{Source: seams.Source, Set: &e.records, OnEvent: e.onStoreEvent, Active: e.reads}
+	e.follower = bronzerecord.Follower{
+		Source: seams.Source(e.counts.call), Set: &e.records, OnEvent: e.onStoreEvent, Active: e.reads,
+	}
 	return e, nil
 }
 
@@ -259,6 +261,7 @@
 		}
 		now := time.Now()
 		e.gossip.Tick(now)
+		e.counts.knowledge.RecordDuration(e.gossip.Confirmed(now))
 		for _, ending := range e.steerer.Sweep(now) {
 			w.end(&ending)
 		}
--- a/bronzeedge/packets.go
+++ b/bronzeedge/packets.go
@@ -59,6 +59,8 @@
 		for i := range w.in[:n] {
 			w.handle(w.in[i].Buf[:w.in[i].N], now)
 		}
+		// One clock reading for all packets that were read at once.
+		e.counts.deciding.RecordDuration(time.Since(now) / time.Duration(max(n, 1)))
 		w.flush()
 	}
 }
--- a/bronzeedge/peers.go
+++ b/bronzeedge/peers.go
@@ -102,7 +102,9 @@
 func (e *Edge) sendPeer(to netip.AddrPort, b []byte) {
 	if _, err := e.peers.WriteToUDPAddrPort(b, to); err != nil {
 		e.count("PeerSendFailed")
+		return
 	}
+	e.counts.sent.add(len(b))
 }
 
 // readPeers handles other nodes' datagrams until the socket is closed.
@@ -117,6 +119,7 @@
 			e.count("PeerReadFailed")
 			continue
 		}
+		e.counts.received.add(n)
 		e.gossip.Handle(b[:n], time.Now())
 	}
 }
