Load the store's records page by page, and let few load where many start

Cause, in part: each node read 61 pages, 18,300 calls of a store that answers 2,000 a second, and began with the first page again after each refusal. What was read is kept now, a refused page is asked for again, a load ends when a peer's records are there, and where the store refuses the first node of each zone reads on and the others wait for its records.

--- a/bronzeedge/edge.go
+++ b/bronzeedge/edge.go
@@ -85,6 +85,7 @@
 	e.connectPeers()
 	e.follower = bronzerecord.Follower{
 		Source: seams.Source(e.counts.call), Set: &e.records, OnEvent: e.onStoreEvent, Active: e.reads,
+		Yield: func() bool { return e.gossip.Yields(time.Now()) },
 	}
 	return e, nil
 }
--- a/bronzegossip/reader.go
+++ b/bronzegossip/reader.go
@@ -44,6 +44,20 @@
 	return g.confirmed(now) >= wait
 }
 
+// Yields reports whether another node of this one's zone comes before it in the
+// order that all agree on. Where all start at once and the store can't answer
+// all, the first of each zone read it, and the others have the records from them.
+func (g *Gossip) Yields(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.order(now) {
+		if p.AvailabilityZone == g.Self.AvailabilityZone {
+			return p.Name != g.Self.Name
+		}
+	}
+	return false
+}
+
 // order returns all nodes that are there in an order that all agree on.
 func (g *Gossip) order(now time.Time) []Peer {
 	order := append(g.heard(now), g.Self)
--- a/bronzerecord/doc.go
+++ b/bronzerecord/doc.go
@@ -3,7 +3,7 @@
 //
 // A Set takes whole contents and deltas, from the store or from a peer's Set,
 // and never goes back to an older revision. A Follower keeps a Set up to date
-// by one long poll over all records; its Source is three functions, so the
+// by one long poll over all records; its Source is two functions, so the
 // package knows no protocol.
 //
 // # Usage
--- a/bronzerecord/follower.go
+++ b/bronzerecord/follower.go
@@ -22,8 +22,9 @@
 
 // Source reads a store. Its functions return when ctx is done.
 type Source struct {
-	// Load returns the whole contents.
-	Load func(ctx context.Context) (Delta, error)
+	// Read returns the records after a name, or the first ones for "", as many as
+	// a page has.
+	Read func(ctx context.Context, after string) (Page, error)
 	// Watch returns what changed after a revision, as soon as something has,
 	// or an empty Delta after a wait of its own choice.
 	Watch func(ctx context.Context, after uint64) (Delta, error)
@@ -82,6 +83,9 @@
 	// Active says whether this node is one of those that read the store; nil
 	// means always. The others get the records from their peers.
 	Active func() bool
+	// Yield says whether this node lets others load the contents first where the
+	// store is asked too much; nil means that it doesn't.
+	Yield func() bool
 	// OnEvent is called with each event.
 	OnEvent func(Event)
 
@@ -92,7 +96,6 @@
 
 // Run follows until ctx is done and returns the cause.
 func (f *Follower) Run(ctx context.Context) error {
-	f.backoff = bronzeretry.Backoff{Least: minBackoff, Most: maxBackoff}
 	for ctx.Err() == nil {
 		bronzeretry.Pause(ctx, f.step(ctx))
 	}
@@ -117,9 +120,12 @@
 		f.event(Event{Kind: Compacted, Took: took, Err: err})
 		return 0
 	}
+	if errors.Is(err, errOvertaken) {
+		return 0
+	}
 	if err != nil {
 		f.event(Event{Kind: Failed, Took: took, Err: err})
-		return f.backoff.Next()
+		return f.pause(&f.backoff, err)
 	}
 	f.backoff.Reset()
 	return f.take(d, whole, took)
@@ -127,7 +133,7 @@
 
 func (f *Follower) call(ctx context.Context, whole bool, revision uint64) (d Delta, err error) {
 	if whole {
-		return f.Source.Load(ctx)
+		return f.load(ctx)
 	}
 	return f.Source.Watch(ctx, revision)
 }
--- a/bronzerecord/follower_test.go
+++ b/bronzerecord/follower_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -21,11 +23,16 @@
 	compacted uint64
 	deaf      bool
 	down      bool
+	// throttles says whether a read is refused, pageSize bounds pages if it
+	// isn't 0.
+	throttles func() bool
+	pageSize  int
+	latency   time.Duration
 	loads     int
 	watches   int
 }
 
-func (f *fakeStore) source() Source { return Source{Load: f.load, Watch: f.watch} }
+func (f *fakeStore) source() Source { return Source{Read: f.read, Watch: f.watch} }
 
 // do runs step while no call is being answered.
 func (f *fakeStore) do(step func()) {
@@ -34,14 +41,28 @@
 	step()
 }
 
-func (f *fakeStore) load(context.Context) (Delta, error) {
+func (f *fakeStore) read(ctx context.Context, after string) (p Page, err error) {
+	bronzeretry.Pause(ctx, f.latency)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.loads++
-	if f.down {
-		return Delta{}, ErrUnavailable
+	switch {
+	case f.down:
+		return p, ErrUnavailable
+	case f.throttles != nil && f.throttles():
+		return p, ErrThrottled
+	}
+	p.Revision = f.h.revision
+	for _, r := range f.h.whole(f.h.revision).Changed {
+		if r.Name > after {
+			p.Records = append(p.Records, r)
+		}
+	}
+	slices.SortFunc(p.Records, func(a, b Record) int { return strings.Compare(a.Name, b.Name) })
+	if f.pageSize > 0 && len(p.Records) > f.pageSize {
+		p.Records, p.More = p.Records[:f.pageSize], true
 	}
-	return f.h.whole(f.h.revision), nil
+	return p, nil
 }
 
 func (f *fakeStore) watch(ctx context.Context, after uint64) (d Delta, err error) {
--- /dev/null
+++ b/bronzerecord/load.go
@@ -0,0 +1,85 @@
+package bronzerecord
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bronzeusher.example/bronzeusher/bronzeretry"
+)
+
+const (
+	// pageTries is how often in a row a page is asked for in vain before the load
+	// begins anew: about as long as the longest outage that nodes see at their
+	// start, 10 s, takes.
+	pageTries = 20
+	// yieldFor is how long a node that lets others read first waits, on average,
+	// after the store said that it is asked too much. 490 of them ask 245 times a
+	// second then, of the 2,000 that a store answers; meanwhile the first of each
+	// zone read 60 pages in half a second, and the others have the records from
+	// them without asking again.
+	yieldFor = 2 * time.Second
+)
+
+// errOvertaken says that the records came from elsewhere while they were loaded.
+var errOvertaken = errors.New("overtaken")
+
+// Page is a part of a store's contents, in the order of names.
+type Page struct {
+	Records []Record
+	// Revision is the store's when the page was read.
+	Revision uint64
+	// More says that there are records after the last one.
+	More bool
+}
+
+// load reads the whole contents, page by page. Pages are no snapshot: the
+// contents are complete up to the revision of the first one, and a watch from
+// there brings the rest.
+//
+// A page that isn't answered is asked for again, and what was read is kept.
+// Hundreds of nodes that start at once ask for tens of pages each, many times
+// what the store answers in a second; beginning anew with each refusal, none of
+// them got to the end in 30 s.
+func (f *Follower) load(ctx context.Context) (d Delta, err error) {
+	d.Whole = true
+	empty, after, fails := f.Set.Revision() == 0, "", 0
+	var backoff bronzeretry.Backoff
+	for {
+		p, err := f.Source.Read(ctx, after)
+		if empty && f.Set.Revision() > 0 {
+			return d, errOvertaken
+		}
+		if err != nil {
+			fails++
+			if after == "" || fails > pageTries || ctx.Err() != nil {
+				return d, err
+			}
+			f.event(Event{Kind: Failed, Err: err})
+			bronzeretry.Pause(ctx, f.pause(&backoff, err))
+			continue
+		}
+		fails = 0
+		backoff.Reset()
+		if d.To == 0 {
+			d.To = p.Revision
+		}
+		d.Changed = append(d.Changed, p.Records...)
+		if !p.More || len(p.Records) == 0 {
+			return d, nil
+		}
+		after = p.Records[len(p.Records)-1].Name
+	}
+}
+
+// pause returns how long to wait after a failure.
+func (f *Follower) pause(backoff *bronzeretry.Backoff, err error) time.Duration {
+	backoff.Least, backoff.Most = minBackoff, maxBackoff
+	pause := backoff.Next()
+	if errors.Is(err, ErrThrottled) && f.Yield != nil && f.Yield() {
+		return yieldFor/2 + rand.N(yieldFor)
+	}
+	return pause
+}
