--- a/cmd/bronzesoak/main.go
+++ b/cmd/bronzesoak/main.go
@@ -120,6 +120,7 @@
 	if r, err = bronzesoak.Run(ctx, plan, bronzesoak.Options{Program: program, Dir: logs}); err != nil {
 		return r, err
 	}
+	fmt.Fprintf(os.Stderr, "seed %d: %d requests served, %d not, %d promises broken\n", plan.Seed, r.Served, r.Failed+r.Rejected, r.BrokenTotal)
 	for _, b := range r.Broken {
 		fmt.Fprintf(os.Stderr, "seed %d: %s (logs in %s)\n", plan.Seed, b, logs)
 	}
