--- a/bronzeedge/metrics.go
+++ b/bronzeedge/metrics.go
@@ -28,7 +28,7 @@
 	now := time.Now()
 	e.counts.gauge("Revision", float64(e.records.Revision()))
 	e.counts.gauge("ConfirmedSeconds", e.gossip.Confirmed(now).Seconds())
-	e.counts.gauge("Peers", float64(len(e.gossip.Peers(now))))
+	e.counts.gauge("Peers", float64(e.gossip.Others(now)))
 	e.counts.gauge("Flows", float64(e.steerer.Flows()))
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	if _, err := w.Write(e.counts.text()); err != nil {
--- a/bronzeedge/peers.go
+++ b/bronzeedge/peers.go
@@ -80,7 +80,7 @@
 		in[i] = bronzesteer.Load{Server: l.Server, Rate: float64(l.Rate) / loadScale}
 	}
 	e.steerer.SetLoads(from, in, now)
-	e.steerer.SetNodes(len(e.gossip.Peers(now)))
+	e.steerer.SetNodes(e.gossip.Others(now))
 }
 
 // peerAddresses returns where the nodes at the given control addresses take
--- a/bronzegossip/gossip.go
+++ b/bronzegossip/gossip.go
@@ -1,7 +1,6 @@
 package bronzegossip
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -66,8 +65,12 @@
 	// Count is called with the reason of each refusal.
 	Count func(reason string)
 
-	mu    sync.Mutex
-	peers map[string]*peer
+	mu sync.Mutex
+	// peers are all nodes known, byName the same by name. chosen is what choose
+	// works with.
+	peers  map[string]*peer
+	byName []*peer
+	chosen []*peer
 	// contact is when the store last said to some node that there is no higher
 	// revision than this node's.
 	contact time.Time
@@ -177,13 +180,12 @@
 // partition its sides find each other by that.
 func (g *Gossip) contactLost(now time.Time) {
 	var lost []*peer
-	for _, p := range g.peers {
+	for _, p := range g.byName {
 		if p.lost && !p.Leaving {
 			lost = append(lost, p)
 		}
 	}
 	if len(lost) > 0 {
-		slices.SortFunc(lost, func(a, b *peer) int { return cmp.Compare(a.Name, b.Name) })
 		g.ask(lost[g.random(len(lost))].Address, now)
 	}
 }
@@ -191,7 +193,7 @@
 // contactSeeds asks the seeds while few nodes are heard of. Seeds may be
 // stale; among the nodes heard of are soon better ones.
 func (g *Gossip) contactSeeds(now time.Time) {
-	if len(g.heard(now)) >= fanout {
+	if g.there(now) >= fanout {
 		return
 	}
 	for _, seed := range g.Seeds {
@@ -306,13 +308,10 @@
 	}
 }
 
-// targets returns up to n nodes that were heard of lately, at random.
+// targets returns the addresses of up to n nodes that were heard of lately.
 func (g *Gossip) targets(now time.Time, n int) (to []netip.AddrPort) {
-	heard := g.heard(now)
-	for i := range min(n, len(heard)) {
-		j := i + g.random(len(heard)-i)
-		heard[i], heard[j] = heard[j], heard[i]
-		to = append(to, heard[i].Address)
+	for _, p := range g.choose(now, n) {
+		to = append(to, p.Address)
 	}
 	return to
 }
@@ -345,11 +344,8 @@
 
 // some returns a few nodes to name to others.
 func (g *Gossip) some(now time.Time) (peers []Peer) {
-	heard := g.heard(now)
-	for i := range min(peersTold, len(heard)) {
-		j := i + g.random(len(heard)-i)
-		heard[i], heard[j] = heard[j], heard[i]
-		peers = append(peers, heard[i])
+	for _, p := range g.choose(now, peersTold) {
+		peers = append(peers, p.told(now))
 	}
 	return peers
 }
--- a/bronzegossip/peers.go
+++ b/bronzegossip/peers.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -30,6 +32,7 @@
 // peer is a node as this one knows it.
 type peer struct {
 	Peer
+	hash    uint64 // of the name
 	heardAt time.Time
 	lost    bool
 }
@@ -58,8 +61,10 @@
 		if g.peers == nil {
 			g.peers = make(map[string]*peer)
 		}
-		known = &peer{Peer: p, lost: true}
+		known = &peer{Peer: p, hash: xxhash.Sum64String(p.Name), lost: true}
 		g.peers[p.Name] = known
+		i, _ := g.find(p.Name)
+		g.byName = slices.Insert(g.byName, i, known)
 	}
 	if p.Incarnation < known.Incarnation || !heardAt.After(known.heardAt) {
 		return
@@ -85,6 +90,8 @@
 		}
 		if age > rememberFor {
 			delete(g.peers, name)
+			i, _ := g.find(name)
+			g.byName = slices.Delete(g.byName, i, i+1)
 		}
 	}
 }
@@ -95,21 +102,52 @@
 	}
 }
 
+// find returns where a name is in byName, or would be.
+func (g *Gossip) find(name string) (i int, found bool) {
+	return slices.BinarySearchFunc(g.byName, name, func(p *peer, name string) int { return cmp.Compare(p.Name, name) })
+}
+
 // heard returns the nodes that were heard of lately, by name, with how long
 // ago that was.
 func (g *Gossip) heard(now time.Time) (peers []Peer) {
+	g.eachThere(now, func(p *peer) { peers = append(peers, p.told(now)) })
+	return peers
+}
+
+// told returns what others are told of the node.
+func (p *peer) told(now time.Time) Peer {
+	q := p.Peer
+	q.HeardMS = milliseconds(now.Sub(p.heardAt))
+	return q
+}
+
+// eachThere calls do with each node that was heard of lately and isn't leaving,
+// by name.
+func (g *Gossip) eachThere(now time.Time, do func(p *peer)) {
 	limit := g.heardFor()
-	for _, p := range g.peers {
-		age := now.Sub(p.heardAt)
-		if age >= limit || p.Leaving {
-			continue
+	for _, p := range g.byName {
+		if now.Sub(p.heardAt) < limit && !p.Leaving {
+			do(p)
 		}
-		q := p.Peer
-		q.HeardMS = milliseconds(age)
-		peers = append(peers, q)
 	}
-	slices.SortFunc(peers, func(a, b Peer) int { return cmp.Compare(a.Name, b.Name) })
-	return peers
+}
+
+// there returns how many nodes were heard of lately.
+func (g *Gossip) there(now time.Time) (n int) {
+	g.eachThere(now, func(*peer) { n++ })
+	return n
+}
+
+// choose returns up to n nodes that were heard of lately, at random.
+func (g *Gossip) choose(now time.Time, n int) []*peer {
+	g.chosen = g.chosen[:0]
+	g.eachThere(now, func(p *peer) { g.chosen = append(g.chosen, p) })
+	n = min(n, len(g.chosen))
+	for i := range n {
+		j := i + g.random(len(g.chosen)-i)
+		g.chosen[i], g.chosen[j] = g.chosen[j], g.chosen[i]
+	}
+	return g.chosen[:n]
 }
 
 func (g *Gossip) heardFor() time.Duration {
@@ -119,6 +157,13 @@
 	return heardFor
 }
 
+// Others returns how many nodes were heard of lately.
+func (g *Gossip) Others(now time.Time) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.there(now)
+}
+
 // Peers returns the nodes that were heard of lately, by name.
 func (g *Gossip) Peers(now time.Time) []Peer {
 	g.mu.Lock()
--- a/bronzegossip/reader.go
+++ b/bronzegossip/reader.go
@@ -1,8 +1,6 @@
 package bronzegossip
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,23 +23,11 @@
 	if g.Records.Revision() == 0 {
 		return true
 	}
-	order := g.order(now)
 	if g.leaving {
 		return false
 	}
-	if g.isReader(order) || g.isBehind(now) {
-		return true
-	}
-	wait := confirmedFor
-	for _, p := range order {
-		if p.Name == g.Self.Name {
-			break
-		}
-		if p.AvailabilityZone == g.Self.AvailabilityZone {
-			wait += nextAfter
-		}
-	}
-	return g.confirmed(now) >= wait
+	r := g.rank(now)
+	return r.reader || g.isBehind(now) || g.confirmed(now) >= confirmedFor+time.Duration(r.before)*nextAfter
 }
 
 // Yields reports whether another node of this one's zone comes before it in the
@@ -50,34 +36,53 @@
 func (g *Gossip) Yields(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, p := range g.order(now) {
-		if p.AvailabilityZone == g.Self.AvailabilityZone {
-			return p.Name != g.Self.Name
-		}
-	}
-	return false
+	return g.rank(now).before > 0
 }
 
-// order returns all nodes that are there in an order that all agree on.
-func (g *Gossip) order(now time.Time) []Peer {
-	order := append(g.heard(now), g.Self)
-	slices.SortFunc(order, func(a, b Peer) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
-	})
-	return order
+// rank is a node's place in the order of all nodes that are there, which is by a
+// hash of their names, so that all agree on it.
+type rank struct {
+	// reader says that the node is one of the two that always read: the first,
+	// and the first of another zone.
+	reader bool
+	// before is how many nodes of its zone come before it.
+	before int
 }
 
-// isReader reports whether this node is one of the two that always read: the
-// first in the order, and the first of another zone.
-func (g *Gossip) isReader(order []Peer) bool {
-	first := order[0]
-	if first.Name == g.Self.Name {
-		return true
-	}
-	for _, p := range order[1:] {
-		if p.AvailabilityZone != first.AvailabilityZone {
-			return p.Name == g.Self.Name
+// rank returns this node's rank. It looks at each node twice and sorts nothing:
+// it is asked for ten times a second.
+func (g *Gossip) rank(now time.Time) (r rank) {
+	self := &peer{Peer: g.Self, hash: xxhash.Sum64String(g.Self.Name)}
+	first := self
+	g.eachThere(now, func(p *peer) {
+		if p.precedes(first) {
+			first = p
 		}
+		if p.AvailabilityZone == self.AvailabilityZone && p.precedes(self) {
+			r.before++
+		}
+	})
+	if first == self {
+		r.reader = true
+		return r
 	}
-	return len(order) > 1 && order[1].Name == g.Self.Name
+	// The other reader is of another zone than the first, or just the next if
+	// there is no other zone.
+	r.reader = true
+	elsewhere := self.AvailabilityZone != first.AvailabilityZone
+	g.eachThere(now, func(p *peer) {
+		switch {
+		case p == first:
+		case p.AvailabilityZone != first.AvailabilityZone:
+			r.reader = r.reader && elsewhere && self.precedes(p)
+		case !elsewhere:
+			r.reader = r.reader && self.precedes(p)
+		}
+	})
+	return r
+}
+
+// precedes reports whether p comes before q in the order.
+func (p *peer) precedes(q *peer) bool {
+	return p.hash < q.hash || p.hash == q.hash && p.Name < q.Name
 }
--- a/bronzeroute/directory.go
+++ b/bronzeroute/directory.go
@@ -24,8 +24,11 @@
 // Directory keeps the table in force and the servers. The zero Directory is
 // empty and ready. It is not safe for concurrent use; its Views are.
 type Directory struct {
-	table     *Table
-	servers   map[string]*entry
+	table   *Table
+	servers map[string]*entry
+	// absent are those of servers that are missing or gone. Time changes nothing
+	// for the others, which are thousands, and it is looked at ten times a second.
+	absent    map[string]*entry
 	withdrawn map[netip.AddrPort]time.Time
 }
 
@@ -66,6 +69,7 @@
 		e = &entry{}
 		d.servers[s.Instance] = e
 	}
+	delete(d.absent, s.Instance)
 	e.missing, e.gone = time.Time{}, time.Time{}
 	e.server = s
 }
@@ -77,6 +81,10 @@
 	if e == nil || !e.missing.IsZero() || !e.gone.IsZero() {
 		return
 	}
+	if d.absent == nil {
+		d.absent = make(map[string]*entry)
+	}
+	d.absent[instance] = e
 	if e.server.Draining {
 		e.gone = now
 		return
@@ -87,10 +95,11 @@
 // Advance moves missing servers to gone and forgets what is old. It reports
 // whether a View made before is out of date.
 func (d *Directory) Advance(now time.Time) (changed bool) {
-	for name, e := range d.servers {
+	for name, e := range d.absent {
 		switch {
 		case !e.gone.IsZero() && now.Sub(e.gone) > RememberFor:
 			delete(d.servers, name)
+			delete(d.absent, name)
 			changed = true
 		case !e.missing.IsZero() && e.gone.IsZero() && now.Sub(e.missing) > MissingFor:
 			e.gone = now
--- a/bronzesteer/backend.go
+++ b/bronzesteer/backend.go
@@ -1,7 +1,6 @@
 package bronzesteer
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -138,13 +137,6 @@
 	b.mu.Unlock()
 }
 
-// decay lets the averages age by dt.
-func (b *backend) decay(dt time.Duration) {
-	b.mu.Lock()
-	b.rate *= math.Exp(-float64(dt) / float64(rateOver))
-	b.mu.Unlock()
-}
-
 // workFor returns how long a request counts as being worked on without a sign
 // of its answer. The acknowledgement of an answer of one packet comes only with
 // the next request, so that much more than the usual latency says that the
--- a/bronzesteer/load.go
+++ b/bronzesteer/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -35,25 +36,23 @@
 	loads []Load
 }
 
-// Loads returns what this node sends to servers, for the other nodes.
-func (s *Steerer) Loads() (loads []Load) {
-	k := s.known.Load()
-	if k == nil {
-		return nil
-	}
-	for server, b := range k.backends {
-		b.mu.Lock()
-		rate := b.rate
-		b.mu.Unlock()
-		if rate >= leastRate {
-			loads = append(loads, Load{Server: shortID(server), Rate: rate})
-		}
+// Loads returns what this node sends to servers, for the other nodes, as of the
+// last time that loads were brought up to date. The caller must not change it.
+func (s *Steerer) Loads() []Load {
+	if told := s.told.Load(); told != nil {
+		return *told
 	}
+	return nil
+}
+
+// setTold keeps what Loads returns. Nodes are told several times a second, and
+// gathering it looks at thousands of servers.
+func (s *Steerer) setTold(loads []Load) {
 	if len(loads) > maxLoads {
 		slices.SortFunc(loads, func(a, b Load) int { return cmp.Compare(b.Rate, a.Rate) })
 		loads = loads[:maxLoads]
 	}
-	return loads
+	s.told.Store(&loads)
 }
 
 func shortID(server *bronzeroute.Server) uint32 { return uint32(server.ID) }
@@ -82,14 +81,20 @@
 	if others := s.others.Load(); heard > 0 && int(others) > heard {
 		scale = float64(others) / float64(heard)
 	}
-	dt := at - s.loadsAt
+	rest := math.Exp(-float64(at-s.loadsAt) / float64(rateOver))
 	s.loadsAt = at
+	var told []Load
 	for server, b := range k.backends {
-		b.decay(dt)
 		b.mu.Lock()
+		b.rate *= rest
+		rate := b.rate
 		b.others = scale * sums[shortID(server)]
 		b.mu.Unlock()
+		if rate >= leastRate {
+			told = append(told, Load{Server: shortID(server), Rate: rate})
+		}
 	}
+	s.setTold(told)
 }
 
 // sumLoads adds up, by server, what other nodes told lately, and counts them.
--- a/bronzesteer/place_test.go
+++ b/bronzesteer/place_test.go
@@ -115,6 +115,24 @@
 	require.InDelta(t, 40, s.node.backend(server).others, 0.001)
 }
 
+// A node that sends to more servers than it may tell of tells of those that it
+// sends most to, and of none that it hardly sends anything to.
+func TestLoadsAreOfTheBusiestServers(t *testing.T) {
+	s := newSite(t, maxLoads+10)
+	for i, server := range s.node.View().Servers {
+		s.node.backend(server).rate = 2 * leastRate * float64(i)
+	}
+	require.Empty(t, s.node.Loads(), "before they were brought up to date")
+	s.pass(50 * time.Millisecond)
+	loads := s.node.Loads()
+	require.Len(t, loads, maxLoads)
+	for i := range loads[1:] {
+		require.GreaterOrEqual(t, loads[i].Rate, loads[i+1].Rate)
+	}
+	s.pass(20 * rateOver)
+	require.Empty(t, s.node.Loads())
+}
+
 // A server that has just started works at half speed. With a full share of
 // the flows its callers would wait.
 func TestColdServerGetsAPartOfItsShare(t *testing.T) {
--- a/bronzesteer/steer.go
+++ b/bronzesteer/steer.go
@@ -52,6 +52,8 @@
 
 	// others is how many nodes there are beside this one.
 	others atomic.Int64
+	// told is what other nodes are told of this one's loads.
+	told atomic.Pointer[[]Load]
 	// loadsAt is when loads were last brought up to date; Sweep alone uses it.
 	loadsAt time.Duration
 }
