--- a/bronzesteer/place_test.go
+++ b/bronzesteer/place_test.go
@@ -119,11 +119,12 @@
 // sends most to, and of none that it hardly sends anything to.
 func TestLoadsAreOfTheBusiestServers(t *testing.T) {
 	s := newSite(t, maxLoads+10)
+	s.pass(loadsEvery)
 	for i, server := range s.node.View().Servers {
 		s.node.backend(server).rate = 2 * leastRate * float64(i)
 	}
 	require.Empty(t, s.node.Loads(), "before they were brought up to date")
-	s.pass(50 * time.Millisecond)
+	s.pass(loadsEvery)
 	loads := s.node.Loads()
 	require.Len(t, loads, maxLoads)
 	for i := range loads[1:] {
