Have the records from a peer at once where the store fails at a start

What callers saw, by the logs: the store resets all connections from 10.5 s; riga-c's only node is killed and starts again at 11.47, four VMs are added; each asks the store in vain and asks a peer only after half a second, while callers' packets wait.

Ruled out: the rotation of the routers (packets did arrive and were held), suspicion of servers (after it).

Now a node without records that the store fails has them from the peer that it last heard of, or hears of next.

--- a/bronzeedge/knowledge.go
+++ b/bronzeedge/knowledge.go
@@ -119,6 +119,9 @@
 			e.gossip.Spread(ev.Delta, now)
 		}
 	}
+	if ev.Kind == bronzerecord.Failed {
+		e.gossip.StoreFailed()
+	}
 	if ev.Kind == bronzerecord.Watched && changed+removed == 0 {
 		return
 	}
--- a/bronzegossip/gossip.go
+++ b/bronzegossip/gossip.go
@@ -28,7 +28,7 @@
 	// known to be passed on at once.
 	fresher = 500 * time.Millisecond
 	// loadWait is how long a node that has started waits for the store's
-	// records before it asks a peer for them.
+	// records, unless the store fails, before it asks a peer for them.
 	loadWait = 500 * time.Millisecond
 	// behindFor is how long a node may know of a higher revision before it
 	// reads the store itself. A fetch takes some tens of milliseconds.
@@ -80,8 +80,12 @@
 	// zero time if none is.
 	behind  time.Time
 	highest uint64
-	leaving bool
-	out     []datagram
+	// ahead is the node that last told of a higher revision than this one's, and
+	// storeFailed says that the store has failed this node.
+	ahead       Peer
+	storeFailed bool
+	leaving     bool
+	out         []datagram
 }
 
 // datagram is a message that is sent after the lock is released.
@@ -223,13 +227,25 @@
 	}
 }
 
+// StoreFailed notes that the store didn't answer this node. A node that has no
+// records yet has them from a peer at once then: its callers wait for them.
+func (g *Gossip) StoreFailed() {
+	g.mu.Lock()
+	g.storeFailed = true
+	ahead := g.ahead
+	g.mu.Unlock()
+	if g.Fetch != nil && ahead.Name != "" && g.Records.Revision() == 0 {
+		g.Fetch(ahead, 0)
+	}
+}
+
 // fetches reports whether to fetch records from peers. A node that has none
 // reads the store at its start; to fetch all of them at the same time from a
 // peer would only make both slower.
 func (g *Gossip) fetches(mine uint64, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.Fetch != nil && (mine > 0 || now.Sub(g.started) >= loadWait)
+	return g.Fetch != nil && (mine > 0 || g.storeFailed || now.Sub(g.started) >= loadWait)
 }
 
 // take takes a message in, and passes on what is new in it.
@@ -238,6 +254,9 @@
 	for _, p := range m.Peers {
 		g.hearOf(p, now)
 	}
+	if m.Revision > g.Records.Revision() {
+		g.ahead = m.From
+	}
 	g.noteBehind(m.Revision, now)
 	news := g.learn(m.Revision, now.Add(-time.Duration(m.ContactMS)*time.Millisecond), now)
 	switch {
--- a/bronzegossip/gossip_test.go
+++ b/bronzegossip/gossip_test.go
@@ -152,6 +152,33 @@
 	return list
 }
 
+// A node starts while the store fails it. Its callers wait until it knows
+// anything, and the other nodes know everything: it must have the records with
+// the first answer of a node that it asks, whether the store fails it before
+// that answer or after.
+func TestNodeThatStartsWithoutTheStoreHasRecordsAtOnce(t *testing.T) {
+	for _, failsFirst := range []bool{true, false} {
+		net, nodes := newNetwork(9)
+		s := &store{revision: 5}
+		started := nodes[0]
+		started.stopped = true
+		s.run(nodes[1:], 3*time.Second)
+		started.stopped = false
+		if failsFirst {
+			started.gossip.StoreFailed()
+		}
+		started.gossip.Seeds = []netip.AddrPort{nodes[4].gossip.Self.Address}
+		started.gossip.Tick(net.now)
+		net.deliver()
+		if !failsFirst {
+			require.Zero(t, started.records.Revision(), "the store is asked first")
+			started.gossip.StoreFailed()
+			net.deliver()
+		}
+		require.EqualValues(t, 5, started.records.Revision())
+	}
+}
+
 func TestTwoNodesOfTwoZonesReadForAll(t *testing.T) {
 	for _, n := range []int{9, 78} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
