--- a/bronzesoak/caller.go
+++ b/bronzesoak/caller.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"bronzeusher.example/bronzeusher/bronzeretry"
 	"bronzeusher.example/bronzeusher/platform/standin"
 )
 
@@ -229,7 +230,7 @@
 	for ctx.Err() == nil {
 		r, ok := pick()
 		if !ok {
-			sleep(ctx, pause)
+			bronzeretry.Pause(ctx, pause)
 			continue
 		}
 		h.session(ctx, r, pause)
@@ -257,7 +258,7 @@
 		if now, ok := h.soak.ledger.route(r.service); !ok || !now.inForce() {
 			break
 		}
-		sleep(ctx, time.Duration(rand.Float64()*2*float64(pause)))
+		bronzeretry.Pause(ctx, time.Duration(rand.Float64()*2*float64(pause)))
 	}
 	if f != nil {
 		f.end(true)
@@ -281,13 +282,3 @@
 	}
 	return f, o, o == rejected || o == failed && r.idempotent
 }
-
-// sleep waits for d or until ctx is done.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/bronzesoak/event.go
+++ b/bronzesoak/event.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"bronzeusher.example/bronzeusher/bronzeretry"
 )
 
 // apply does what an event says and returns when it is over.
@@ -51,7 +53,7 @@
 		old := s.takeServer(e.Target)
 		old.crash()
 		s.store.RemoveServer(old.name)
-		sleep(ctx, e.lasts())
+		bronzeretry.Pause(ctx, e.lasts())
 		s.addServer(ctx, old.pool, old.zone, netip.AddrPort{})
 	case ReplaceServer:
 		s.replaceServer(ctx, e.Target)
@@ -69,7 +71,7 @@
 // during calls change with 1 and, after d, with -1.
 func (s *soak) during(ctx context.Context, d time.Duration, change func(by int)) {
 	s.network.change(func() { change(1) })
-	sleep(ctx, d)
+	bronzeretry.Pause(ctx, d)
 	s.network.change(func() { change(-1) })
 }
 
@@ -93,14 +95,14 @@
 			return
 		}
 		go n.restart(ctx)
-		sleep(ctx, each)
+		bronzeretry.Pause(ctx, each)
 	}
 }
 
 func (s *soak) cutStore(ctx context.Context, n *node, e *Event) {
 	n.disturb(e.lasts(), false)
 	s.network.change(func() { s.network.store[n.name] = append(s.network.store[n.name], e.Mode) })
-	sleep(ctx, e.lasts())
+	bronzeretry.Pause(ctx, e.lasts())
 	s.network.change(func() { s.network.store[n.name] = s.network.store[n.name][1:] })
 	n.disturb(0, false)
 }
@@ -132,7 +134,7 @@
 		s.store.SetStatus(http.StatusServiceUnavailable)
 	}
 	s.network.change(func() { s.network.down = append(s.network.down, e.Mode) })
-	sleep(ctx, e.lasts())
+	bronzeretry.Pause(ctx, e.lasts())
 	s.network.change(func() { s.network.down = s.network.down[1:] })
 	s.store.SetStatus(0)
 	s.storeCalm.disturb(time.Now())
@@ -142,7 +144,7 @@
 	s.storeCalm.disturb(time.Now().Add(d))
 	s.store.SetDeaf(true)
 	s.addRoute()
-	sleep(ctx, d)
+	bronzeretry.Pause(ctx, d)
 	s.store.Compact()
 	s.store.SetDeaf(false)
 	s.storeCalm.disturb(time.Now())
@@ -174,7 +176,7 @@
 	old.drainedAt = time.Now()
 	s.register(old)
 	old.mu.Unlock()
-	sleep(ctx, drainFor)
+	bronzeretry.Pause(ctx, drainFor)
 	old.crash()
 	s.store.RemoveServer(old.name)
 }
@@ -184,7 +186,7 @@
 func (s *soak) reuseAddress(ctx context.Context, e *Event) {
 	old := s.takeServer(e.Target)
 	old.crash()
-	sleep(ctx, e.lasts())
+	bronzeretry.Pause(ctx, e.lasts())
 	s.store.RemoveServer(old.name)
 	address := old.registration().Address
 	_ = old.proxy.conn.Close()
--- a/bronzesoak/network.go
+++ b/bronzesoak/network.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"bronzeusher.example/bronzeusher/bronzeretry"
 )
 
 // network knows what reaches what. Zones are named; the store's is "".
@@ -199,15 +201,9 @@
 		<-ctx.Done()
 		return false
 	case mode == Slow && answers:
-		timer := time.NewTimer(slowBy)
-		defer timer.Stop()
-		select {
-		case <-ctx.Done():
-			return false
-		case <-timer.C:
-		}
+		bronzeretry.Pause(ctx, slowBy)
 	}
-	return true
+	return ctx.Err() == nil
 }
 
 // datagramProxy passes datagrams from nodes on.
--- a/bronzesoak/node.go
+++ b/bronzesoak/node.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"bronzeusher.example/bronzeusher/bronzeedge"
+	"bronzeusher.example/bronzeusher/bronzeretry"
 )
 
 const (
@@ -155,7 +156,7 @@
 	if exited != nil {
 		<-exited
 	}
-	sleep(ctx, d)
+	bronzeretry.Pause(ctx, d)
 	n.disturb(0, false)
 	if err := n.start(ctx); err != nil {
 		n.soak.fail(err)
@@ -186,7 +187,7 @@
 // restart has the process leave and starts it again.
 func (n *node) restart(ctx context.Context) {
 	n.leave()
-	sleep(ctx, restartAfter)
+	bronzeretry.Pause(ctx, restartAfter)
 	n.disturb(0, true)
 	if err := n.start(ctx); err != nil {
 		n.soak.fail(err)
@@ -197,7 +198,7 @@
 func (n *node) pause(ctx context.Context, d time.Duration) {
 	n.disturb(d, false)
 	n.signal(syscall.SIGSTOP)
-	sleep(ctx, d)
+	bronzeretry.Pause(ctx, d)
 	n.disturb(0, false)
 	n.signal(syscall.SIGCONT)
 }
--- a/bronzesoak/run.go
+++ b/bronzesoak/run.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"bronzeusher.example/bronzeusher/bronzeedge"
+	"bronzeusher.example/bronzeusher/bronzeretry"
 	"bronzeusher.example/bronzeusher/platform/standin"
 )
 
@@ -232,7 +233,7 @@
 		go s.router.run(ctx, n)
 	}
 	s.storeCalm.disturb(time.Now())
-	sleep(ctx, startFor)
+	bronzeretry.Pause(ctx, startFor)
 	return nil
 }
 
@@ -247,7 +248,7 @@
 	var over sync.WaitGroup
 	for i := range s.plan.Events {
 		e := &s.plan.Events[i]
-		sleep(ctx, e.at()-time.Since(s.journal.begun))
+		bronzeretry.Pause(ctx, e.at()-time.Since(s.journal.begun))
 		if ctx.Err() != nil {
 			break
 		}
@@ -269,7 +270,7 @@
 func (s *soak) watchMachine(ctx context.Context) {
 	for ctx.Err() == nil {
 		begun := time.Now()
-		sleep(ctx, stallTick)
+		bronzeretry.Pause(ctx, stallTick)
 		if late := time.Since(begun) - stallTick; late < stallLate {
 			continue
 		}
--- a/bronzesoak/soak.go
+++ b/bronzesoak/soak.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"bronzeusher.example/bronzeusher/bronzeretry"
 	"bronzeusher.example/bronzeusher/platform/standin"
 )
 
@@ -107,7 +108,7 @@
 func (s *soak) probe(ctx context.Context, h *host) {
 	const every = 300 * time.Millisecond
 	for i := 0; ctx.Err() == nil; i++ {
-		sleep(ctx, every)
+		bronzeretry.Pause(ctx, every)
 		n := s.nodes[i%len(s.nodes)]
 		routes := s.ledger.inForce()
 		if len(routes) == 0 || !s.router.ready(n) {
