Make views of what changed, in place of all servers anew

A change of one server cost a node a new view of all: 4.2 ms with 5,100 servers, 2.0 ms with 2,400 (BenchmarkChange), of which a third went into sorting and a fifth into copies. Servers are kept by name, and views share those that didn't change: 1.4 and 0.66 ms.

The directory is checked against a naive one over random sequences, with the views before staying as they were.

--- a/bronzeroute/directory.go
+++ b/bronzeroute/directory.go
@@ -26,6 +26,8 @@
 type Directory struct {
 	table   *Table
 	servers map[string]*entry
+	// byName are the same by name, so that a view isn't sorted anew at each change.
+	byName []*entry
 	// absent are those of servers that are missing or gone. Time changes nothing
 	// for the others, which are thousands, and it is looked at ten times a second.
 	absent    map[string]*entry
@@ -37,6 +39,8 @@
 	server  Server
 	missing time.Time
 	gone    time.Time
+	// shown is the server as views have it, nil after a change.
+	shown *Server
 }
 
 // SetTable puts a table in force unless it is older than the one that is.
@@ -68,12 +72,19 @@
 	if e == nil {
 		e = &entry{}
 		d.servers[s.Instance] = e
+		i, _ := d.find(s.Instance)
+		d.byName = slices.Insert(d.byName, i, e)
 	}
 	delete(d.absent, s.Instance)
-	e.missing, e.gone = time.Time{}, time.Time{}
+	e.missing, e.gone, e.shown = time.Time{}, time.Time{}, nil
 	e.server = s
 }
 
+// find returns where a name is in byName, or would be.
+func (d *Directory) find(name string) (i int, found bool) {
+	return slices.BinarySearchFunc(d.byName, name, func(e *entry, name string) int { return cmp.Compare(e.server.Instance, name) })
+}
+
 // Unregister notes that a registration has disappeared. A server that had
 // said it would leave is gone; another one is missing first.
 func (d *Directory) Unregister(instance string, now time.Time) {
@@ -85,6 +96,7 @@
 		d.absent = make(map[string]*entry)
 	}
 	d.absent[instance] = e
+	e.shown = nil
 	if e.server.Draining {
 		e.gone = now
 		return
@@ -100,9 +112,11 @@
 		case !e.gone.IsZero() && now.Sub(e.gone) > RememberFor:
 			delete(d.servers, name)
 			delete(d.absent, name)
+			i, _ := d.find(name)
+			d.byName = slices.Delete(d.byName, i, i+1)
 			changed = true
 		case !e.missing.IsZero() && e.gone.IsZero() && now.Sub(e.missing) > MissingFor:
-			e.gone = now
+			e.gone, e.shown = now, nil
 			changed = true
 		}
 	}
@@ -138,22 +152,26 @@
 }
 
 func (d *Directory) addServers(v *View) {
-	v.Servers = make([]*Server, 0, len(d.servers))
-	v.byName = make(map[string]*Server, len(d.servers))
-	for name, e := range d.servers {
-		s := e.server
-		s.Status = e.status()
-		v.byName[name] = &s
-		v.Servers = append(v.Servers, &s)
+	v.Servers = make([]*Server, 0, len(d.byName))
+	v.byName = make(map[string]*Server, len(d.byName))
+	for _, e := range d.byName {
+		s := e.show()
+		v.byName[s.Instance] = s
+		v.Servers = append(v.Servers, s)
 		if s.Status != Gone {
-			v.pools[s.Pool] = append(v.pools[s.Pool], &s)
+			v.pools[s.Pool] = append(v.pools[s.Pool], s)
 		}
 	}
-	byInstance := func(a, b *Server) int { return cmp.Compare(a.Instance, b.Instance) }
-	slices.SortFunc(v.Servers, byInstance)
-	for _, pool := range v.pools {
-		slices.SortFunc(pool, byInstance)
+}
+
+// show returns the server as views have it, which nobody changes.
+func (e *entry) show() *Server {
+	if e.shown == nil {
+		s := e.server
+		s.Status = e.status()
+		e.shown = &s
 	}
+	return e.shown
 }
 
 func (e *entry) status() Status {
