--- a/bronzesteer/doc.go
+++ b/bronzesteer/doc.go
@@ -10,6 +10,9 @@
 // that they see of a server is how its callers go on. A caller that goes on
 // has been answered; one that repeats itself has not.
 //
+// When servers have too much to do, or none answers, openings are ended at once:
+// callers learn that nothing ran, and those that are let in are served in time.
+//
 // # Usage
 //
 //	s := &bronzesteer.Steerer{AvailabilityZone: "riga-a"}
