Serve without metrics where their address is taken

Were another listener of the VM to have it, the node would have ended at its start, again and again, and its callers would have lost a VM.

Now it logs MetricsNotServed and serves.

--- a/bronzeedge/edge.go
+++ b/bronzeedge/edge.go
@@ -51,7 +51,7 @@
 	peers   *net.UDPConn
 	ready   net.Listener
 	control net.Listener
-	metrics net.Listener // nil if there is no address for it
+	metrics net.Listener // nil if there is no address for it, or it can't be had
 
 	known     chan struct{} // closed at the first view
 	knownOnce sync.Once
@@ -98,11 +98,7 @@
 	if e.control, err = net.Listen("tcp", e.cfg.ControlAddress.String()); err != nil {
 		return errors.Wrap(err, "ControlAddress")
 	}
-	if e.cfg.MetricsAddress.IsValid() {
-		if e.metrics, err = net.Listen("tcp", e.cfg.MetricsAddress.String()); err != nil {
-			return errors.Wrap(err, "MetricsAddress")
-		}
-	}
+	e.listenForMetrics()
 	if e.peers, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(e.cfg.PeerAddress)); err != nil {
 		return errors.Wrap(err, "PeerAddress")
 	}
@@ -110,6 +106,21 @@
 	return errors.Wrap(err, "DataAddress")
 }
 
+// listenForMetrics opens the address for metrics, if there is one. Packets don't
+// need it: if it can't be opened the node serves without, and says so. A node that
+// ended for it would be started again and again, and serve nobody.
+func (e *Edge) listenForMetrics() {
+	if !e.cfg.MetricsAddress.IsValid() {
+		return
+	}
+	l, err := net.Listen("tcp", e.cfg.MetricsAddress.String())
+	if err != nil {
+		e.log.Line("MetricsNotServed", F{"Address": e.cfg.MetricsAddress.String(), "Error": err.Error()})
+		return
+	}
+	e.metrics = l
+}
+
 // closeAddresses closes whatever is open. What was closed before says so,
 // which is of no interest.
 func (e *Edge) closeAddresses() {
