Log when the store is lost and back, and who reads it

An on-call engineer saw each failed call of the store, but not that it was back: an answer without news has no line, so failures seemed to last until the next change. Nor did any line say when a node began to read the store for others.

StoreLost and StoreRegained (with AwayMS and FailedCalls) and ReadsStore now do. The test failed before: no such lines.

--- a/bronzeedge/edge.go
+++ b/bronzeedge/edge.go
@@ -46,6 +46,8 @@
 	fetches  *http.Client
 	zipped   zipped
 	copies   atomic.Int32 // copies of all records that are being sent
+	reading  atomic.Bool  // whether this node reads the store, as last logged
+	store    storeState   // used by the follower alone
 
 	data    *bronzewire.Socket
 	peers   *net.UDPConn
--- a/bronzeedge/knowledge.go
+++ b/bronzeedge/knowledge.go
@@ -109,8 +109,34 @@
 	})
 }
 
+// storeState is whether the store answers this node.
+type storeState struct {
+	lost  bool
+	since time.Time
+	calls int
+}
+
+// noteStore logs when the store is lost, and when it is back: an answer without
+// news has no line of its own.
+func (e *Edge) noteStore(ev bronzerecord.Event, now time.Time) {
+	failed := ev.Kind == bronzerecord.Failed
+	switch st := &e.store; {
+	case failed && !st.lost:
+		*st = storeState{lost: true, since: now, calls: 1}
+		e.log.Line("StoreLost", F{"Revision": ev.Revision, "Error": ev.Err.Error()})
+	case failed:
+		st.calls++
+	case st.lost:
+		st.lost = false
+		e.log.Line("StoreRegained", F{
+			"Revision": ev.Revision, "Kind": ev.Kind, "FailedCalls": st.calls, "AwayMS": now.Sub(st.since).Milliseconds(),
+		})
+	}
+}
+
 // onStoreEvent spreads what the store answers, and logs it.
 func (e *Edge) onStoreEvent(ev bronzerecord.Event) {
+	e.noteStore(ev, time.Now())
 	changed, removed := len(ev.Delta.Changed), len(ev.Delta.Removed)
 	if ev.Kind == bronzerecord.Loaded || ev.Kind == bronzerecord.Watched {
 		now := time.Now()
--- /dev/null
+++ b/bronzeedge/knowledge_test.go
@@ -0,0 +1,50 @@
+package bronzeedge
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"bronzeusher.example/bronzeusher/bronzerecord"
+)
+
+// lines returns the messages of a log's lines.
+func lines(t *testing.T, out string) (messages []string) {
+	t.Helper()
+	for _, line := range strings.Split(strings.TrimSpace(out), "\n") {
+		var l struct{ Message string }
+		require.NoError(t, json.Unmarshal([]byte(line), &l))
+		messages = append(messages, l.Message)
+	}
+	return messages
+}
+
+// The store fails a node for a while and comes back with nothing new. Who reads the
+// log afterwards must see from when to when: an answer without news has no line, so
+// that the failures would seem to go on until the next change, hours later.
+func TestLogSaysWhenTheStoreIsLostAndBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		l := NewLog(&out)
+		e := &Edge{counts: newCounters(), log: l}
+		e.gossip.Records = &e.records
+		watched := bronzerecord.Event{Kind: bronzerecord.Watched}
+		failed := bronzerecord.Event{Kind: bronzerecord.Failed, Err: errors.New("refused")}
+		e.onStoreEvent(watched)
+		e.onStoreEvent(failed)
+		time.Sleep(700 * time.Millisecond)
+		e.onStoreEvent(failed)
+		time.Sleep(800 * time.Millisecond)
+		e.onStoreEvent(watched)
+		e.onStoreEvent(watched)
+		l.Close()
+		require.Equal(t, []string{"StoreLost", "Store", "Store", "StoreRegained"}, lines(t, out.String()))
+		require.Contains(t, out.String(), `"AwayMS":1500,"FailedCalls":2`)
+	})
+}
--- a/bronzeedge/peers.go
+++ b/bronzeedge/peers.go
@@ -92,8 +92,19 @@
 	return addresses
 }
 
-// reads reports whether this node is to read the store now.
-func (e *Edge) reads() bool { return e.gossip.Reads(time.Now()) }
+// reads reports whether this node is to read the store now, and logs when that
+// changes.
+func (e *Edge) reads() bool {
+	now := time.Now()
+	reads := e.gossip.Reads(now)
+	if e.reading.Swap(reads) != reads {
+		e.log.Line("ReadsStore", F{
+			"Reads": reads, "Revision": e.records.Revision(), "ConfirmedMS": e.gossip.Confirmed(now).Milliseconds(),
+			"Peers": e.gossip.Others(now),
+		})
+	}
+	return reads
+}
 
 func (e *Edge) onPeer(p bronzegossip.Peer, event string) {
 	e.log.Line("Peer"+event, F{"Peer": p.Name, "AvailabilityZone": p.AvailabilityZone, "Address": p.Address.String()})
