--- a/bronzeedge/edge.go
+++ b/bronzeedge/edge.go
@@ -14,8 +14,8 @@
 
 	"bronzeusher.example/bronzeusher/bronzegossip"
 	"bronzeusher.example/bronzeusher/bronzerecord"
+	"bronzeusher.example/bronzeusher/bronzesocket"
 	"bronzeusher.example/bronzeusher/bronzesteer"
-	"bronzeusher.example/bronzeusher/bronzewire"
 )
 
 const (
@@ -49,7 +49,7 @@
 	reading  atomic.Bool  // whether this node reads the store, as last logged
 	store    storeState   // used by the follower alone
 
-	data    *bronzewire.Socket
+	data    *bronzesocket.Socket
 	peers   *net.UDPConn
 	ready   net.Listener
 	control net.Listener
@@ -104,7 +104,7 @@
 	if e.peers, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(e.cfg.PeerAddress)); err != nil {
 		return errors.Wrap(err, "PeerAddress")
 	}
-	e.data, err = bronzewire.Listen(e.cfg.DataAddress.String())
+	e.data, err = bronzesocket.Listen(e.cfg.DataAddress.String())
 	return errors.Wrap(err, "DataAddress")
 }
 
--- a/bronzeedge/packets.go
+++ b/bronzeedge/packets.go
@@ -10,8 +10,8 @@
 	"github.com/pkg/errors"
 
 	"bronzeusher.example/bronzeusher/bronzepool"
+	"bronzeusher.example/bronzeusher/bronzesocket"
 	"bronzeusher.example/bronzeusher/bronzesteer"
-	"bronzeusher.example/bronzeusher/bronzewire"
 )
 
 const (
@@ -24,8 +24,8 @@
 // worker handles packets of one goroutine.
 type worker struct {
 	edge *Edge
-	in   []bronzewire.Datagram
-	out  []bronzewire.Datagram
+	in   []bronzesocket.Datagram
+	out  []bronzesocket.Datagram
 }
 
 // held are the packets that came before the first view.
@@ -35,13 +35,13 @@
 }
 
 func (e *Edge) newWorker() *worker {
-	return &worker{edge: e, out: make([]bronzewire.Datagram, 0, batchSize)}
+	return &worker{edge: e, out: make([]bronzesocket.Datagram, 0, batchSize)}
 }
 
 // readPackets handles callers' packets until the socket is closed.
 func (e *Edge) readPackets(ctx context.Context) {
 	w := e.newWorker()
-	w.in = make([]bronzewire.Datagram, batchSize)
+	w.in = make([]bronzesocket.Datagram, batchSize)
 	for i := range w.in {
 		w.in[i].Buf = make([]byte, e.seams.Wire.MaxDatagram)
 	}
@@ -145,7 +145,7 @@
 }
 
 // next returns an empty datagram to send, with a buffer of an earlier one.
-func (w *worker) next(to netip.AddrPort) *bronzewire.Datagram {
+func (w *worker) next(to netip.AddrPort) *bronzesocket.Datagram {
 	if len(w.out) == cap(w.out) {
 		w.flush()
 	}
--- a/bronzenode/counters.go
+++ b/bronzenode/counters.go
@@ -89,11 +89,11 @@
 		OnRegisterError: func(error) {},
 	})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:                 "bronzeusher",
-		CachedReporter:         reporter,
-		Separator:              tallyprom.DefaultSeparator,
-		SanitizeOptions:        &tallyprom.DefaultSanitizerOpts,
-		OmitCardinalityMetrics: true,
+		Prefix:          "bronzeusher",
+		CachedReporter:  reporter,
+		Separator:       tallyprom.DefaultSeparator,
+		SanitizeOptions: &tallyprom.DefaultSanitizerOpts,
+		MetricsOption:   tally.OmitInternalMetrics,
 	}, metricsInterval)
 	c := &counters{
 		byName: make(map[string]*counter),
--- a/bronzenode/forward_bench_test.go
+++ b/bronzenode/forward_bench_test.go
@@ -13,6 +13,7 @@
 
 	"bronzeusher.example/bronzeusher/bronzecore"
 	"bronzeusher.example/bronzeusher/bronzeflow"
+	"bronzeusher.example/bronzeusher/bronzesocket"
 	"bronzeusher.example/bronzeusher/bronzewire"
 )
 
@@ -39,7 +40,7 @@
 func newSinks(b *testing.B) *sinks {
 	s := &sinks{}
 	for range benchServers {
-		socket, err := bronzewire.Listen(loopback.String())
+		socket, err := bronzesocket.Listen(loopback.String())
 		require.NoError(b, err)
 		b.Cleanup(func() { _ = socket.Close() })
 		s.addresses = append(s.addresses, socket.LocalAddrPort())
@@ -48,7 +49,7 @@
 	return s
 }
 
-func (s *sinks) read(socket *bronzewire.Socket) {
+func (s *sinks) read(socket *bronzesocket.Socket) {
 	batch := newBatch()
 	for {
 		n, err := socket.ReadBatch(batch)
@@ -59,8 +60,8 @@
 	}
 }
 
-func newBatch() []bronzewire.Datagram {
-	batch := make([]bronzewire.Datagram, bronzewire.MaxBatch)
+func newBatch() []bronzesocket.Datagram {
+	batch := make([]bronzesocket.Datagram, bronzesocket.MaxBatch)
 	for i := range batch {
 		batch[i].Buf = make([]byte, maxPacket)
 	}
@@ -69,17 +70,17 @@
 
 // sender sends packets of established flows to one forwarder.
 type sender struct {
-	socket  *bronzewire.Socket
+	socket  *bronzesocket.Socket
 	packets [][]byte
 	next    int
 }
 
 func (s *sender) send(b *testing.B, to netip.AddrPort, n int) {
-	batch := make([]bronzewire.Datagram, n)
+	batch := make([]bronzesocket.Datagram, n)
 	for i := range batch {
 		p := s.packets[s.next%len(s.packets)]
 		s.next++
-		batch[i] = bronzewire.Datagram{Addr: to, Buf: p, N: len(p)}
+		batch[i] = bronzesocket.Datagram{Addr: to, Buf: p, N: len(p)}
 	}
 	if _, err := s.socket.WriteBatch(batch); err != nil {
 		b.Error(err)
@@ -211,7 +212,7 @@
 
 	l := &load{b: b, sinks: s}
 	for i := range benchSenders {
-		socket, err := bronzewire.Listen(loopback.String())
+		socket, err := bronzesocket.Listen(loopback.String())
 		require.NoError(b, err)
 		b.Cleanup(func() { _ = socket.Close() })
 		l.senders = append(l.senders, &sender{socket: socket, packets: packets, next: i * benchFlows / benchSenders})
--- a/bronzenode/node.go
+++ b/bronzenode/node.go
@@ -15,7 +15,7 @@
 	"bronzeusher.example/bronzeusher/bronzefleet"
 	"bronzeusher.example/bronzeusher/bronzeflow"
 	"bronzeusher.example/bronzeusher/bronzelink"
-	"bronzeusher.example/bronzeusher/bronzewire"
+	"bronzeusher.example/bronzeusher/bronzesocket"
 )
 
 // Bounds of all Customers' flows on one node, of which each Customer may use
@@ -43,8 +43,8 @@
 	gate     gate
 	started  time.Time
 
-	edge    *bronzewire.Socket
-	data    *bronzewire.Socket
+	edge    *bronzesocket.Socket
+	data    *bronzesocket.Socket
 	control net.Listener
 	http    net.Listener
 
@@ -91,10 +91,10 @@
 
 // listen opens all addresses.
 func (n *Node) listen() (err error) {
-	if n.edge, err = bronzewire.Listen(n.cfg.EdgeAddress.String()); err != nil {
+	if n.edge, err = bronzesocket.Listen(n.cfg.EdgeAddress.String()); err != nil {
 		return errors.Wrap(err, "EdgeAddress")
 	}
-	if n.data, err = bronzewire.Listen(n.cfg.DataAddress.String()); err != nil {
+	if n.data, err = bronzesocket.Listen(n.cfg.DataAddress.String()); err != nil {
 		return errors.Wrap(err, "DataAddress")
 	}
 	if n.control, err = net.Listen("tcp", n.cfg.ControlAddress.String()); err != nil {
--- a/bronzenode/outbox.go
+++ b/bronzenode/outbox.go
@@ -5,16 +5,16 @@
 
 	"github.com/pkg/errors"
 
-	"bronzeusher.example/bronzeusher/bronzewire"
+	"bronzeusher.example/bronzeusher/bronzesocket"
 )
 
 // outbox collects datagrams for one socket, so that a batch of decisions
 // costs one system call. One goroutine at a time may use it.
 type outbox struct {
-	socket  *bronzewire.Socket
+	socket  *bronzesocket.Socket
 	cut     func(from, to netip.AddrPort) bool
 	refused *uint64
-	batch   []bronzewire.Datagram
+	batch   []bronzesocket.Datagram
 }
 
 // put adds b, which must not change until the next flush.
@@ -22,7 +22,7 @@
 	if o.cut != nil && o.cut(o.socket.LocalAddrPort(), to) {
 		return
 	}
-	o.batch = append(o.batch, bronzewire.Datagram{Addr: to, Buf: b, N: len(b)})
+	o.batch = append(o.batch, bronzesocket.Datagram{Addr: to, Buf: b, N: len(b)})
 }
 
 // flush sends what was put. A datagram that the kernel refuses is counted and
--- a/bronzenode/path.go
+++ b/bronzenode/path.go
@@ -10,6 +10,7 @@
 	"bronzeusher.example/bronzeusher/bronzecore"
 	"bronzeusher.example/bronzeusher/bronzeflow"
 	"bronzeusher.example/bronzeusher/bronzelink"
+	"bronzeusher.example/bronzeusher/bronzesocket"
 	"bronzeusher.example/bronzeusher/bronzewire"
 )
 
@@ -45,9 +46,9 @@
 
 // read serves a socket until it is closed: a batch of datagrams in, the
 // decisions, and a batch of datagrams out.
-func (w *worker) read(s *bronzewire.Socket, handle func(from netip.AddrPort, b []byte)) (err error) {
+func (w *worker) read(s *bronzesocket.Socket, handle func(from netip.AddrPort, b []byte)) (err error) {
 	defer annotate(&err, "read "+s.LocalAddrPort().String())
-	batch := make([]bronzewire.Datagram, bronzewire.MaxBatch)
+	batch := make([]bronzesocket.Datagram, bronzesocket.MaxBatch)
 	for i := range batch {
 		batch[i].Buf = make([]byte, maxPacket)
 	}
--- a/bronzenode/run.go
+++ b/bronzenode/run.go
@@ -13,7 +13,7 @@
 	"bronzeusher.example/bronzeusher/bronzeconf"
 	"bronzeusher.example/bronzeusher/bronzecore"
 	"bronzeusher.example/bronzeusher/bronzelink"
-	"bronzeusher.example/bronzeusher/bronzewire"
+	"bronzeusher.example/bronzeusher/bronzesocket"
 )
 
 const (
@@ -90,7 +90,7 @@
 	r.task(func(ctx context.Context) error { return r.node.every(ctx, interval, step) })
 }
 
-func (r *runner) read(s *bronzewire.Socket, handle func(w *worker, from netip.AddrPort, b []byte)) {
+func (r *runner) read(s *bronzesocket.Socket, handle func(w *worker, from netip.AddrPort, b []byte)) {
 	w := r.node.newWorker()
 	r.task(func(context.Context) error {
 		return w.read(s, func(from netip.AddrPort, b []byte) { handle(w, from, b) })
--- a/bronzewire/socket.go
+++ b/bronzesocket/socket.go
@@ -1,4 +1,4 @@
-package bronzewire
+package bronzesocket
 
 import (
 	"net"
@@ -47,7 +47,7 @@
 // Listen opens a socket on address, an IP number with a port, where port 0
 // means any free one.
 func Listen(address string) (s *Socket, err error) {
-	defer annotate(&err, "listen on UDP "+address)
+	defer func() { err = errors.Wrap(err, "listen on UDP "+address) }()
 	ap, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return nil, err
@@ -94,7 +94,7 @@
 // ReadBatch waits for at least one datagram, fills ms from its start, and
 // returns how many it filled. After Close the error wraps net.ErrClosed.
 func (s *Socket) ReadBatch(ms []Datagram) (n int, err error) {
-	defer annotate(&err, "read a batch")
+	defer func() { err = errors.Wrap(err, "read a batch") }()
 	if len(ms) == 0 {
 		return 0, nil
 	}
@@ -121,7 +121,7 @@
 // few system calls as it can. On an error, n datagrams were sent and ms[n]
 // was refused; the caller may go on after it.
 func (s *Socket) WriteBatch(ms []Datagram) (n int, err error) {
-	defer annotate(&err, "write a batch")
+	defer func() { err = errors.Wrap(err, "write a batch") }()
 	b := s.batch()
 	defer s.batches.Put(b)
 	for n < len(ms) {
@@ -146,7 +146,7 @@
 
 // Close closes the socket and ends a waiting ReadBatch.
 func (s *Socket) Close() (err error) {
-	defer annotate(&err, "close a UDP socket")
+	defer func() { err = errors.Wrap(err, "close a UDP socket") }()
 	return s.conn.Close()
 }
 
--- a/bronzewire/socket_test.go
+++ b/bronzesocket/socket_test.go
@@ -1,4 +1,4 @@
-package bronzewire
+package bronzesocket
 
 import (
 	"net"
--- a/bronzewire/doc.go
+++ b/bronzewire/doc.go
@@ -1,6 +1,6 @@
 // Package bronzewire is what a balancer knows of the wire: IP packets inside
-// UDP datagrams, the frames that nodes relay to each other, and the sockets
-// that carry both.
+// UDP datagrams, and the frames that nodes relay to each other. Package
+// bronzesocket carries both.
 //
 // A Parser reads the headers of a packet, once, into a bronzeflow.Packet;
 // the decisions see nothing else of it. It refuses whatever it doesn't
@@ -24,7 +24,7 @@
 //
 // A worker owns a Parser and a batch of buffers:
 //
-//	s, err := bronzewire.Listen("192.0.2.1:6080")
+//	s, err := bronzesocket.Listen("192.0.2.1:6080")
 //	...
 //	var r bronzewire.Parser
 //	var p bronzeflow.Packet
