Don't read the servers of a view that are as before

The walk that takes over what is known compares pointers first, so servers that didn't change stay out of the cache.

--- a/bronzesteer/known.go
+++ b/bronzesteer/known.go
@@ -31,6 +31,12 @@
 	k := &known{view: v, members: make([]member, len(v.Servers)), pools: make(map[string]*pool)}
 	at := 0
 	for i, server := range v.Servers {
+		// Most didn't change: they aren't even read.
+		if at < len(former.members) && former.members[at].server == server {
+			k.members[i] = former.members[at]
+			at++
+			continue
+		}
 		for at < len(former.members) && former.members[at].server.Instance < server.Instance {
 			former.members[at].leave()
 			at++
