Don't pass the start of a node off as the store's last word

Found by reading, after a log line that said ConfirmedMS at a start: a node that has heard nothing of the store told others the time since its start in place of the store's last word, and they took it for that.

What callers would see: both nodes that read the store are cut off from it while a rolling update goes on. Each start renews everybody's trust in the old records, so nobody takes over the reading, and a change of the configuration comes into force only after the last start.

Such a node now says never (24 days), and the log shows 0 before its first tick.

--- a/bronzegossip/gossip.go
+++ b/bronzegossip/gossip.go
@@ -310,10 +310,14 @@
 }
 
 func (g *Gossip) confirmed(now time.Time) time.Duration {
-	if g.contact.IsZero() {
+	switch {
+	case !g.contact.IsZero():
+		return now.Sub(g.contact)
+	case !g.started.IsZero():
 		return now.Sub(g.started)
+	default:
+		return 0 // not ticked yet
 	}
-	return now.Sub(g.contact)
 }
 
 // spread tells some others, or all if they are few.
@@ -354,7 +358,7 @@
 	m.From = g.Self
 	m.From.Leaving = g.leaving
 	m.Revision = g.Records.Revision()
-	m.ContactMS = milliseconds(g.confirmed(now))
+	m.ContactMS = g.contactAge(now)
 	if whole {
 		m.Peers = g.some(now)
 	}
@@ -406,6 +410,20 @@
 	}
 }
 
+// neverMS is the age of the store's last word to a node that has heard none, in
+// milliseconds: 24 days. The time since its start must not stand for it. Others
+// would take it for the store's word, and while nodes start one after the other
+// never find that those that read the store are cut off from it.
+const neverMS = 1 << 31
+
+// contactAge returns how long ago the store's last word was, for others.
+func (g *Gossip) contactAge(now time.Time) uint32 {
+	if g.contact.IsZero() {
+		return neverMS
+	}
+	return milliseconds(now.Sub(g.contact))
+}
+
 func milliseconds(d time.Duration) uint32 {
-	return uint32(min(max(d.Milliseconds(), 0), 1<<31))
+	return uint32(min(max(d.Milliseconds(), 0), neverMS))
 }
--- a/bronzegossip/gossip_test.go
+++ b/bronzegossip/gossip_test.go
@@ -35,6 +35,16 @@
 	calls   int
 }
 
+// restart starts the node anew, without the store.
+func (d *node) restart() {
+	before := &d.gossip
+	d.records = bronzerecord.Set{}
+	d.reaches = false
+	self := before.Self
+	self.Incarnation++
+	d.gossip = Gossip{Self: self, Seeds: before.Seeds, Records: &d.records, Random: before.Random, Send: before.Send}
+}
+
 // store is the store's revision in a test; each one has one record.
 type store struct{ revision uint64 }
 
@@ -238,6 +248,38 @@
 	require.Zero(t, s.behind(nodes))
 }
 
+// The same while nodes are started in turn that can't reach the store either, as in
+// a rolling update. A node that has just started has heard nothing of the store; if
+// others took the time since its start for the store's last word, they would never
+// find the readers cut off, and callers would get the old configuration for as long
+// as the update lasts.
+func TestReadersAreReplacedInTimeWhileNodesStart(t *testing.T) {
+	_, nodes := newNetwork(9)
+	s := &store{revision: 1}
+	s.run(nodes, 5*time.Second)
+	var started, others []*node
+	var seeds []netip.AddrPort
+	for _, d := range readers(nodes) {
+		d.reaches = false
+	}
+	for _, d := range nodes {
+		if d.reaches && len(started) < 2 {
+			started = append(started, d)
+			continue
+		}
+		others = append(others, d)
+		seeds = append(seeds, d.gossip.Self.Address)
+	}
+	s.revision = 2
+	for i := range 28 {
+		d := started[i%len(started)]
+		d.restart()
+		d.gossip.Seeds = seeds
+		s.run(nodes, step)
+	}
+	require.Zero(t, s.behind(others))
+}
+
 // A zone is cut off from the others; all zones reach the store. Each side has
 // a change in time, and after the cut the sides find each other.
 func TestZoneThatIsCutOffReadsForItself(t *testing.T) {
