Take into account that a VM was suspended

The steady clock doesn't count the time for which a VM is suspended. A node that wakes up told others that the store had confirmed its records a moment ago, and they went on with theirs for up to two seconds more where the readers were gone.

The clock since boot shows the gap: the store's last word is older by it, before anything is said to others.

--- a/bronzeedge/edge.go
+++ b/bronzeedge/edge.go
@@ -50,6 +50,8 @@
 	reading  atomic.Bool  // whether this node reads the store, as last logged
 	store    storeState   // used by the follower alone
 
+	suspended suspension
+
 	data    *bronzesocket.Socket
 	peers   *net.UDPConn
 	ready   net.Listener
@@ -286,6 +288,7 @@
 			return
 		case <-ticker.C:
 		}
+		e.noteSuspension()
 		now := time.Now()
 		e.gossip.Tick(now)
 		e.counts.knowledge.RecordDuration(e.gossip.Confirmed(now))
--- a/bronzeedge/peers.go
+++ b/bronzeedge/peers.go
@@ -131,6 +131,7 @@
 			continue
 		}
 		e.counts.received.add(n)
+		e.noteSuspension()
 		e.gossip.Handle(b[:n], time.Now())
 	}
 }
--- a/bronzegossip/gossip.go
+++ b/bronzegossip/gossip.go
@@ -129,6 +129,16 @@
 	return n
 }
 
+// Suspended takes into account that the clock has stood still for d while the node
+// didn't run: the store's last word is older by that.
+func (g *Gossip) Suspended(d time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.contact.IsZero() {
+		g.contact = g.contact.Add(-d)
+	}
+}
+
 // Leave tells all nodes known that this one is about to end.
 func (g *Gossip) Leave(now time.Time) {
 	g.do(func() {
--- a/bronzegossip/gossip_test.go
+++ b/bronzegossip/gossip_test.go
@@ -280,6 +280,30 @@
 	require.Zero(t, s.behind(others))
 }
 
+// The VM of a node is suspended for four seconds, and its clock doesn't count them.
+// When it wakes it must not tell others that its records were confirmed a moment
+// ago: they would go on with them for two seconds more where the readers are gone.
+func TestNodeThatWasSuspendedVouchesForNothing(t *testing.T) {
+	_, nodes := newNetwork(2)
+	s := &store{revision: 1}
+	s.run(nodes, 3*time.Second)
+	woken, other := nodes[0], nodes[1]
+	for _, d := range nodes {
+		d.reaches = false
+	}
+	// While the one is suspended, the other's time goes on.
+	woken.stopped = true
+	s.run(nodes, 4*time.Second)
+	before := other.gossip.Confirmed(other.net.now)
+	require.Greater(t, before, 3*time.Second)
+
+	woken.stopped = false
+	woken.gossip.contact = other.net.now.Add(-100 * time.Millisecond)
+	woken.gossip.Suspended(4 * time.Second)
+	s.run(nodes, time.Second)
+	require.Greater(t, other.gossip.Confirmed(other.net.now), before)
+}
+
 // A zone is cut off from the others; all zones reach the store. Each side has
 // a change in time, and after the cut the sides find each other.
 func TestZoneThatIsCutOffReadsForItself(t *testing.T) {
