Let few of a large fleet press a store that fails everybody

Cause: while the store failed (two times six seconds) each node of a zone took over 0.25 s after the one before it, so that after six seconds nearly all of 78 asked, 65 in the test.

The first three after the first follow as before, the next ones after twice as long each: 21 in the test. In zones of up to four nodes nothing changes.

--- a/bronzegossip/fleet_test.go
+++ b/bronzegossip/fleet_test.go
@@ -57,3 +57,44 @@
 		})
 	}
 }
+
+// The store fails all of a large fleet for seven seconds. Nobody can tell that from a
+// fault of the readers alone, so others try; but not all, time and again: the store
+// would be pressed the most when it can bear the least, and each call is paid for.
+// When it is back, a change has to be everywhere in time.
+func TestFewOfALargeFleetPressAStoreThatFails(t *testing.T) {
+	const n = 78
+	_, nodes := newNetwork(n)
+	s := &store{revision: 1}
+	s.run(nodes, 20*time.Second)
+	calls := 0
+	for _, d := range nodes {
+		d.reaches = false
+		calls -= d.calls
+	}
+	s.run(nodes, 7*time.Second)
+	asked := 0
+	for _, d := range nodes {
+		calls += d.calls
+		if d.gossip.Reads(d.net.now) {
+			asked++
+		}
+		d.reaches = true
+	}
+	require.LessOrEqual(t, asked, n/3)
+	require.LessOrEqual(t, calls, 80)
+	s.revision++
+	s.run(nodes, 2*time.Second)
+	require.Zero(t, s.behind(nodes))
+}
+
+// The delays by which nodes of a zone take over, in the order that all agree on.
+func TestTakeOverAfter(t *testing.T) {
+	var delays []time.Duration
+	for before := range 8 {
+		delays = append(delays, takeOverAfter(before)-confirmedFor)
+	}
+	const ms = time.Millisecond
+	require.Equal(t, []time.Duration{0, 250 * ms, 500 * ms, 750 * ms, 1250 * ms, 2250 * ms, 4250 * ms, 8250 * ms}, delays)
+	require.Less(t, takeOverAfter(1000), 10*time.Minute)
+}
--- a/bronzegossip/reader.go
+++ b/bronzegossip/reader.go
@@ -12,10 +12,24 @@
 	// second, and what they hear takes up to half a second to reach all. It
 	// leaves a second of the three that a change may take.
 	confirmedFor = 1900 * time.Millisecond
-	// nextAfter is after how much longer each next node of the zone follows.
+	// nextAfter is after how much longer each next node of the zone follows, and
+	// inTurn how many do so at this pace. After them it takes twice as long for each:
+	// that so many of a zone are gone at once is unlikely, that the store fails
+	// everybody isn't, and then all of a large fleet would ask it.
 	nextAfter = 250 * time.Millisecond
+	inTurn    = 3
 )
 
+// takeOverAfter returns how old the store's last word must be for a node to read the
+// store that has so many of its zone before it.
+func takeOverAfter(before int) time.Duration {
+	after := confirmedFor + time.Duration(min(before, inTurn))*nextAfter
+	for i := inTurn; i < before && after < rememberFor; i++ {
+		after += nextAfter << (i - inTurn + 1)
+	}
+	return after
+}
+
 // Reads reports whether this node is to read the store now.
 func (g *Gossip) Reads(now time.Time) bool {
 	g.mu.Lock()
@@ -27,7 +41,7 @@
 		return false
 	}
 	r := g.rank(now)
-	return r.reader || g.isBehind(now) || g.confirmed(now) >= confirmedFor+time.Duration(r.before)*nextAfter
+	return r.reader || g.isBehind(now) || g.confirmed(now) >= takeOverAfter(r.before)
 }
 
 // Yields reports whether another node of this one's zone comes before it in the
