Bound the tokens that are kept of servers which no route names

Found on reading the diff: since tokens are kept from view to view, packets with made-up tokens for all endpoints of a large deployment would have all servers' tokens kept for each of them, by arithmetic 0.8 MB for 5,100 servers, 260 MB for 320 endpoints.

65,536 such tokens are kept, about 10 MB; beyond, a token is looked for among all servers, a hundred times a second at most.

--- a/bronzeroute/directory_test.go
+++ b/bronzeroute/directory_test.go
@@ -1,11 +1,13 @@
 package bronzeroute
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/time/rate"
 
 	"bronzeusher.example/bronzeusher/bronzeconf"
 )
@@ -114,6 +116,35 @@
 	require.Equal(t, "s-a", after.View().ByToken(live, token).Instance)
 }
 
+// Somebody sends packets with made-up tokens to all endpoints of a large deployment. To
+// look for them among all servers must not take more and more memory, which would end
+// the node; and a flow at a former pool of a route is found all the same.
+func TestMadeUpTokensTakeBoundedMemory(t *testing.T) {
+	const servers, endpoints = 5000, 40
+	var d Directory
+	var routes []Route
+	service := func(i int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 1, byte(i)}), 443)
+	}
+	for i := range endpoints {
+		routes = append(routes, route(service(i), "a"))
+	}
+	d.SetTable(table(1, routes...), begin)
+	for i := range servers {
+		d.Register(server(fmt.Sprint("s-", i), "b"))
+	}
+	v := d.View()
+	for i := range endpoints {
+		require.Nil(t, v.ByToken(service(i), 12345))
+		require.LessOrEqual(t, d.tokens.wide, maxWide)
+	}
+	d.tokens.searches = rate.NewLimiter(rate.Inf, 1)
+	last := service(endpoints - 1)
+	token := v.Token(last, v.ByName("s-77"))
+	require.NotZero(t, token)
+	require.Equal(t, "s-77", v.ByToken(last, token).Instance)
+}
+
 // A caller sends the token of its flow to another Customer's address.
 func TestTokenMeansNothingAtAnotherEndpoint(t *testing.T) {
 	var d Directory
--- a/bronzeroute/tokens.go
+++ b/bronzeroute/tokens.go
@@ -5,9 +5,23 @@
 	"slices"
 	"sync"
 
+	"golang.org/x/time/rate"
+
 	"bronzeusher.example/bronzeusher/bronzetoken"
 )
 
+const (
+	// maxWide bounds the tokens that are kept of servers that an endpoint's route
+	// doesn't name, of all endpoints together, about 10 MB: packets with made-up
+	// tokens for 320 endpoints would have 5,100 kept for each otherwise.
+	maxWide = 64 << 10
+	// searchRate is how many tokens a second are looked for among all servers where
+	// they aren't kept, which takes 0.5 ms with 5,100, and searchBurst how many at
+	// once. Callers whose flows are at a former pool of a route repeat themselves.
+	searchRate  = 100
+	searchBurst = 20
+)
+
 // tokens are the tokens of the endpoints that packets came for. A Directory and
 // its views share them, so that a change of one server costs what that server
 // does: made anew for each view, those of 2,400 servers took a millisecond, on a
@@ -21,6 +35,9 @@
 	// won't do: a packet that is handled by a former view may be the first of its
 	// endpoint, whose tokens would lack the servers that came since.
 	servers map[string]tokenHolder
+	// wide is how many tokens there are in endpoints' all.
+	wide     int
+	searches *rate.Limiter
 }
 
 // tokenHolder is what of a server its tokens depend on.
@@ -58,7 +75,9 @@
 			e.served.Add(holder)
 		}
 		if e.all != nil {
+			t.wide -= e.all.Len()
 			e.all.Add(holder)
+			t.wide += e.all.Len()
 		}
 	}
 }
@@ -71,7 +90,9 @@
 	for _, e := range t.endpoints {
 		e.served.Remove(instance)
 		if e.all != nil {
+			t.wide -= e.all.Len()
 			e.all.Remove(instance)
+			t.wide += e.all.Len()
 		}
 	}
 }
@@ -85,7 +106,11 @@
 	if token := e.served.Token(instance); token != 0 {
 		return token
 	}
-	return t.widen(e, service).Token(instance)
+	if t.widen(e, service) {
+		return e.all.Token(instance)
+	}
+	holder := bronzetoken.Holder{Name: instance, Since: t.servers[instance].since}
+	return bronzetoken.NewSet(service.String(), []bronzetoken.Holder{holder}).Token(instance)
 }
 
 // name returns the name of the server that a token stands for.
@@ -96,7 +121,10 @@
 	if name, ok = e.served.Name(token); ok {
 		return name, ok
 	}
-	return t.widen(e, service).Name(token)
+	if t.widen(e, service) {
+		return e.all.Name(token)
+	}
+	return t.search(service, token)
 }
 
 // endpoint returns the tokens of an endpoint, made anew if its route names other
@@ -106,6 +134,9 @@
 	if e != nil && route.namesAll(e.pools) {
 		return e
 	}
+	if e != nil && e.all != nil {
+		t.wide -= e.all.Len()
+	}
 	e = &endpointTokens{pools: route.pools()}
 	e.served = t.set(service, func(h tokenHolder) bool { return slices.Contains(e.pools, h.pool) })
 	if t.endpoints == nil {
@@ -120,21 +151,50 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	kept := make(map[netip.AddrPort]*endpointTokens, len(t.endpoints))
+	t.wide = 0
 	for i := range routes.Routes {
-		if e := t.endpoints[routes.Routes[i].Service]; e != nil {
-			kept[routes.Routes[i].Service] = e
+		e := t.endpoints[routes.Routes[i].Service]
+		if e == nil {
+			continue
+		}
+		kept[routes.Routes[i].Service] = e
+		if e.all != nil {
+			t.wide += e.all.Len()
 		}
 	}
 	t.endpoints = kept
 }
 
-// widen returns the tokens of all servers for an endpoint; the caller holds the
-// lock.
-func (t *tokens) widen(e *endpointTokens, service netip.AddrPort) *bronzetoken.Set {
-	if e.all == nil {
-		e.all = t.set(service, func(tokenHolder) bool { return true })
+// widen makes the tokens of all servers for an endpoint, and reports whether they are
+// kept; the caller holds the lock.
+func (t *tokens) widen(e *endpointTokens, service netip.AddrPort) bool {
+	if e.all != nil {
+		return true
+	}
+	if t.wide+len(t.servers) > maxWide {
+		return false
+	}
+	e.all = t.set(service, func(tokenHolder) bool { return true })
+	t.wide += e.all.Len()
+	return true
+}
+
+// search looks for a token among all servers; the caller holds the lock.
+func (t *tokens) search(service netip.AddrPort, token uint32) (name string, ok bool) {
+	if t.searches == nil {
+		t.searches = rate.NewLimiter(searchRate, searchBurst)
+	}
+	if !t.searches.Allow() {
+		return "", false
+	}
+	endpoint := service.String()
+	var found []bronzetoken.Holder
+	for name, h := range t.servers {
+		if bronzetoken.MayStandFor(endpoint, name, token) {
+			found = append(found, bronzetoken.Holder{Name: name, Since: h.since})
+		}
 	}
-	return e.all
+	return bronzetoken.NewSet(endpoint, found).Name(token)
 }
 
 // set returns the tokens of those servers that are included; the caller holds the
--- a/bronzetoken/token_test.go
+++ b/bronzetoken/token_test.go
@@ -150,6 +150,20 @@
 	}
 }
 
+// Looking for one token among all names must lead to those that a set has it for.
+func TestMayStandForNamesASetHas(t *testing.T) {
+	var holders []Holder
+	for i := range 500 {
+		holders = append(holders, Holder{Name: fmt.Sprintf("host-%d", i), Since: uint64(i)})
+	}
+	s := NewSet("e", holders)
+	for token, name := range s.names {
+		require.True(t, MayStandFor("e", name, token))
+		require.False(t, MayStandFor("other", name, token))
+	}
+	require.False(t, MayStandFor("e", "host-1", 0))
+}
+
 func BenchmarkAdd(b *testing.B) {
 	var holders []Holder
 	for i := range 5100 {
