--- a/bronzecore/failure_test.go
+++ b/bronzecore/failure_test.go
@@ -344,6 +344,27 @@
 	})
 }
 
+// The same, but the caller's first two tries enter at the owner itself, whose path to
+// the server is silent. It forwards both, and both are lost. It must have told others
+// by then where the flow is, so that the third try, which enters elsewhere, goes by
+// another path: with pauses that double, a caller has no more than six tries.
+func TestSilentPathIsGoneAroundFromTheOwnerItself(t *testing.T) {
+	inBubble(t, 3, 4, func(w *world) {
+		f := w.open()
+		f.pause = true
+		w.settle(500 * time.Millisecond)
+		owner := w.ownerOf(f)
+		w.cut = func(from, to string) bool { return from == owner && w.nodes[to] == nil }
+		others := slices.DeleteFunc(w.names(), func(n string) bool { return n == owner })
+		f.via, f.back, f.pause = []string{owner}, others, false
+		w.settle(2*retransmit + 50*time.Millisecond)
+		require.Zero(w.t, f.answered)
+		f.via = others
+		w.settle(retransmit)
+		w.checkGoingOn([]int{0})
+	})
+}
+
 // The owner hears the others, but what it sends to them is lost. Relayed
 // openings reach their server, whose acceptance enters anywhere and is
 // relayed to the owner, which lets it through itself.
--- a/bronzecore/message.go
+++ b/bronzecore/message.go
@@ -55,16 +55,18 @@
 	rescueBurst          = 64 << 10
 )
 
-// teach tells a node that relayed the packet where its flow is pinned.
+// teach tells a node that relayed the packet where its flow is pinned. An owner whose
+// caller sends the same again tells others, also if the packet entered here: its own
+// path to the server may be the one that is silent.
 func (d *decision) teach(e bronzeflow.Entry, peer string) {
-	if peer == "" || e.State != bronzeflow.Established {
+	if e.State != bronzeflow.Established || peer == "" && e.Flags&bronzeflow.Owned == 0 {
 		return
 	}
 	if d.packet.Payload > 0 && d.packet.Sequence != 0 && d.repeated(e) {
 		d.teachAll(e)
 		return
 	}
-	if d.seconds(d.now)-e.Opened < toSeconds(d.Timing.CopyAge) || !d.teacher.AllowN(d.now, learnBytes) {
+	if peer == "" || d.seconds(d.now)-e.Opened < toSeconds(d.Timing.CopyAge) || !d.teacher.AllowN(d.now, learnBytes) {
 		return
 	}
 	m := mapping(d.packet.Key, e)
