Know a server's start from its earlier ones, and refuse what others register

Cause: a server may start again under its name. What was believed of it went on for the new start, and callers of idle flows learned only by their next request that the flow is no more; one that must not be repeated is lost by that. And a registration that another writer had written over stayed in force, while fields that were missing were taken for 0. Conclusion: tests fail without it.

--- a/bronzeedge/knowledge.go
+++ b/bronzeedge/knowledge.go
@@ -38,25 +38,36 @@
 	}
 }
 
-// takeRecord puts one record in force. A record with faults leaves what was
-// in force.
+// takeRecord puts one record in force. A table with faults leaves the one before in
+// force; a registration with faults names no server, as if it had disappeared. Left
+// in force, what a server said before another writer wrote over it would be believed
+// for as long as that stands there.
 func (e *Edge) takeRecord(r bronzerecord.Record, now time.Time) (changed bool) {
 	if e.seams.Decoder.IsTable(r.Name) {
 		return e.takeTable(r, now)
 	}
-	if _, ok := e.seams.Decoder.ServerName(r.Name); !ok {
+	instance, ok := e.seams.Decoder.ServerName(r.Name)
+	if !ok {
 		return false
 	}
 	s, err := e.seams.Decoder.Server(r, now)
 	if err != nil {
 		e.refuse(r, err)
-		return false
+		e.book.directory.Unregister(instance, now)
+		return true
 	}
-	e.book.directory.Register(s)
-	e.log.Line("Registered", F{
+	fields := F{
 		"Instance": s.Instance, "Pool": s.Pool, "Address": s.Address.String(), "AvailabilityZone": s.AvailabilityZone,
 		"Draining": s.Draining, "ColdMS": s.Cold.Milliseconds(), "Revision": r.Revision,
-	})
+	}
+	if !s.Born.IsZero() {
+		fields["Born"] = s.Born.UTC()
+	}
+	if !e.book.directory.Register(s) {
+		e.log.Line("RegistrationOutOfDate", fields)
+		return false
+	}
+	e.log.Line("Registered", fields)
 	return true
 }
 
--- a/bronzeroute/directory.go
+++ b/bronzeroute/directory.go
@@ -72,12 +72,16 @@
 	return true
 }
 
-// Register adds a server or takes in what it now says of itself.
-func (d *Directory) Register(s Server) {
+// Register adds a server or takes in what it now says of itself. What an earlier
+// start of the server said isn't taken, however late it comes.
+func (d *Directory) Register(s Server) (taken bool) {
 	if d.servers == nil {
 		d.servers = make(map[string]*entry)
 	}
 	e := d.servers[s.Instance]
+	if e != nil && s.Born.Before(e.server.Born) {
+		return false
+	}
 	if e == nil {
 		e = &entry{}
 		d.servers[s.Instance] = e
@@ -90,6 +94,7 @@
 	e.missing, e.gone = time.Time{}, time.Time{}
 	e.server = s
 	d.touch(e)
+	return true
 }
 
 // book returns the tokens that all views share.
--- a/bronzesteer/backend.go
+++ b/bronzesteer/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bronzeusher.example/bronzeusher/bronzeroute"
@@ -25,6 +26,10 @@
 	zone     *zone
 	service  *service
 	slots    int
+	// born is when the server started, the zero time if it doesn't tell, and next
+	// what is seen of its next start once there is one.
+	born time.Time
+	next atomic.Pointer[backend]
 
 	mu sync.Mutex
 	// opening, flows and work count this node's openings without an answer,
@@ -58,6 +63,7 @@
 	return &backend{
 		instance: server.Instance, zoneName: server.AvailabilityZone,
 		zone: s.zone(server.AvailabilityZone), service: s.service(server.Pool), slots: server.Slots,
+		born: server.Born,
 	}
 }
 
--- a/bronzesteer/flow.go
+++ b/bronzesteer/flow.go
@@ -175,7 +175,7 @@
 		s.updateLoads(k, at)
 	}
 	for i := range s.shards {
-		endings = append(endings, s.shards[i].sweep(at, lost)...)
+		endings = append(endings, s.shards[i].sweep(at, now, lost)...)
 	}
 	return endings
 }
@@ -195,7 +195,7 @@
 	return lost
 }
 
-func (sh *shard) sweep(at time.Duration, lost map[*backend]Reason) (endings []Ending) {
+func (sh *shard) sweep(at time.Duration, now time.Time, lost map[*backend]Reason) (endings []Ending) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	for key, f := range sh.flows {
@@ -207,7 +207,11 @@
 			sh.end(key)
 			continue
 		}
-		if reason, ok := lost[f.backend]; ok && f.open && f.idle(at) {
+		reason, ended := lost[f.backend]
+		if f.reborn(at, now) {
+			reason, ended = ServerReborn, true
+		}
+		if ended && f.open && f.idle(at) {
 			p := Packet{Key: key, Token: f.token, Sequence: f.sequence, Acknowledged: f.acknowledged}
 			endings = append(endings, Ending{Packet: p, Instance: f.backend.instance, Reason: reason})
 			sh.end(key)
--- a/bronzesteer/known.go
+++ b/bronzesteer/known.go
@@ -42,7 +42,7 @@
 			at++
 		}
 		if at < len(former.members) && former.members[at].server.Instance == server.Instance {
-			k.members[i] = former.members[at].become(server)
+			k.members[i] = s.become(former.members[at], server)
 			at++
 			continue
 		}
@@ -97,8 +97,16 @@
 	m.backend.zone.forget(m.backend)
 }
 
-// become returns the member as its server now is.
-func (m member) become(server *bronzeroute.Server) member {
+// become returns the member as its server now is. What was seen of a server belongs
+// to its start: one that has started again is as new.
+func (s *Steerer) become(m member, server *bronzeroute.Server) member {
+	if server.Born.After(m.server.Born) {
+		now := member{server: server, backend: s.newBackend(server)}
+		m.backend.next.Store(now.backend)
+		m.leave()
+		now.join()
+		return now
+	}
 	now := member{server: server, backend: m.backend}
 	was, is := m.server.Status == bronzeroute.Gone, server.Status == bronzeroute.Gone
 	switch {
@@ -121,7 +129,7 @@
 // backendOf returns what is known of a server of the view; f is the flow whose
 // server it may be, or nil.
 func (k *known) backendOf(server *bronzeroute.Server, f *flow) *backend {
-	if f != nil && f.backend.instance == server.Instance {
+	if f != nil && f.backend.instance == server.Instance && f.backend.next.Load() == nil {
 		return f.backend
 	}
 	i, found := slices.BinarySearchFunc(k.members, server.Instance, func(m member, name string) int {
--- a/bronzesteer/packet.go
+++ b/bronzesteer/packet.go
@@ -84,6 +84,8 @@
 	// ServerSilent: the flow's server answers nobody, and the flow's requests
 	// may be repeated.
 	ServerSilent
+	// ServerReborn: the flow's server has started again since, without the flow.
+	ServerReborn
 	// NoToken: the packet of an established flow has no token.
 	NoToken
 	// TokenUnknown: no server with the token is known here.
@@ -98,7 +100,7 @@
 
 var reasonNames = [ReasonCount]string{
 	"Placed", "Repeated", "Retried", "Steered", "NoRoute", "RouteWithdrawn", "NoServer", "NoneAnswers",
-	"Overloaded", "ServerGone", "ServerSilent", "NoToken", "TokenUnknown", "NotACaller", "NoView",
+	"Overloaded", "ServerGone", "ServerSilent", "ServerReborn", "NoToken", "TokenUnknown", "NotACaller", "NoView",
 }
 
 // String returns the reason's name.
--- /dev/null
+++ b/bronzesteer/reborn_test.go
@@ -0,0 +1,83 @@
+package bronzesteer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bronzeusher.example/bronzeusher/bronzeroute"
+)
+
+// start registers a start of the server that is given.
+func (s *site) start(server *bronzeroute.Server, born time.Time) {
+	again := *server
+	again.Born = born
+	s.directory.Register(again)
+	s.node.SetView(s.directory.View())
+}
+
+// A server crashes and starts again under its name; its address answers as before. A
+// caller has a flow there, idle, whose requests must not be repeated: it would learn
+// only with its next request that the flow is no more, and that one would be lost. It
+// is told before. A caller whose flow was opened when the new start was there, before
+// its registration came, keeps it.
+func TestIdleFlowsOfAnEarlierStartAreEnded(t *testing.T) {
+	s := newSite(t, 1)
+	server := s.node.View().ByName("a-0")
+	s.start(server, s.now)
+	before := s.serve(outline)
+	s.pass(5 * time.Second)
+	born := s.now
+	s.pass(time.Second)
+	after := s.serve(outline)
+	s.start(server, born)
+	s.pass(200 * time.Millisecond)
+
+	require.Len(t, s.endings, 1)
+	require.Equal(t, before.packet.Key, s.endings[0].Packet.Key)
+	require.Equal(t, ServerReborn, s.endings[0].Reason)
+	require.Equal(t, Forward, after.ask().Kind)
+	status := s.node.Servers(s.now)[0]
+	require.Equal(t, 1, status.Flows)
+	require.Equal(t, 1, status.Work)
+}
+
+// The registration of an earlier start comes after that of a later one. Flows of the
+// later start would be taken for lost.
+func TestAnEarlierStartIsNotTakenForALaterOne(t *testing.T) {
+	s := newSite(t, 1)
+	server := s.node.View().ByName("a-0")
+	s.start(server, s.now)
+	c := s.serve(outline)
+	s.start(server, s.now.Add(-time.Hour))
+	s.pass(time.Second)
+	require.Empty(t, s.endings)
+	require.Equal(t, Forward, c.ask().Kind)
+}
+
+// A server was silent before it crashed, and is well since it has started again. New
+// callers would keep away from it for seconds for what its earlier start did.
+func TestANewStartIsNotAvoidedForWhatTheEarlierDid(t *testing.T) {
+	s := newSite(t, 2)
+	s.serve(live)
+	stuck, _ := s.open(live)
+	s.pass(200 * time.Millisecond)
+	silent := stuck.server
+	stuck.repeat()
+	require.True(t, s.status(silent.Instance).Avoided)
+	s.start(silent, s.now)
+	require.False(t, s.status(silent.Instance).Avoided)
+}
+
+// status returns what the node believes of a server.
+func (s *site) status(instance string) ServerStatus {
+	s.t.Helper()
+	for _, status := range s.node.Servers(s.now) {
+		if status.Instance == instance {
+			return status
+		}
+	}
+	require.Fail(s.t, "no such server", instance)
+	return ServerStatus{}
+}
