Send an opening to a second server when the first is overdue

Cause: an opening that met a server which had crashed without a word waited for its caller's own copy after 200 ms, past the 150 ms that the request should take. Acceptance shows as the caller's next packet within 3 ms. The opening now goes to a further server after the time that handshakes of that zone take (mean and four deviations, 12 to 80 ms), within a budget, never where servers are busy, and only once no packet waits in the node's socket. Ruled out: a fixed wait (a slow node or a far zone would hedge everything); a goroutine with a timer, which can't tell a late answer from one that waits unread.

--- a/bronzeedge/packets.go
+++ b/bronzeedge/packets.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
 	"time"
 
@@ -26,6 +27,10 @@
 	edge *Edge
 	in   []bronzesocket.Datagram
 	out  []bronzesocket.Datagram
+	// deadline is that of reading, the zero time for none, and overdue tells that it has
+	// passed since an opening was last sent to a further server.
+	deadline time.Time
+	overdue  bool
 }
 
 // held are the packets that came before the first view.
@@ -46,10 +51,15 @@
 		w.in[i].Buf = make([]byte, e.seams.Wire.MaxDatagram)
 	}
 	for ctx.Err() == nil {
+		w.setDeadline()
 		n, err := e.data.ReadBatch(w.in)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			w.waitedInVain()
+			continue
+		}
 		if err != nil {
 			e.log.Line("ReadFailed", F{"Error": err.Error()})
 			continue
@@ -62,6 +72,9 @@
 		// One clock reading for all packets that were read at once.
 		e.counts.deciding.RecordDuration(time.Since(now) / time.Duration(max(n, 1)))
 		w.flush()
+		if w.overdue && n < len(w.in) {
+			w.hedge()
+		}
 	}
 }
 
@@ -73,12 +86,13 @@
 		e.count("Malformed")
 		return
 	}
+	if p.Open {
+		p.Bytes = b
+	}
 	d := e.steerer.Decide(&p, now)
 	switch d.Kind {
 	case bronzesteer.Forward:
-		to := w.next(d.Server.Address)
-		to.Buf = e.seams.Wire.AppendForward(to.Buf[:0], b, d.Server.Incarnation, d.Token)
-		to.N = len(to.Buf)
+		w.forward(b, &d)
 	case bronzesteer.End:
 		w.reset(&p)
 	case bronzesteer.Wait:
@@ -91,9 +105,19 @@
 	if d.Opened > 0 {
 		e.counts.opening.RecordDuration(d.Opened)
 	}
+	if d.Hedge != bronzesteer.NotHedged {
+		e.count(d.Hedge.String())
+	}
 	e.logDecision(&p, &d, now)
 }
 
+// forward sends a packet to the server that was decided on.
+func (w *worker) forward(b []byte, d *bronzesteer.Decision) {
+	to := w.next(d.Server.Address)
+	to.Buf = w.edge.seams.Wire.AppendForward(to.Buf[:0], b, d.Server.Incarnation, d.Token)
+	to.N = len(to.Buf)
+}
+
 // reset sends a caller the end of its flow, in answer to p.
 func (w *worker) reset(p *bronzesteer.Packet) {
 	to := w.next(netip.AddrPortFrom(p.Key.CallerAddrPort().Addr(), w.edge.cfg.DataAddress.Port()))
@@ -199,4 +223,5 @@
 		w.handle(b, time.Now())
 	}
 	w.flush()
+	e.wakeReader()
 }
--- a/bronzesocket/socket.go
+++ b/bronzesocket/socket.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/net/ipv4"
@@ -144,6 +145,13 @@
 	return max(n, 0), err
 }
 
+// SetReadDeadline has a ReadBatch that waits until at, now or later, return an error
+// that wraps os.ErrDeadlineExceeded. The zero time means no deadline.
+func (s *Socket) SetReadDeadline(at time.Time) (err error) {
+	defer func() { err = errors.Wrap(err, "set a read deadline") }()
+	return s.conn.SetReadDeadline(at)
+}
+
 // Close closes the socket and ends a waiting ReadBatch.
 func (s *Socket) Close() (err error) {
 	defer func() { err = errors.Wrap(err, "close a UDP socket") }()
--- a/bronzesteer/flow.go
+++ b/bronzesteer/flow.go
@@ -46,7 +46,9 @@
 	open       bool
 	idempotent bool
 	// struck tells that the flow's present silence is counted already.
-	struck    bool
+	struck bool
+	// opening is set while the caller hasn't gone on.
+	opening   *opening
 	openedAt  time.Duration
 	retriedAt time.Duration
 	seenAt    time.Duration
@@ -78,9 +80,19 @@
 	delete(sh.flows, key)
 }
 
+// retry has another server asked for a flow that isn't open.
+func (f *flow) retry(next choice, token uint32, at time.Duration) {
+	f.backend.addOpening(-1)
+	f.backend, f.token, f.retriedAt = next.backend, token, at
+	f.backend.addOpening(1)
+}
+
 // release takes the flow out of its server's and its Customer's figures.
 func (f *flow) release() {
 	f.finish()
+	if f.opening != nil {
+		f.opening.settled.Store(true)
+	}
 	f.account.Ended(f.open)
 	if f.open {
 		f.backend.addFlows(-1)
--- a/bronzesteer/harness_test.go
+++ b/bronzesteer/harness_test.go
@@ -91,7 +91,7 @@
 func (s *site) open(service netip.AddrPort) (*client, Decision) {
 	s.port++
 	caller := netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), s.port)
-	c := &client{site: s, packet: Packet{Key: bronzeflow.NewKey(bronzeflow.TCP, caller, service), Open: true, Sequence: 100}}
+	c := &client{site: s, packet: Packet{Key: bronzeflow.NewKey(bronzeflow.TCP, caller, service), Open: true, Sequence: 100, Bytes: []byte("opening")}}
 	return c, c.send()
 }
 
--- /dev/null
+++ b/bronzesteer/hedge.go
@@ -0,0 +1,228 @@
+package bronzesteer
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// hedgeUnknown is how long an opening waits for its answer before it goes to a
+	// second server, too, while nothing is known of how long answers take, and
+	// hedgeLeast and hedgeMost bound what is learned of that. Callers repeat an opening
+	// themselves after 200 ms. Below the least, the scheduling of a node with a tenth of
+	// a core shows more than its servers do; with the most, an opening that met a silent
+	// server is still answered in 100 ms.
+	hedgeUnknown = 40 * time.Millisecond
+	hedgeLeast   = 12 * time.Millisecond
+	hedgeMost    = 80 * time.Millisecond
+	// hedgeDeviations is how many mean deviations over the mean an answer takes before it
+	// is overdue, and handshakePart the weight of one time in both, as usual for
+	// retransmission timers.
+	hedgeDeviations = 4
+	handshakePart   = 0.125
+	// hedgeShare is how many second openings each opening allows, and hedgeBurst how many
+	// may be saved. A fleet whose servers are well needs none; while a third of them are
+	// silent, each costs a node one until it is avoided.
+	hedgeShare = 0.1
+	hedgeBurst = 30
+	// hedgesMost is how many further servers one opening goes to. Of two servers, both are
+	// silent for one opening in ten while a third of all are.
+	hedgesMost = 2
+)
+
+// opening is one whose caller hasn't gone on yet.
+type opening struct {
+	key   flowKey
+	bytes []byte
+	// first is the server that was asked first, hedges how many others were since.
+	first  *backend
+	hedges int
+	// due is when another server is to be asked. An entry that is settled isn't.
+	due     time.Duration
+	settled atomic.Bool
+}
+
+// hedges are the openings that wait for their answers, and what may be spent on them.
+// All methods may be called concurrently.
+type hedges struct {
+	mu sync.Mutex
+	// waiting is ordered by due but for what is due in a zone that takes longer: an
+	// opening may wait for those before it, at most for hedgeMost.
+	waiting []*opening
+	budget  float64
+}
+
+// earn counts an opening.
+func (h *hedges) earn() {
+	h.mu.Lock()
+	h.budget = min(h.budget+hedgeShare, hedgeBurst)
+	h.mu.Unlock()
+}
+
+// spend reports whether another second opening may be sent.
+func (h *hedges) spend() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.budget < 1 {
+		return false
+	}
+	h.budget--
+	return true
+}
+
+func (h *hedges) wait(o *opening) {
+	h.mu.Lock()
+	h.waiting = append(h.waiting, o)
+	h.mu.Unlock()
+}
+
+// next drops openings that are settled, and returns when the first of the others is
+// due.
+func (h *hedges) next() (due time.Duration, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for len(h.waiting) > 0 && h.waiting[0].settled.Load() {
+		h.waiting = h.waiting[1:]
+	}
+	if len(h.waiting) == 0 {
+		h.waiting = nil
+		return 0, false
+	}
+	return h.waiting[0].due, true
+}
+
+// take returns those that are due.
+func (h *hedges) take(at time.Duration) (due []*opening) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for len(h.waiting) > 0 && (h.waiting[0].due <= at || h.waiting[0].settled.Load()) {
+		if o := h.waiting[0]; !o.settled.Load() {
+			due = append(due, o)
+		}
+		h.waiting = h.waiting[1:]
+	}
+	return due
+}
+
+// Hedge is an opening that is sent to a second server because the first hasn't answered.
+// At most one flow opens: the caller goes on with the server whose acceptance comes first,
+// and the other drops what nobody goes on with.
+type Hedge struct {
+	Packet   Packet
+	Decision Decision
+}
+
+// NextHedge returns when Hedges is to be called next, unless a packet comes before; ok is
+// false if nothing waits.
+func (s *Steerer) NextHedge() (at time.Time, ok bool) {
+	s.init()
+	due, ok := s.hedges.next()
+	return s.start.Add(due), ok
+}
+
+// Hedges returns the openings that are to be sent to further servers at now. All packets
+// that came before must have been handled: an answer that waits for a node that is late
+// isn't overdue.
+func (s *Steerer) Hedges(now time.Time) (list []Hedge) {
+	k := s.known.Load()
+	if k == nil {
+		return nil
+	}
+	at := s.since(now)
+	for _, o := range s.hedges.take(at) {
+		if h, ok := s.hedge(k, o, at, now); ok {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
+// hedge sends one opening to a further server, if one can take it in time.
+func (s *Steerer) hedge(k *known, o *opening, at time.Duration, now time.Time) (h Hedge, ok bool) {
+	p := Packet{Key: o.key, Open: true, Bytes: o.bytes}
+	route := k.view.Route(o.key.ServiceAddrPort())
+	sh := s.shard(&p)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	f := sh.flows[o.key]
+	if route == nil || f == nil || f.opening != o || f.open {
+		return h, false
+	}
+	asked := f.backend
+	s.unanswered(asked, f.sentAt(f.openedAt), at, openingWeight)
+	next := s.place(k, route, &p, asked, at, now)
+	if next.server == nil || next.tier <= tierAvoided {
+		return h, false
+	}
+	// A pool that has too much to do isn't given more.
+	takes := time.Duration(next.atWork * float64(next.backend.service.get()))
+	if shedPart(takes, route.Objective) > 0 || !s.hedges.spend() {
+		return h, false
+	}
+	f.retry(next, k.view.Token(route.Service, next.server), at)
+	o.hedges++
+	if o.hedges < hedgesMost {
+		o.due = at + s.patience(next.backend)
+		s.hedges.wait(o)
+	}
+	d := Decision{Kind: Forward, Reason: Hedged, Server: next.server, Token: f.token, Tried: k.view.ByName(asked.instance)}
+	return Hedge{Packet: p, Decision: d}, true
+}
+
+// expect has an opening wait for its answer.
+func (s *Steerer) expect(f *flow, p *Packet, at time.Duration) {
+	s.hedges.earn()
+	if len(p.Bytes) == 0 {
+		return
+	}
+	o := &opening{key: p.Key, bytes: append([]byte(nil), p.Bytes...), first: f.backend, due: at + s.patience(f.backend)}
+	f.opening = o
+	s.hedges.wait(o)
+}
+
+// settle ends the waiting of a flow's opening, for which b has answered, and tells how
+// it went if more than one server was asked.
+func (f *flow) settle(b *backend, at time.Duration) (outcome HedgeOutcome) {
+	o := f.opening
+	if o == nil {
+		return NotHedged
+	}
+	o.settled.Store(true)
+	f.opening = nil
+	if b == o.first {
+		b.zone.observe(at - f.openedAt)
+	}
+	switch {
+	case o.hedges == 0:
+		return NotHedged
+	case b == o.first:
+		return HedgeLost
+	default:
+		return HedgeWon
+	}
+}
+
+// patience returns how long the answer to an opening may take.
+func (s *Steerer) patience(b *backend) time.Duration {
+	z := b.zone
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if z.handshake == 0 {
+		return hedgeUnknown
+	}
+	return min(max(z.handshake+hedgeDeviations*z.deviation, hedgeLeast), hedgeMost)
+}
+
+// observe takes in how long an opening at a server of the zone took.
+func (z *zone) observe(took time.Duration) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if z.handshake == 0 {
+		z.handshake, z.deviation = took, took/2
+		return
+	}
+	off := took - z.handshake
+	z.handshake += time.Duration(handshakePart * float64(off))
+	z.deviation += time.Duration(handshakePart * float64(max(off, -off)-z.deviation))
+}
--- a/bronzesteer/packet.go
+++ b/bronzesteer/packet.go
@@ -28,6 +28,9 @@
 	Sequence     uint32
 	Acknowledged uint32
 	Length       int
+	// Bytes is an opening as it came, to be sent again; nil if it isn't to be. It is
+	// copied where it is kept.
+	Bytes []byte
 }
 
 // Kind is what is to be done with a packet.
@@ -57,7 +60,7 @@
 // Reason tells why.
 type Reason uint8
 
-// The reasons of decisions. Openings are Placed, Repeated or Retried, or not
+// The reasons of decisions. Openings are Placed, Repeated, Retried or Hedged, or not
 // forwarded for the reasons that follow; other packets are Steered or not.
 const (
 	// Placed: an opening went to a server that was chosen for it.
@@ -66,6 +69,9 @@
 	Repeated
 	// Retried: a copy of an opening went to another server.
 	Retried
+	// Hedged: an opening without an answer went to a further server before its caller
+	// repeated it.
+	Hedged
 	// Steered: the packet went where its token says.
 	Steered
 	// NoRoute: no route in force has the destination.
@@ -99,7 +105,7 @@
 )
 
 var reasonNames = [ReasonCount]string{
-	"Placed", "Repeated", "Retried", "Steered", "NoRoute", "RouteWithdrawn", "NoServer", "NoneAnswers",
+	"Placed", "Repeated", "Retried", "Hedged", "Steered", "NoRoute", "RouteWithdrawn", "NoServer", "NoneAnswers",
 	"Overloaded", "ServerGone", "ServerSilent", "ServerReborn", "NoToken", "TokenUnknown", "NotACaller", "NoView",
 }
 
@@ -127,7 +133,7 @@
 	Server *bronzeroute.Server
 	Token  uint32
 	// Tried is the flow's server where that is why the flow goes elsewhere or
-	// ends: where Reason is Retried, ServerGone or ServerSilent. Where it is
+	// ends: where Reason is Retried, Hedged, ServerGone or ServerSilent. Where it is
 	// NoneAnswers or Overloaded, it is the server that would have been asked.
 	Tried *bronzeroute.Server
 	// Takes is how long the requests at work in the pool will take, set where an
@@ -139,4 +145,30 @@
 	// Opened is how long the flow's opening took, set with the first packet
 	// of an open flow that this node has opened.
 	Opened time.Duration
+	// Hedge tells with the same packet how it went if further servers were asked.
+	Hedge HedgeOutcome
+}
+
+// HedgeOutcome is who answered an opening that went to several servers.
+type HedgeOutcome uint8
+
+const (
+	// NotHedged: one server was asked.
+	NotHedged HedgeOutcome = iota
+	// HedgeWon: the caller goes on with a further server.
+	HedgeWon
+	// HedgeLost: the caller goes on with the first, which took longer than expected.
+	HedgeLost
+)
+
+// String returns the outcome's name.
+func (o HedgeOutcome) String() string {
+	switch o {
+	case HedgeWon:
+		return "HedgeWon"
+	case HedgeLost:
+		return "HedgeLost"
+	default:
+		return "NotHedged"
+	}
 }
--- a/bronzesteer/silence.go
+++ b/bronzesteer/silence.go
@@ -58,6 +58,10 @@
 	quiet  map[*backend]time.Duration
 	// servers is how many there are.
 	servers int
+	// handshake is the mean time that their answers to openings take, 0 if none is
+	// known, and deviation how far off it they are on average.
+	handshake time.Duration
+	deviation time.Duration
 }
 
 // zone returns the entry of a zone; the caller holds the lock.
--- a/bronzesteer/steer.go
+++ b/bronzesteer/steer.go
@@ -35,6 +35,7 @@
 	shards [shardCount]shard
 
 	admission bronzepool.Admission
+	hedges    hedges
 
 	// goodAt is when any server was last seen to answer, since start.
 	goodAt atomic.Int64
@@ -183,6 +184,7 @@
 		}
 		f.backend.addOpening(1)
 		sh.flows[p.Key] = f
+		s.expect(f, p, at)
 	}
 	return d
 }
@@ -211,9 +213,7 @@
 		}
 		return Decision{Kind: Forward, Reason: Repeated, Server: server, Token: f.token}
 	}
-	f.backend.addOpening(-1)
-	f.backend, f.token, f.retriedAt = next.backend, v.Token(route.Service, next.server), at
-	f.backend.addOpening(1)
+	f.retry(next, v.Token(route.Service, next.server), at)
 	return Decision{Kind: Forward, Reason: Retried, Server: next.server, Token: f.token, Tried: server}
 }
 
@@ -259,9 +259,10 @@
 		}
 		f = adopt(sh, route, account, p, b, token, at)
 	}
-	opened := time.Duration(0)
+	opened, hedge := time.Duration(0), NotHedged
 	if !f.open {
 		opened = at - f.openedAt
+		hedge = f.settle(b, at)
 	}
 	s.note(f, b, token, p, at)
 	if f.idempotent && p.Length > 0 && s.silent(b, at) {
@@ -271,7 +272,7 @@
 	if p.Abort {
 		sh.end(p.Key)
 	}
-	return Decision{Kind: Forward, Reason: Steered, Server: server, Token: token, Opened: opened}
+	return Decision{Kind: Forward, Reason: Steered, Server: server, Token: token, Opened: opened, Hedge: hedge}
 }
 
 // adopt makes an entry for a flow that another node has opened.
