Tell all nodes of servers that don't answer, and end flows by that

Cause: each node judged alone, and of 66 each sees few flows of a server. What is found is now spread as it comes (14 bytes each, 3 nodes told at a time, 7 times a second at most), new flows leave a server on one finding, flows are ended on those of two nodes, one of them in the server's zone, by weight; an answer anywhere, also one that shows as a late acceptance, contradicts it. A node that was wrong twice in two seconds isn't believed, and a request that may be repeated is ended at once. TestANodeWithAFullLinkEndsNoFlows fails on the code before.

--- a/bronzeedge/hedge.go
+++ b/bronzeedge/hedge.go
@@ -49,6 +49,7 @@
 		w.edge.logDecision(&h.Packet, &h.Decision, now)
 	}
 	w.flush()
+	w.edge.tellReports(now)
 }
 
 // wakeReader has the goroutine that reads packets look for openings to wait for, which
--- a/bronzeedge/knowledge.go
+++ b/bronzeedge/knowledge.go
@@ -116,7 +116,7 @@
 func (e *Edge) onServerEvent(ev bronzesteer.Event) {
 	e.log.Line("Server"+ev.Kind.String(), F{
 		"Instance": ev.Instance, "AvailabilityZone": ev.AvailabilityZone, "Unanswered": ev.Unanswered,
-		"SilenceMS": ev.Silence.Milliseconds(), "ForMS": ev.For.Milliseconds(),
+		"SilenceMS": ev.Silence.Milliseconds(), "ForMS": ev.For.Milliseconds(), "Nodes": ev.Nodes,
 	})
 }
 
--- a/bronzeedge/packets.go
+++ b/bronzeedge/packets.go
@@ -75,6 +75,7 @@
 		if w.overdue && n < len(w.in) {
 			w.hedge()
 		}
+		e.tellReports(now)
 	}
 }
 
--- a/bronzeedge/peers.go
+++ b/bronzeedge/peers.go
@@ -5,6 +5,7 @@
 	"compress/gzip"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -12,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
@@ -60,6 +62,9 @@
 	g.Count = e.count
 	g.Loads = e.loads
 	g.OnLoads = e.onLoads
+	g.Reports = e.reports
+	g.OnReports = e.onReports
+	e.steerer.Node = uint32(xxhash.Sum64String(e.cfg.Name))
 }
 
 // loadScale is how many of a message's units make one request a second.
@@ -83,6 +88,43 @@
 	e.steerer.SetNodes(e.gossip.Others(now))
 }
 
+func (e *Edge) reports(all bool, now time.Time) (out []bronzegossip.Report) {
+	for _, r := range e.steerer.Reports(all, now) {
+		report := bronzegossip.Report{
+			Server: r.Server, Node: r.Node, Openings: uint16(min(r.Openings, math.MaxUint16)),
+			Requests: uint16(min(r.Requests, math.MaxUint16)),
+			FirstMS:  uint32(r.First.Milliseconds()), LastMS: uint32(r.Last.Milliseconds()),
+		}
+		if r.Near {
+			report.Flags |= bronzegossip.ReportNear
+		}
+		if r.Answered {
+			report.Flags |= bronzegossip.ReportAnswered
+		}
+		out = append(out, report)
+	}
+	return out
+}
+
+func (e *Edge) onReports(reports []bronzegossip.Report, now time.Time) {
+	in := make([]bronzesteer.Report, len(reports))
+	for i, r := range reports {
+		in[i] = bronzesteer.Report{
+			Server: r.Server, Node: r.Node, Openings: int(r.Openings), Requests: int(r.Requests),
+			Near: r.Flags&bronzegossip.ReportNear != 0, Answered: r.Flags&bronzegossip.ReportAnswered != 0,
+			First: time.Duration(r.FirstMS) * time.Millisecond, Last: time.Duration(r.LastMS) * time.Millisecond,
+		}
+	}
+	e.steerer.SetReports(in, now)
+}
+
+// tellReports tells other nodes what this one has found of servers, if there is news.
+func (e *Edge) tellReports(now time.Time) {
+	if e.steerer.News() {
+		e.gossip.Report(now)
+	}
+}
+
 // peerAddresses returns where the nodes at the given control addresses take
 // datagrams.
 func (e *Edge) peerAddresses(control []netip.AddrPort) (addresses []netip.AddrPort) {
@@ -132,7 +174,9 @@
 		}
 		e.counts.received.add(n)
 		e.noteSuspension()
-		e.gossip.Handle(b[:n], time.Now())
+		now := time.Now()
+		e.gossip.Handle(b[:n], now)
+		e.tellReports(now)
 	}
 }
 
--- a/bronzegossip/gossip.go
+++ b/bronzegossip/gossip.go
@@ -35,6 +35,12 @@
 	behindFor = 300 * time.Millisecond
 	// peersTold is how many other nodes a message names.
 	peersTold = 3
+	// reportsEvery is how often a node passes on reports at most, and largeReportsEvery
+	// the same with more than tellAll others. Three nodes are told at a time, with 100
+	// bytes and 14 for each report that is new: 3 KB a second while servers fail one after
+	// the other, of the 6 that a node may spend. News crosses 490 nodes in seven steps.
+	reportsEvery      = 20 * time.Millisecond
+	largeReportsEvery = 150 * time.Millisecond
 	// maxDelta bounds the records that come with the news, in bytes.
 	maxDelta = 700
 )
@@ -60,6 +66,12 @@
 	Loads func() []Load
 	// OnLoads is called with another node's loads.
 	OnLoads func(from string, loads []Load, now time.Time)
+	// Reports returns what is to be told of servers, all there is or what is new since the
+	// last call that asked for that.
+	Reports func(all bool, now time.Time) []Report
+	// OnReports is called with what another node tells of servers. Report passes on what
+	// is new in it.
+	OnReports func(reports []Report, now time.Time)
 	// OnPeer is called when a node is heard of or no longer is.
 	OnPeer func(p Peer, event string)
 	// Count is called with the reason of each refusal.
@@ -75,7 +87,11 @@
 	// revision than this node's.
 	contact time.Time
 	next    time.Time
-	started time.Time
+	// nextReports is when reports may be passed on next, and reportsDue says that there
+	// are some.
+	nextReports time.Time
+	reportsDue  bool
+	started     time.Time
 	// behind is since when a higher revision than this node's is known, the
 	// zero time if none is.
 	behind  time.Time
@@ -163,6 +179,7 @@
 			g.started = now
 		}
 		g.expire(now)
+		g.passReports(now)
 		if now.Before(g.next) {
 			return
 		}
@@ -232,6 +249,9 @@
 	if g.OnLoads != nil && len(m.Loads) > 0 {
 		g.OnLoads(m.From.Name, m.Loads, now)
 	}
+	if g.OnReports != nil && len(m.Reports) > 0 {
+		g.OnReports(m.Reports, now)
+	}
 	if mine := g.Records.Revision(); m.Revision > mine && g.fetches(mine, now) {
 		g.Fetch(m.From, mine)
 	}
@@ -330,6 +350,45 @@
 	}
 }
 
+// Report passes on what is new in Reports, at once or as soon as it may. Reports of a
+// server that fails reach all nodes within some steps, so that callers of each don't have
+// to find it out.
+func (g *Gossip) Report(now time.Time) {
+	g.do(func() {
+		g.reportsDue = true
+		g.passReports(now)
+	})
+}
+
+// passReports tells a few nodes what is due; the caller holds the lock.
+func (g *Gossip) passReports(now time.Time) {
+	if !g.reportsDue || now.Before(g.nextReports) {
+		return
+	}
+	g.reportsDue = false
+	every := reportsEvery
+	if len(g.peers) > tellAll {
+		every = largeReportsEvery
+	}
+	g.nextReports = now.Add(every)
+	reports := g.reports(false, now)
+	if len(reports) == 0 {
+		return
+	}
+	for _, to := range g.targets(now, fanout) {
+		g.queue(to, now, Message{Reports: reports}, false)
+	}
+}
+
+// reports returns what is to be told of servers. One node in twenty isn't among those
+// that are told at once; it hears with the next message that it asks for.
+func (g *Gossip) reports(all bool, now time.Time) []Report {
+	if g.Reports == nil {
+		return nil
+	}
+	return g.Reports(all, now)
+}
+
 // spread tells some others, or all if they are few.
 func (g *Gossip) spread(now time.Time, delta *bronzerecord.Delta) {
 	n := fanout
@@ -371,6 +430,7 @@
 	m.ContactMS = g.contactAge(now)
 	if whole {
 		m.Peers = g.some(now)
+		m.Reports = g.reports(true, now)
 	}
 	g.out = append(g.out, datagram{to: to, m: m, whole: whole})
 }
@@ -401,11 +461,7 @@
 		if out[i].whole {
 			out[i].m.Loads = loads
 		}
-		b, err := encode(&out[i].m)
-		if err == nil && len(b) > MaxMessage {
-			out[i].m.Delta, out[i].m.Loads = nil, nil
-			b, err = encode(&out[i].m)
-		}
+		b, err := out[i].m.fit()
 		if err != nil {
 			g.count("NotEncoded")
 			continue
@@ -414,6 +470,21 @@
 	}
 }
 
+// fit returns the bytes of m, without reports and then without what else may be long if
+// they are too many.
+func (m *Message) fit() (b []byte, err error) {
+	b, err = encode(m)
+	if err == nil && len(b) > MaxMessage {
+		m.Reports = nil
+		b, err = encode(m)
+	}
+	if err == nil && len(b) > MaxMessage {
+		m.Delta, m.Loads = nil, nil
+		b, err = encode(m)
+	}
+	return b, err
+}
+
 func (g *Gossip) count(reason string) {
 	if g.Count != nil {
 		g.Count(reason)
--- a/bronzegossip/message.go
+++ b/bronzegossip/message.go
@@ -50,8 +50,35 @@
 	Answer bool `cbor:"7,keyasint,omitempty"`
 	// Loads are the sender's loads on servers.
 	Loads []Load `cbor:"8,keyasint,omitempty"`
+	// Reports are what nodes have found of servers that don't answer.
+	Reports []Report `cbor:"9,keyasint,omitempty"`
 }
 
+// Report is what one node has found of one server; it is passed on from node to node.
+type Report struct {
+	_ struct{} `cbor:",toarray"`
+	// Server stands for the server and Node for the node that found it, in whatever
+	// way nodes agree on.
+	Server uint32
+	Node   uint32
+	// Flags are ReportNear and ReportAnswered.
+	Flags uint8
+	// Openings and Requests are how many it left unanswered.
+	Openings uint16
+	Requests uint16
+	// FirstMS and LastMS are how long ago the first of them was sent and the last was
+	// found unanswered, in milliseconds.
+	FirstMS uint32
+	LastMS  uint32
+}
+
+// The flags of a Report: that the node is in the server's zone, and that the server has
+// answered it, LastMS ago.
+const (
+	ReportNear     = 1
+	ReportAnswered = 2
+)
+
 // Load is what one node has on one server.
 type Load struct {
 	_ struct{} `cbor:",toarray"`
--- /dev/null
+++ b/bronzegossip/report_test.go
@@ -0,0 +1,126 @@
+package bronzegossip
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bronzeusher.example/bronzeusher/bronzerecord"
+)
+
+// hearing is what a node in a test has heard of servers: the reports, by server.
+type hearing map[uint32]Report
+
+// hear lets the nodes keep and pass on what they hear.
+func hear(nodes []*node) (heard []hearing) {
+	for _, d := range nodes {
+		h := hearing{}
+		heard = append(heard, h)
+		told := hearing{}
+		d.gossip.Reports = func(all bool, _ time.Time) (list []Report) {
+			for _, r := range h {
+				if _, known := told[r.Server]; all || !known {
+					list = append(list, r)
+				}
+				if !all {
+					told[r.Server] = r
+				}
+			}
+			return list
+		}
+		d.gossip.OnReports = func(reports []Report, now time.Time) {
+			for _, r := range reports {
+				if _, known := h[r.Server]; !known {
+					h[r.Server] = r
+					d.gossip.Report(now)
+				}
+			}
+		}
+	}
+	return heard
+}
+
+// A server crashes, and one node of many finds out. Each other one would send callers
+// there until it has found out itself. All know within two gossip rounds, and what that
+// takes doesn't grow with the number of nodes: each of them tells a few, a few times.
+func TestReportsReachAllNodes(t *testing.T) {
+	for _, size := range []int{6, 78} {
+		net, nodes := newNetwork(size)
+		s := &store{revision: 5}
+		s.run(nodes, 15*time.Second)
+		heard := hear(nodes)
+		sent := net.sent
+		s.run(nodes, 2*time.Second)
+		usual := net.sent - sent
+
+		heard[0][42] = Report{Server: 42, Node: 1}
+		nodes[0].gossip.Report(net.now)
+		net.deliver()
+		sent = net.sent
+		s.run(nodes, 2*largeInterval)
+		for i := range heard {
+			require.Contains(t, heard[i], uint32(42), "node %d of %d", i, size)
+		}
+		require.LessOrEqual(t, net.sent-sent, usual+2*fanout*size, "%d nodes", size)
+	}
+}
+
+// Servers fail one after the other, ten a second for two seconds. A node tells of them a
+// few times a second, however many there are.
+func TestReportsArePassedOnAFewTimesASecond(t *testing.T) {
+	net, nodes := newNetwork(78)
+	s := &store{revision: 5}
+	s.run(nodes, 15*time.Second)
+	heard := hear(nodes)
+	passed := 0
+	g := &nodes[5].gossip
+	send := g.Send
+	g.Send = func(to netip.AddrPort, b []byte) {
+		if m, err := decode(b); err == nil && len(m.Reports) > 0 && len(m.Peers) == 0 {
+			passed++
+		}
+		send(to, b)
+	}
+	for i := range uint32(20) {
+		heard[i][i] = Report{Server: i}
+		nodes[i].gossip.Report(net.now)
+		net.deliver()
+		s.run(nodes, step)
+	}
+	require.LessOrEqual(t, passed, fanout*(int(2*time.Second/largeReportsEvery)+1))
+	s.run(nodes, 2*time.Second)
+	for i := range heard {
+		require.Len(t, heard[i], 20)
+	}
+}
+
+// Reports of a whole zone that fails must fit into one packet.
+func TestReportsFitIntoOnePacket(t *testing.T) {
+	var sent [][]byte
+	now := time.Now()
+	g := &Gossip{
+		Self:    Peer{Name: "edge-klang-valley-100", Incarnation: 1 << 40, Address: netip.MustParseAddrPort("10.100.100.1:7720")},
+		Records: &bronzerecord.Set{}, Send: func(_ netip.AddrPort, b []byte) { sent = append(sent, b) },
+		Reports: func(bool, time.Time) (list []Report) {
+			for i := range uint32(24) {
+				list = append(list, Report{Server: math.MaxUint32 - i, Node: math.MaxUint32, Flags: 3, Openings: 99, Requests: 99, FirstMS: 9999, LastMS: 1999})
+			}
+			return list
+		},
+	}
+	for i := range 3 {
+		p := g.Self
+		p.Name = fmt.Sprintf("edge-%d", i)
+		g.hearOf(p, now)
+	}
+	g.Report(now)
+	require.Len(t, sent, fanout)
+	m, err := decode(sent[0])
+	require.NoError(t, err)
+	require.Len(t, m.Reports, 24)
+	require.LessOrEqual(t, len(sent[0]), 600)
+}
--- a/bronzesteer/backend.go
+++ b/bronzesteer/backend.go
@@ -26,6 +26,8 @@
 	zone     *zone
 	service  *service
 	slots    int
+	// short stands for the server between nodes.
+	short uint32
 	// born is when the server started, the zero time if it doesn't tell, and next
 	// what is seen of its next start once there is one.
 	born time.Time
@@ -40,14 +42,23 @@
 	// goodAt is when it was last seen to answer.
 	goodAt time.Duration
 	// silent is the weight of what it left unanswered since.
-	silent     int
+	silent int
+	// unanswered is how many flows it left unanswered since, openings how many of them
+	// weren't open.
 	unanswered int
+	openings   int
 	// silentSince is when the first of that was sent, silentAt when the last
 	// was found unanswered.
 	silentSince time.Duration
 	silentAt    time.Duration
 	avoidUntil  time.Duration
 	avoidFor    time.Duration
+	// found is what other nodes have found of it, by node, and othersGoodAt when it last
+	// answered one of them as far as they tell. refutedAt is when the contrary was last
+	// contradicted.
+	found        map[uint32]finding
+	othersGoodAt time.Duration
+	refutedAt    time.Duration
 	// latency is the average time to the first part of an answer.
 	latency time.Duration
 	// rate is the average of the requests that this node sends to it, and
@@ -63,7 +74,7 @@
 	return &backend{
 		instance: server.Instance, zoneName: server.AvailabilityZone,
 		zone: s.zone(server.AvailabilityZone), service: s.service(server.Pool), slots: server.Slots,
-		born: server.Born,
+		short: shortID(server), born: server.Born,
 	}
 }
 
--- a/bronzesteer/flow.go
+++ b/bronzesteer/flow.go
@@ -181,9 +181,9 @@
 		return nil
 	}
 	at := s.since(now)
-	var lost map[*backend]Reason
+	lost := s.silentServers(at)
 	if at-s.loadsAt >= loadsEvery {
-		lost = s.lost(k, at)
+		k.addGone(lost)
 		s.updateLoads(k, at)
 	}
 	for i := range s.shards {
@@ -192,19 +192,27 @@
 	return endings
 }
 
-// lost returns the servers that take no more requests, and why.
-func (s *Steerer) lost(k *known, at time.Duration) (lost map[*backend]Reason) {
+// silentServers returns the servers that answer nobody.
+func (s *Steerer) silentServers(at time.Duration) (lost map[*backend]Reason) {
 	lost = make(map[*backend]Reason)
-	judges := s.judges(at)
+	if !s.judges(at) {
+		return lost
+	}
+	for _, b := range s.toTell(true) {
+		if s.dead(b, at) {
+			lost[b] = ServerSilent
+		}
+	}
+	return lost
+}
+
+// addGone adds the servers that are no more.
+func (k *known) addGone(lost map[*backend]Reason) {
 	for _, m := range k.members {
-		switch {
-		case m.server.Status == bronzeroute.Gone:
+		if m.server.Status == bronzeroute.Gone {
 			lost[m.backend] = ServerGone
-		case judges && m.backend.dead(at):
-			lost[m.backend] = ServerSilent
 		}
 	}
-	return lost
 }
 
 func (sh *shard) sweep(at time.Duration, now time.Time, lost map[*backend]Reason) (endings []Ending) {
@@ -223,7 +231,7 @@
 		if f.reborn(at, now) {
 			reason, ended = ServerReborn, true
 		}
-		if ended && f.open && f.idle(at) {
+		if ended && f.open && f.mayEnd(reason, at) {
 			p := Packet{Key: key, Token: f.token, Sequence: f.sequence, Acknowledged: f.acknowledged}
 			endings = append(endings, Ending{Packet: p, Instance: f.backend.instance, Reason: reason})
 			sh.end(key)
@@ -236,6 +244,13 @@
 	return endings
 }
 
+// mayEnd reports whether the flow may be ended for what has become of its server. One with
+// a request at a silent server may if that may be repeated: its caller would ask again
+// only 400 or 800 ms after the last time, and have no time left to be served elsewhere.
+func (f *flow) mayEnd(reason Reason, at time.Duration) bool {
+	return f.idle(at) || reason == ServerSilent && f.idempotent && f.askedAt != 0
+}
+
 // idle reports whether the flow has no request that waits for its answer. The
 // acknowledgement of a short answer comes only with the next request, but a
 // caller without an answer repeats its request after 200 ms.
--- a/bronzesteer/hedge.go
+++ b/bronzesteer/hedge.go
@@ -11,16 +11,19 @@
 	// second server, too, while nothing is known of how long answers take, and
 	// hedgeLeast and hedgeMost bound what is learned of that. Callers repeat an opening
 	// themselves after 200 ms. Below the least, the scheduling of a node with a tenth of
-	// a core shows more than its servers do; with the most, an opening that met a silent
-	// server is still answered in 100 ms.
+	// a core shows more than its servers do. Where answers take longer than the most, it is
+	// the node or the way that is slow, and no further server would be faster.
 	hedgeUnknown = 40 * time.Millisecond
 	hedgeLeast   = 12 * time.Millisecond
-	hedgeMost    = 80 * time.Millisecond
+	hedgeMost    = 100 * time.Millisecond
 	// hedgeDeviations is how many mean deviations over the mean an answer takes before it
 	// is overdue, and handshakePart the weight of one time in both, as usual for
-	// retransmission timers.
+	// retransmission timers. The deviation grows faster than it shrinks: on a link of 10
+	// Mbit/s an upload of 80 KB delays everything for 65 ms, a few times a second.
 	hedgeDeviations = 4
 	handshakePart   = 0.125
+	deviationGrows  = 0.25
+	deviationFalls  = 0.03
 	// hedgeShare is how many second openings each opening allows, and hedgeBurst how many
 	// may be saved. A fleet whose servers are well needs none; while a third of them are
 	// silent, each costs a node one until it is avoided.
@@ -48,7 +51,7 @@
 type hedges struct {
 	mu sync.Mutex
 	// waiting is ordered by due but for what is due in a zone that takes longer: an
-	// opening may wait for those before it, at most for hedgeMost.
+	// opening may wait for those before it, for hedgeMost at most.
 	waiting []*opening
 	budget  float64
 }
@@ -162,8 +165,8 @@
 	}
 	f.retry(next, k.view.Token(route.Service, next.server), at)
 	o.hedges++
-	if o.hedges < hedgesMost {
-		o.due = at + s.patience(next.backend)
+	if patience := s.patience(next.backend); o.hedges < hedgesMost && patience <= hedgeMost {
+		o.due = at + patience
 		s.hedges.wait(o)
 	}
 	d := Decision{Kind: Forward, Reason: Hedged, Server: next.server, Token: f.token, Tried: k.view.ByName(asked.instance)}
@@ -176,9 +179,12 @@
 	if len(p.Bytes) == 0 {
 		return
 	}
-	o := &opening{key: p.Key, bytes: append([]byte(nil), p.Bytes...), first: f.backend, due: at + s.patience(f.backend)}
+	patience := s.patience(f.backend)
+	o := &opening{key: p.Key, bytes: append([]byte(nil), p.Bytes...), first: f.backend, due: at + patience}
 	f.opening = o
-	s.hedges.wait(o)
+	if patience <= hedgeMost {
+		s.hedges.wait(o)
+	}
 }
 
 // settle ends the waiting of a flow's opening, for which b has answered, and tells how
@@ -211,7 +217,7 @@
 	if z.handshake == 0 {
 		return hedgeUnknown
 	}
-	return min(max(z.handshake+hedgeDeviations*z.deviation, hedgeLeast), hedgeMost)
+	return max(z.handshake+hedgeDeviations*z.deviation, hedgeLeast)
 }
 
 // observe takes in how long an opening at a server of the zone took.
@@ -224,5 +230,10 @@
 	}
 	off := took - z.handshake
 	z.handshake += time.Duration(handshakePart * float64(off))
-	z.deviation += time.Duration(handshakePart * float64(max(off, -off)-z.deviation))
+	change := max(off, -off) - z.deviation
+	part := deviationFalls
+	if change > 0 {
+		part = deviationGrows
+	}
+	z.deviation += time.Duration(part * float64(change))
 }
--- /dev/null
+++ b/bronzesteer/report.go
@@ -0,0 +1,334 @@
+package bronzesteer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// maxReports bounds the reports that a node tells at a time, maxReporters those that it
+	// keeps of one server, and toldReporters those of them that it tells: what two nodes
+	// found is enough to act on. A report takes 14 bytes; of 32, three nodes are told twice
+	// a second at most, which is 3 KB of the 6 that a node may spend. Where more servers
+	// fail at once, each message tells of some of them.
+	maxReports    = 32
+	maxReporters  = 6
+	toldReporters = 2
+	// suspicionFor is how long a finding counts. While a server stays silent some node
+	// tries it about every 2 s and renews it; without an end, flows would be ended long
+	// after a cut has healed that kept nodes from a server.
+	suspicionFor = 3500 * time.Millisecond
+	// deadNodes is how many nodes must have found a server silent for silentFor to be
+	// enough to end its flows. Each opening that it left unanswered then counts for one and
+	// each request for requestProof, deadProof in all: an opening is given up after a few
+	// milliseconds, in which a link may be full, a request after 200. With three openings
+	// that nodes with full links gave up, callers lost flows that were open at a server
+	// that was well.
+	deadNodes    = 2
+	requestProof = 2
+	deadProof    = 4
+	// deadOpenings is how many openings must be among what a node has found if it goes by
+	// itself alone. A server takes openings at once whatever it has to do.
+	deadOpenings = 2
+	// refuteEvery is how often others are told at most that a server has answered of which
+	// they still tell the contrary. News takes a few steps to reach all.
+	refuteEvery = 500 * time.Millisecond
+)
+
+// Report is what a node has found of a server, as nodes tell each other. Of a server that
+// nobody suspects there is none.
+type Report struct {
+	// Server is half of the server's identifier, as in Load.
+	Server uint32
+	// Node stands for the node that found it.
+	Node uint32
+	// Near tells that the node is in the server's zone, so that no cut between zones is
+	// what keeps it from being answered.
+	Near bool
+	// Answered tells that the server has answered the node, Last ago. Otherwise it left
+	// Openings openings and Requests requests unanswered, the first of them sent First
+	// ago and the last found unanswered Last ago.
+	Answered    bool
+	Openings    int
+	Requests    int
+	First, Last time.Duration
+}
+
+// finding is what another node has found of a server, in this node's time.
+type finding struct {
+	near        bool
+	openings    int
+	requests    int
+	first, last time.Duration
+}
+
+// suspicion is what all nodes together have found of a server since anybody was answered.
+type suspicion struct {
+	nodes    int
+	near     bool
+	openings int
+	all      int
+	first    time.Duration
+}
+
+// add adds one node's part.
+func (u *suspicion) add(f finding) {
+	u.nodes++
+	u.near = u.near || f.near
+	u.openings += f.openings
+	u.all += f.openings + f.requests
+	if u.nodes == 1 || f.first < u.first {
+		u.first = f.first
+	}
+}
+
+// proof returns how much speaks for the server being dead.
+func (u *suspicion) proof() int { return u.openings + requestProof*(u.all-u.openings) }
+
+// answeredAt returns when any node was last seen to be answered; the caller holds the
+// lock.
+func (b *backend) answeredAt() time.Duration { return max(b.goodAt, b.othersGoodAt) }
+
+// own returns what this node itself has found; the caller holds the lock.
+func (b *backend) own(at time.Duration, near bool) (f finding, ok bool) {
+	if b.unanswered == 0 || at-b.silentAt >= suspicionFor || b.answeredAt() > b.silentSince {
+		return f, false
+	}
+	return finding{
+		near: near, openings: b.openings, requests: b.unanswered - b.openings, first: b.silentSince, last: b.silentAt,
+	}, true
+}
+
+// suspicion returns what all nodes together have found; the caller holds the lock.
+func (b *backend) suspicion(at time.Duration, near bool) (u suspicion) {
+	if f, ok := b.own(at, near); ok {
+		u.add(f)
+	}
+	for node, f := range b.found {
+		if at-f.last >= suspicionFor || b.answeredAt() > f.first {
+			delete(b.found, node)
+			continue
+		}
+		u.add(f)
+	}
+	return u
+}
+
+// suspects are the servers that some node suspects, or did a moment ago, and whether
+// there is something new to be told of them.
+type suspects map[*backend]bool
+
+// News reports whether Reports has something new since News was last called.
+func (s *Steerer) News() bool { return s.news.Swap(false) }
+
+// suspect notes that there is something new to be told of a server.
+func (s *Steerer) suspect(b *backend) {
+	s.mu.Lock()
+	s.suspects[b] = true
+	s.mu.Unlock()
+	s.news.Store(true)
+}
+
+// Reports returns what is to be told to other nodes: what has changed since it was last
+// called, or all there is. If that is too much, it is some of it.
+func (s *Steerer) Reports(all bool, now time.Time) (list []Report) {
+	s.init()
+	at := s.since(now)
+	var over []*backend
+	for _, b := range s.toTell(all) {
+		told := s.reportsOf(b, at)
+		if len(told) == 0 {
+			over = append(over, b)
+		}
+		list = append(list, told...)
+	}
+	s.unsuspect(over)
+	if len(list) <= maxReports {
+		return list
+	}
+	for i := range maxReports {
+		j := i + s.random(len(list)-i)
+		list[i], list[j] = list[j], list[i]
+	}
+	return list[:maxReports]
+}
+
+// toTell returns the servers that others are to be told of.
+func (s *Steerer) toTell(all bool) (list []*backend) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for b, changed := range s.suspects {
+		if !all && !changed {
+			continue
+		}
+		list = append(list, b)
+		if !all {
+			s.suspects[b] = false
+		}
+	}
+	return list
+}
+
+func (s *Steerer) unsuspect(over []*backend) {
+	if len(over) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range over {
+		delete(s.suspects, b)
+	}
+}
+
+// reportsOf returns what is to be told of one server.
+func (s *Steerer) reportsOf(b *backend, at time.Duration) (list []Report) {
+	near := b.zoneName == s.AvailabilityZone
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if f, ok := b.own(at, near); ok && s.fit.isFit(at) {
+		list = append(list, f.report(b.short, s.Node, at))
+	}
+	for node, f := range b.found {
+		if at-f.last < suspicionFor && b.answeredAt() <= f.first {
+			list = append(list, f.report(b.short, node, at))
+		}
+	}
+	if len(list) > 0 {
+		slices.SortFunc(list, Report.compare)
+		return list[:min(len(list), toldReporters)]
+	}
+	if ago := at - b.answeredAt(); b.answeredAt() > 0 && ago < suspicionFor {
+		list = append(list, Report{Server: b.short, Node: s.Node, Near: near, Answered: true, Last: ago})
+	}
+	return list
+}
+
+// compare orders reports by what they are worth to others: those from the server's zone
+// first, and of these the ones of most flows.
+func (r Report) compare(other Report) int {
+	if r.Near != other.Near {
+		if r.Near {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(other.Openings+other.Requests, r.Openings+r.Requests)
+}
+
+func (f finding) report(server, node uint32, at time.Duration) Report {
+	return Report{
+		Server: server, Node: node, Near: f.near, Openings: f.openings, Requests: f.requests,
+		First: at - f.first, Last: at - f.last,
+	}
+}
+
+// SetReports takes in what another node tells. What was new in it is then in Reports.
+func (s *Steerer) SetReports(reports []Report, now time.Time) {
+	s.init()
+	k := s.known.Load()
+	if k == nil || len(reports) == 0 {
+		return
+	}
+	at := s.since(now)
+	for i := range reports {
+		for _, m := range k.members {
+			if m.backend.short == reports[i].Server {
+				s.takeReport(m.backend, &reports[i], at)
+			}
+		}
+	}
+}
+
+// takeReport takes in one report.
+func (s *Steerer) takeReport(b *backend, r *Report, at time.Duration) {
+	if r.Node == s.Node || r.Last < 0 || r.Last >= suspicionFor {
+		return
+	}
+	news := false
+	if r.Answered {
+		news = s.answeredOther(b, at-r.Last)
+	} else {
+		news = s.foundByOther(b, r, at)
+	}
+	if news {
+		s.suspect(b)
+	}
+}
+
+// foundByOther takes in that another node has found a server silent, and reports whether
+// others are to be told: of that, or that it isn't so.
+func (s *Steerer) foundByOther(b *backend, r *Report, at time.Duration) (news bool) {
+	f := finding{near: r.Near, openings: r.Openings, requests: r.Requests, first: at - r.First, last: at - r.Last}
+	b.mu.Lock()
+	before, known := b.found[r.Node]
+	switch {
+	case b.answeredAt() > f.first:
+		news = b.refutedAt == 0 || at-b.refutedAt >= refuteEvery
+		if news {
+			b.refutedAt = at
+		}
+		b.mu.Unlock()
+		return news
+	case known && before.openings >= f.openings && before.requests >= f.requests, !known && len(b.found) >= maxReporters:
+		b.mu.Unlock()
+		return false
+	}
+	if b.found == nil {
+		b.found = make(map[uint32]finding)
+	}
+	b.found[r.Node] = f
+	e, begins := b.avoidAsOthersDo(f, at)
+	b.mu.Unlock()
+	if begins {
+		s.event(e)
+	}
+	return true
+}
+
+// avoidAsOthersDo keeps new flows away from a server that has left another node's
+// opening unanswered, and reports whether that begins; the caller holds the lock. That
+// takes weak evidence: it costs the server some new flows, and they have others to go to.
+func (b *backend) avoidAsOthersDo(f finding, at time.Duration) (e Event, begins bool) {
+	until := f.last + avoidFirst
+	if f.openings == 0 || until <= max(at, b.avoidUntil) {
+		return e, false
+	}
+	begins = at >= b.avoidUntil
+	b.avoidFor = max(b.avoidFor, avoidFirst)
+	b.avoidUntil = until
+	return Event{
+		Kind: Avoided, Instance: b.instance, AvailabilityZone: b.zoneName,
+		Unanswered: f.openings + f.requests, Silence: at - b.goodAt, For: until - at, Nodes: len(b.found),
+	}, begins
+}
+
+// answeredOther notes that the server has answered another node at goodAt, and reports
+// whether that contradicts what is known here.
+func (s *Steerer) answeredOther(b *backend, goodAt time.Duration) (news bool) {
+	b.mu.Lock()
+	if goodAt <= b.answeredAt() {
+		b.mu.Unlock()
+		return false
+	}
+	b.othersGoodAt = goodAt
+	news = len(b.found) > 0 || b.unanswered > 0
+	for node, f := range b.found {
+		if goodAt > f.first {
+			delete(b.found, node)
+		}
+	}
+	if goodAt > b.silentSince {
+		b.silent, b.unanswered, b.openings, b.silentSince = 0, 0, 0, 0
+	}
+	cleared := news && len(b.found) == 0 && b.unanswered == 0 && b.avoidUntil > 0
+	if cleared {
+		b.avoidUntil, b.avoidFor = 0, 0
+	}
+	silence := goodAt - b.goodAt
+	b.mu.Unlock()
+	if cleared {
+		s.event(Event{Kind: Cleared, Instance: b.instance, AvailabilityZone: b.zoneName, Silence: silence})
+	}
+	return news
+}
--- /dev/null
+++ b/bronzesteer/report_test.go
@@ -0,0 +1,165 @@
+package bronzesteer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// overdue opens flows until one meets the given server, and lets it be overdue there.
+func (s *site) overdue(instance string) *client {
+	s.t.Helper()
+	for range 50 {
+		c, d := s.open(live)
+		require.Equal(s.t, Forward, d.Kind)
+		if d.Server.Instance == instance {
+			return c
+		}
+		c.accept()
+		c.ask()
+	}
+	require.Fail(s.t, "no flow meets the server")
+	return nil
+}
+
+// found returns what another node tells of a server.
+func (s *site) found(instance string, node uint32, openings int, first time.Duration) Report {
+	return Report{
+		Server: s.node.backend(instance).short, Node: node, Near: true, Openings: openings, Requests: 1, First: first,
+	}
+}
+
+func (s *Steerer) backend(instance string) *backend {
+	k := s.known.Load()
+	return k.backendOf(k.view.ByName(instance), nil)
+}
+
+// The link of one of many nodes is full, with uploads of other callers, so that what is
+// sent through it comes a quarter of a second late. Three openings at a server are
+// repeated by their callers before its acceptances come through. Other nodes are served
+// by it all the while, and a caller has an idle flow there, which isn't ended.
+func TestANodeWithAFullLinkEndsNoFlows(t *testing.T) {
+	s := newSite(t, 4)
+	s.node.SetNodes(65)
+	idle, _ := atFirst(s.load(24, outline))
+	require.NotEmpty(t, idle)
+	for range 4 {
+		late := []*client{s.overdue("a-0"), s.overdue("a-0"), s.overdue("a-0")}
+		s.pass(200 * time.Millisecond)
+		for _, c := range late {
+			c.repeat()
+		}
+		s.pass(200 * time.Millisecond)
+		s.serve(live)
+		require.Empty(t, s.endings)
+		for _, c := range late {
+			c.packet.Token = s.node.View().Token(live, s.node.View().ByName("a-0"))
+			c.accept()
+		}
+		s.pass(500 * time.Millisecond)
+	}
+	require.Empty(t, s.endings)
+}
+
+// A server has crashed. Of many nodes each sends it little: this one has one opening
+// unanswered, another node two. Together that is enough: the caller of a request that
+// may be repeated is told at once, and so are those of idle flows, long before this node
+// alone could know. New flows keep away from the server as soon as the other node tells.
+func TestFindingsOfTwoNodesEndFlowsOfADeadServer(t *testing.T) {
+	s := newSite(t, 6)
+	s.node.SetNodes(65)
+	idle, _ := atFirst(s.load(12, outline))
+	waiting, _ := atFirst(s.load(12, live))
+	s.pass(100 * time.Millisecond)
+	waiting[0].ask()
+	s.node.SetReports([]Report{s.found("a-0", 7, 2, 20*time.Millisecond)}, s.now)
+	require.True(t, s.node.News(), "it is passed on")
+	require.True(t, s.status("a-0").Avoided)
+	s.pass(200 * time.Millisecond)
+	s.serve(live)
+	require.Equal(t, Forward, waiting[0].askAgain().Kind, "this node has found nothing yet")
+	s.pass(200 * time.Millisecond)
+	s.serve(live)
+	d := waiting[0].askAgain()
+	require.Equal(t, End, d.Kind, "it left two openings and two requests unanswered")
+	require.Equal(t, ServerSilent, d.Reason)
+	s.pass(500 * time.Millisecond)
+	require.NotEmpty(t, s.endings)
+	for _, c := range idle {
+		require.Contains(t, s.endings, Ending{
+			Packet: Packet{
+				Key: c.packet.Key, Token: c.packet.Token, Sequence: c.packet.Sequence, Acknowledged: c.packet.Acknowledged,
+			},
+			Instance: "a-0", Reason: ServerSilent,
+		})
+	}
+}
+
+// The same findings, but a third node has been answered since: the server is slow, or the
+// links of two nodes are full. No flow is ended, and new flows go there again.
+func TestAnAnswerElsewhereClearsAServer(t *testing.T) {
+	s := newSite(t, 6)
+	s.node.SetNodes(65)
+	waiting, _ := atFirst(s.load(12, live))
+	s.pass(100 * time.Millisecond)
+	waiting[0].ask()
+	s.node.SetReports([]Report{s.found("a-0", 7, 2, 20*time.Millisecond)}, s.now)
+	s.pass(200 * time.Millisecond)
+	waiting[0].askAgain()
+	answered := Report{Server: s.node.backend("a-0").short, Node: 9, Answered: true, Last: 50 * time.Millisecond}
+	s.node.SetReports([]Report{answered}, s.now)
+	for range 5 {
+		s.pass(200 * time.Millisecond)
+		s.serve(live)
+		require.Equal(t, Forward, waiting[0].askAgain().Kind)
+	}
+	require.Empty(t, s.endings)
+	require.False(t, s.status("a-0").Avoided)
+}
+
+// Two nodes of other zones can't reach the servers of zone b, which is cut off from
+// theirs, and this node's way there is fine. Its callers' idle flows there go on.
+func TestFindingsFromBehindACutEndNoFlows(t *testing.T) {
+	s := newSite(t, 4, 4)
+	s.node.SetNodes(5)
+	s.load(8, live)
+	s.farFlows(4)
+	var reports []Report
+	for node := range uint32(3) {
+		r := s.found("b-0", 20+node, 3, 300*time.Millisecond)
+		r.Near = false
+		reports = append(reports, r)
+	}
+	s.node.SetReports(reports, s.now)
+	for range 5 {
+		s.pass(200 * time.Millisecond)
+		s.serve(live)
+	}
+	require.Empty(t, s.endings)
+}
+
+// Reports go from node to node, each with its age, and stop: what is no news isn't passed
+// on, and after suspicionFor nothing is left to tell. Without an end, the findings of a
+// fleet would go round in it for good.
+func TestReportsEnd(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		s := newSite(t, 4)
+		s.load(8, live)
+		for range rapid.IntRange(1, 60).Draw(r, "Reports") {
+			report := s.found("a-0", uint32(rapid.IntRange(1, 9).Draw(r, "Node")), rapid.IntRange(0, 3).Draw(r, "Openings"),
+				time.Duration(rapid.IntRange(-9, 4000).Draw(r, "FirstMS"))*time.Millisecond)
+			report.Last = time.Duration(rapid.IntRange(-9, 4000).Draw(r, "LastMS")) * time.Millisecond
+			report.Answered = rapid.Bool().Draw(r, "Answered")
+			s.node.SetReports([]Report{report}, s.now)
+			s.node.News()
+			s.node.SetReports([]Report{report}, s.now)
+			require.False(t, s.node.News(), "told twice")
+			require.LessOrEqual(t, len(s.node.Reports(true, s.now)), toldReporters)
+			s.pass(time.Duration(rapid.IntRange(0, 100).Draw(r, "MS")) * time.Millisecond)
+		}
+		s.pass(suspicionFor + time.Second)
+		require.Empty(t, s.node.Reports(true, s.now))
+	})
+}
--- a/bronzesteer/silence.go
+++ b/bronzesteer/silence.go
@@ -25,6 +25,16 @@
 	// answering others every few milliseconds.
 	silentFlows = 3
 	silentFor   = 350 * time.Millisecond
+	// busyFor is the same where what it left unanswered is mostly requests. A server
+	// takes openings at once whatever it has to do, but of a full queue of eight, with work
+	// that takes twice the usual 30 ms since it has just started, the last is answered
+	// after 300 ms.
+	busyFor = 500 * time.Millisecond
+	// aloneFor is the same where there are other nodes, none has said so, too, and it is
+	// less than aloneProof that speaks for it: what a node sends through its own link
+	// reaches nobody while that is full.
+	aloneFor   = 1200 * time.Millisecond
+	aloneProof = 2 * deadProof
 	// silentServers is how many servers of another zone must be silent, with
 	// none of it answering, before the way to the zone counts as cut.
 	silentServers = 2
@@ -102,9 +112,18 @@
 	avoided := at < b.avoidUntil
 	silence := at - b.goodAt
 	b.goodAt = at
-	b.silent, b.unanswered, b.silentSince = 0, 0, 0
+	suspected := len(b.found) > 0
+	wrong := b.unanswered > 0 && at-b.silentSince < wrongBy
+	clear(b.found)
+	b.silent, b.unanswered, b.openings, b.silentSince = 0, 0, 0, 0
 	b.avoidUntil, b.avoidFor = 0, 0
 	b.mu.Unlock()
+	if wrong {
+		s.fit.wasWrong(at)
+	}
+	if suspected || avoided {
+		s.suspect(b)
+	}
 	s.goodAt.Store(int64(at))
 	b.zone.good(b, at)
 	if avoided {
@@ -156,7 +175,7 @@
 // a server that is well would lose its flows. A node that hears nobody says no:
 // it would end the flows that other nodes could still take on.
 func (s *Steerer) silent(b *backend, at time.Duration) bool {
-	return s.judges(at) && (b.dead(at) || b.asked(at) && s.zoneCut(b, at))
+	return s.judges(at) && (s.dead(b, at) || b.asked(at) && s.zoneCut(b, at))
 }
 
 // judges reports whether this node is in a state to judge servers.
@@ -171,12 +190,76 @@
 	return b.unanswered > 0 && at-b.silentAt < silenceCounts
 }
 
-// dead reports whether the server has left several flows unanswered, and
-// answered nobody meanwhile.
-func (b *backend) dead(at time.Duration) bool {
+// dead reports whether the server has left several flows unanswered, and answered
+// nobody meanwhile, neither here nor, as far as other nodes tell, elsewhere. What others
+// found counts if one of them is in the server's zone: otherwise the way there may be cut,
+// and the server well. A node goes by itself alone only after longer.
+func (s *Steerer) dead(b *backend, at time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.unanswered >= silentFlows && at-b.silentSince >= silentFor && at-b.silentAt < silenceCounts
+	if b.unanswered == 0 && len(b.found) == 0 {
+		return false
+	}
+	u := b.suspicion(at, b.zoneName == s.AvailabilityZone)
+	if u.nodes >= deadNodes && u.near && u.openings > 0 && u.proof() >= deadProof && at-u.first >= silentFor {
+		return true
+	}
+	f, ok := b.own(at, false)
+	if !ok || !s.fit.isFit(at) {
+		return false
+	}
+	u = suspicion{}
+	u.add(f)
+	return u.all >= silentFlows && at-u.first >= s.longEnough(&u)
+}
+
+// longEnough returns how long a server must have been silent for a node to go by what it
+// has found itself alone.
+func (s *Steerer) longEnough(u *suspicion) time.Duration {
+	switch {
+	case s.others.Load() > 0 && u.proof() < aloneProof:
+		return aloneFor
+	case u.openings < deadOpenings:
+		return busyFor
+	default:
+		return silentFor
+	}
+}
+
+// fitness tells whether a node can judge servers: it can't while its link or its
+// processor has too much to do. What is sent through it is then late both ways, and
+// servers that are well seem silent until their answers come. A node with 10 Mbit/s
+// takes 65 ms for each upload of 80 KB: it reset callers' idle flows at a server that
+// other nodes had answers from. All methods may be called concurrently.
+type fitness struct {
+	mu sync.Mutex
+	// wrong is when the last servers answered that had been found silent just before.
+	wrong [wrongMost]time.Duration
+}
+
+const (
+	// wrongMost is how many servers may have been found silent wrongly in wrongFor, and
+	// wrongBy how soon their answers come that are only late. One packet in forty may be
+	// lost now and then, and servers that have crashed are back after seconds.
+	wrongMost = 2
+	wrongFor  = 2 * time.Second
+	wrongBy   = 800 * time.Millisecond
+)
+
+// isFit reports whether the node's findings are to be believed.
+func (f *fitness) isFit(at time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	oldest := f.wrong[0]
+	return oldest == 0 || at-oldest >= wrongFor
+}
+
+// wasWrong notes that a server has answered that was found silent.
+func (f *fitness) wasWrong(at time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	copy(f.wrong[:], f.wrong[1:])
+	f.wrong[wrongMost-1] = at
 }
 
 // isLate reports whether so many servers of the own zone are silent that it
@@ -198,13 +281,25 @@
 // at at. It counts only if nobody else was answered meanwhile: then the server
 // or the way to it is silent, and not just one packet lost.
 func (s *Steerer) unanswered(b *backend, sent, at time.Duration, weight int) {
+	e, counts, begins := b.unansweredAt(sent, at, weight)
+	if counts {
+		s.suspect(b)
+	}
+	if begins {
+		s.event(e)
+	}
+}
+
+// unansweredAt notes the same in the server's entry, and reports whether it counts and
+// whether the server begins to be avoided.
+func (b *backend) unansweredAt(sent, at time.Duration, weight int) (e Event, counts, begins bool) {
 	b.mu.Lock()
-	if b.goodAt > sent {
-		b.mu.Unlock()
-		return
+	defer b.mu.Unlock()
+	if b.answeredAt() > sent {
+		return e, false, false
 	}
-	if b.unanswered > 0 && at-b.silentAt >= silenceCounts {
-		b.silent, b.unanswered = 0, 0
+	if b.unanswered > 0 && at-b.silentAt >= suspicionFor {
+		b.silent, b.unanswered, b.openings = 0, 0, 0
 	}
 	if b.unanswered == 0 {
 		b.silentSince = sent
@@ -212,22 +307,22 @@
 	b.silentAt = at
 	b.silent += weight
 	b.unanswered++
-	silent, avoided := b.silent >= avoidAt, at < b.avoidUntil
-	if silent {
-		b.zone.addSilent(b, at)
+	if weight == openingWeight {
+		b.openings++
 	}
-	if !silent || avoided {
-		b.mu.Unlock()
-		return
+	if b.silent < avoidAt {
+		return e, true, false
+	}
+	b.zone.addSilent(b, at)
+	if at < b.avoidUntil {
+		return e, true, false
 	}
 	b.avoidFor = min(max(2*b.avoidFor, avoidFirst), avoidMost)
 	b.avoidUntil = at + b.avoidFor
-	e := Event{
+	return Event{
 		Kind: Avoided, Instance: b.instance, AvailabilityZone: b.zoneName,
 		Unanswered: b.unanswered, Silence: at - b.goodAt, For: b.avoidFor,
-	}
-	b.mu.Unlock()
-	s.event(e)
+	}, true, true
 }
 
 func (s *Steerer) event(e Event) {
--- a/bronzesteer/steer.go
+++ b/bronzesteer/steer.go
@@ -22,6 +22,8 @@
 	AvailabilityZone string
 	Region           string
 	Regions          map[string]string
+	// Node stands for this node in reports, which other nodes pass on.
+	Node uint32
 	// OnEvent is called with what changes this node's belief of a server. It
 	// must not call the Steerer.
 	OnEvent func(Event)
@@ -36,6 +38,7 @@
 
 	admission bronzepool.Admission
 	hedges    hedges
+	fit       fitness
 
 	// goodAt is when any server was last seen to answer, since start.
 	goodAt atomic.Int64
@@ -44,12 +47,16 @@
 	zones    map[string]*zone
 	nodes    map[string]nodeLoads
 	services map[string]*service
+	suspects suspects
 	accounts map[netip.AddrPort]*account
 	// free counts the openings that aren't turned away where others are.
 	free map[netip.AddrPort]*rate.Limiter
 	// own is the node's zone; it is set once.
 	own *zone
 
+	// news says that there is something for Reports to tell that was not taken yet.
+	news atomic.Bool
+
 	// others is how many nodes there are beside this one.
 	others atomic.Int64
 	// told is what other nodes are told of this one's loads.
@@ -71,6 +78,8 @@
 	Silence    time.Duration
 	// For is how long it is avoided.
 	For time.Duration
+	// Nodes is how many other nodes have said so, 0 if this one found it itself.
+	Nodes int
 }
 
 // EventKind is the kind of an Event.
@@ -113,6 +122,7 @@
 		s.zones = make(map[string]*zone)
 		s.nodes = make(map[string]nodeLoads)
 		s.services = make(map[string]*service)
+		s.suspects = make(suspects)
 		s.accounts = make(map[netip.AddrPort]*account)
 		s.admission.Open, s.admission.HalfOpen = maxFlows, maxHalfOpen
 		s.free = make(map[netip.AddrPort]*rate.Limiter)
@@ -239,6 +249,7 @@
 		// goes on with the one whose acceptance came first; that of the other
 		// may still change what the caller sends back.
 		token = f.token
+		s.acceptedToo(k, f, p, at)
 	}
 	if token == 0 {
 		return Decision{Reason: NoToken}
@@ -275,6 +286,21 @@
 	return Decision{Kind: Forward, Reason: Steered, Server: server, Token: token, Opened: opened, Hedge: hedge}
 }
 
+// acceptedToo takes in that a further server has accepted a flow's opening, which shows
+// in the token that the caller sends back: it was late, not silent.
+func (s *Steerer) acceptedToo(k *known, f *flow, p *Packet, at time.Duration) {
+	if p.Token == f.token || p.Token == 0 {
+		return
+	}
+	other := k.view.ByToken(p.Key.ServiceAddrPort(), p.Token)
+	if other == nil || other.Status == bronzeroute.Gone {
+		return
+	}
+	if b := k.backendOf(other, nil); b != f.backend && !b.answeredSince(f.openedAt) {
+		s.good(b, at)
+	}
+}
+
 // adopt makes an entry for a flow that another node has opened.
 func adopt(sh *shard, route *bronzeroute.Route, account *bronzepool.Account, p *Packet, b *backend, token uint32, at time.Duration) *flow {
 	f := &flow{
