Tell other nodes how long servers take, and weigh what was seen of late more

Cause: of 66 nodes each sees an answer of a server every five seconds, and gave each a tenth of the weight: that a server had become slow was known after half a minute. A node now tells the latencies of the servers whose loads it tells, goes by the average over all nodes, weighed by rate, and one observation weighs the more the older the last is.

--- a/bronzeedge/peers.go
+++ b/bronzeedge/peers.go
@@ -70,19 +70,24 @@
 // loadScale is how many of a message's units make one request a second.
 const loadScale = 10
 
-func (e *Edge) loads() []bronzegossip.Load {
+func (e *Edge) loads() (out []bronzegossip.Load, latencies []uint32) {
 	loads := e.steerer.Loads()
-	out := make([]bronzegossip.Load, len(loads))
+	out = make([]bronzegossip.Load, len(loads))
+	latencies = make([]uint32, len(loads))
 	for i, l := range loads {
 		out[i] = bronzegossip.Load{Server: l.Server, Rate: uint32(l.Rate*loadScale + 0.5)}
+		latencies[i] = uint32(l.Latency.Milliseconds())
 	}
-	return out
+	return out, latencies
 }
 
-func (e *Edge) onLoads(from string, loads []bronzegossip.Load, now time.Time) {
+func (e *Edge) onLoads(from string, loads []bronzegossip.Load, latencies []uint32, now time.Time) {
 	in := make([]bronzesteer.Load, len(loads))
 	for i, l := range loads {
 		in[i] = bronzesteer.Load{Server: l.Server, Rate: float64(l.Rate) / loadScale}
+		if i < len(latencies) {
+			in[i].Latency = time.Duration(latencies[i]) * time.Millisecond
+		}
 	}
 	e.steerer.SetLoads(from, in, now)
 	e.steerer.SetNodes(e.gossip.Others(now))
--- a/bronzegossip/gossip.go
+++ b/bronzegossip/gossip.go
@@ -62,10 +62,12 @@
 	Fetch func(peer Peer, revision uint64)
 	// Random returns a number in [0, n); rand.IntN if nil.
 	Random func(n int) int
-	// Loads returns this node's loads on servers, nil for none.
-	Loads func() []Load
-	// OnLoads is called with another node's loads.
-	OnLoads func(from string, loads []Load, now time.Time)
+	// Loads returns this node's loads on servers, nil for none, and the latencies of the
+	// same servers, in milliseconds.
+	Loads func() (loads []Load, latencies []uint32)
+	// OnLoads is called with another node's loads, and the latencies of their servers if
+	// the node told them.
+	OnLoads func(from string, loads []Load, latencies []uint32, now time.Time)
 	// Reports returns what is to be told of servers, all there is or what is new since the
 	// last call that asked for that.
 	Reports func(all bool, now time.Time) []Report
@@ -247,7 +249,7 @@
 	applied := m.Delta != nil && g.Records.Apply(*m.Delta)
 	g.do(func() { g.take(&m, applied, now) })
 	if g.OnLoads != nil && len(m.Loads) > 0 {
-		g.OnLoads(m.From.Name, m.Loads, now)
+		g.OnLoads(m.From.Name, m.Loads, m.Latencies, now)
 	}
 	if g.OnReports != nil && len(m.Reports) > 0 {
 		g.OnReports(m.Reports, now)
@@ -454,12 +456,13 @@
 		return
 	}
 	var loads []Load
+	var latencies []uint32
 	if g.Loads != nil && slices.ContainsFunc(out, func(d datagram) bool { return d.whole }) {
-		loads = g.Loads()
+		loads, latencies = g.Loads()
 	}
 	for i := range out {
 		if out[i].whole {
-			out[i].m.Loads = loads
+			out[i].m.Loads, out[i].m.Latencies = loads, latencies
 		}
 		b, err := out[i].m.fit()
 		if err != nil {
@@ -479,7 +482,7 @@
 		b, err = encode(m)
 	}
 	if err == nil && len(b) > MaxMessage {
-		m.Delta, m.Loads = nil, nil
+		m.Delta, m.Loads, m.Latencies = nil, nil, nil
 		b, err = encode(m)
 	}
 	return b, err
--- a/bronzegossip/message.go
+++ b/bronzegossip/message.go
@@ -50,6 +50,9 @@
 	Answer bool `cbor:"7,keyasint,omitempty"`
 	// Loads are the sender's loads on servers.
 	Loads []Load `cbor:"8,keyasint,omitempty"`
+	// Latencies are those of the servers of Loads, in the same order, in milliseconds and
+	// 0 where none is known.
+	Latencies []uint32 `cbor:"10,keyasint,omitempty"`
 	// Reports are what nodes have found of servers that don't answer.
 	Reports []Report `cbor:"9,keyasint,omitempty"`
 }
--- a/bronzegossip/size_test.go
+++ b/bronzegossip/size_test.go
@@ -14,16 +14,16 @@
 // A message with all that it may carry must fit into one packet, or it loses
 // its loads.
 func TestFullMessageFitsIntoOnePacket(t *testing.T) {
-	loads := make([]Load, 60)
+	loads, latencies := make([]Load, 50), make([]uint32, 50)
 	for i := range loads {
-		loads[i] = Load{Server: 1<<32 - 1 - uint32(i), Rate: 1000}
+		loads[i], latencies[i] = Load{Server: 1<<32 - 1 - uint32(i), Rate: 1000}, 1000
 	}
 	var sent [][]byte
 	g := &Gossip{
 		Self:    Peer{Name: "edge-klang-valley-100", Incarnation: 1 << 40, Address: netip.MustParseAddrPort("10.100.100.1:7720"), Records: netip.MustParseAddrPort("10.100.100.1:8166"), AvailabilityZone: "klang-valley-a"},
 		Records: &bronzerecord.Set{},
 		Send:    func(_ netip.AddrPort, b []byte) { sent = append(sent, b) },
-		Loads:   func() []Load { return loads },
+		Loads:   func() ([]Load, []uint32) { return loads, latencies },
 	}
 	now := time.Now()
 	for i := range 20 {
@@ -38,6 +38,7 @@
 		m, err := decode(b)
 		require.NoError(t, err)
 		require.Len(t, m.Loads, len(loads))
+		require.Equal(t, latencies, m.Latencies)
 		require.Len(t, m.Peers, peersTold)
 	}
 	t.Logf("%d bytes with %d loads and %d nodes", len(sent[0]), len(loads), peersTold)
--- a/bronzesteer/backend.go
+++ b/bronzesteer/backend.go
@@ -1,6 +1,7 @@
 package bronzesteer
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,8 +10,12 @@
 )
 
 const (
-	// latencyPart is the weight of one observation in the average latency.
+	// latencyPart is the least weight of one observation in the average latency, and
+	// latencyOver the time after which what was observed before has lost most of its own.
+	// Of many nodes each sees an answer of a server every few seconds: with the least
+	// weight, half a minute passed until they knew that it had become slow.
 	latencyPart = 0.1
+	latencyOver = time.Second
 	// rateOver is the time that a request rate is averaged over.
 	rateOver = 2 * time.Second
 	// latencyUnknown stands for the latency of servers that none was observed
@@ -59,12 +64,16 @@
 	found        map[uint32]finding
 	othersGoodAt time.Duration
 	refutedAt    time.Duration
-	// latency is the average time to the first part of an answer.
-	latency time.Duration
+	// latency is the average time to the first part of an answer, observedAt when one was
+	// last seen.
+	latency    time.Duration
+	observedAt time.Duration
 	// rate is the average of the requests that this node sends to it, and
 	// others that of the other nodes as far as they tell, in requests a second.
 	rate   float64
 	others float64
+	// othersLatency is the average latency that the other nodes tell of, 0 if none does.
+	othersLatency time.Duration
 }
 
 // newBackend returns the entry of a server that is new.
@@ -145,15 +154,31 @@
 	return min(max(3*b.latency, workLeast), workMost)
 }
 
+// fleetLatency returns the average latency that all nodes see, 0 if none does; the caller
+// holds the lock. A node that sends a server one request in five seconds would find out
+// alone only after half a minute that it has become slow.
+func (b *backend) fleetLatency() time.Duration {
+	switch {
+	case b.othersLatency == 0:
+		return b.latency
+	case b.latency == 0:
+		return b.othersLatency
+	}
+	own := b.rate / (b.rate + b.others)
+	return time.Duration(own*float64(b.latency) + (1-own)*float64(b.othersLatency))
+}
+
 // observe takes in one time from a request to its answer.
-func (b *backend) observe(took time.Duration) {
+func (b *backend) observe(took, at time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.latency == 0 {
-		b.latency = took
+		b.latency, b.observedAt = took, at
 	}
 	if (b.rate+b.others)*b.latency.Seconds() < freeUse*float64(max(b.slots, 1)) {
 		b.service.observe(took)
 	}
-	b.latency += time.Duration(latencyPart * float64(took-b.latency))
+	part := max(latencyPart, 1-math.Exp(-float64(at-b.observedAt)/float64(latencyOver)))
+	b.latency += time.Duration(part * float64(took-b.latency))
+	b.observedAt = at
 }
--- a/bronzesteer/flow.go
+++ b/bronzesteer/flow.go
@@ -132,6 +132,8 @@
 	}
 	if f.askedAt != 0 && at-f.askedAt >= repeatAfter && !f.struck {
 		f.struck = true
+		// It takes at least this long, which the answer would show only later.
+		f.backend.observe(at-f.askedAt, at)
 		s.unanswered(f.backend, f.askedAt, at, dataWeight)
 	}
 }
@@ -156,7 +158,7 @@
 	if p.Length == 0 {
 		// With new data the acknowledgement says only that the answer came
 		// some time before.
-		f.backend.observe(at - f.askedAt)
+		f.backend.observe(at-f.askedAt, at)
 	}
 	f.askedAt = 0
 	f.finish()
--- a/bronzesteer/load.go
+++ b/bronzesteer/load.go
@@ -16,9 +16,9 @@
 	// looked for. It takes 1 ms with 5,100 servers.
 	loadsEvery = 500 * time.Millisecond
 	// maxLoads bounds the servers that a node tells of: those that it sends
-	// most to. Six messages a second with 60 take 5 KB, of the 6 that a node may
+	// most to. Six messages a second with 50 take 5 KB, of the 6 that a node may
 	// spend.
-	maxLoads = 60
+	maxLoads = 50
 )
 
 // Load is what a node sends to one server.
@@ -28,6 +28,9 @@
 	Server uint32
 	// Rate is in requests a second.
 	Rate float64
+	// Latency is the average time of late to the first part of an answer, 0 if the node
+	// saw none.
+	Latency time.Duration
 }
 
 // nodeLoads is what another node has told.
@@ -89,20 +92,46 @@
 		b.mu.Lock()
 		b.rate *= rest
 		rate := b.rate
-		b.others = scale * sums[shortID(server)]
+		sum := sums[shortID(server)]
+		b.others = scale * sum.rate
+		b.othersLatency = sum.latency()
+		latency := b.latency
 		b.mu.Unlock()
 		if rate >= leastRate {
-			told = append(told, Load{Server: shortID(server), Rate: rate})
+			told = append(told, Load{Server: shortID(server), Rate: rate, Latency: latency})
 		}
 	}
 	s.setTold(told)
 }
 
+// loadSum is what other nodes send to a server, in requests a second, and how long it
+// takes, each node's latency by what it sends.
+type loadSum struct {
+	rate    float64
+	timed   float64
+	seconds float64
+}
+
+func (u *loadSum) add(l Load) {
+	u.rate += l.Rate
+	if l.Latency > 0 {
+		u.timed += l.Rate
+		u.seconds += l.Rate * l.Latency.Seconds()
+	}
+}
+
+func (u *loadSum) latency() time.Duration {
+	if u.timed == 0 {
+		return 0
+	}
+	return time.Duration(u.seconds / u.timed * float64(time.Second))
+}
+
 // sumLoads adds up, by server, what other nodes told lately, and counts them.
-func (s *Steerer) sumLoads(at time.Duration) (sums map[uint32]float64, heard int) {
+func (s *Steerer) sumLoads(at time.Duration) (sums map[uint32]loadSum, heard int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	sums = make(map[uint32]float64)
+	sums = make(map[uint32]loadSum)
 	for node, n := range s.nodes {
 		if at-n.at > loadFor {
 			delete(s.nodes, node)
@@ -110,7 +139,9 @@
 		}
 		heard++
 		for _, l := range n.loads {
-			sums[l.Server] += l.Rate
+			sum := sums[l.Server]
+			sum.add(l)
+			sums[l.Server] = sum
 		}
 	}
 	return sums, heard
--- a/bronzesteer/place.go
+++ b/bronzesteer/place.go
@@ -261,8 +261,8 @@
 	latencies := make([]time.Duration, 0, len(members))
 	for _, m := range members {
 		m.backend.mu.Lock()
-		if m.backend.latency > 0 {
-			latencies = append(latencies, m.backend.latency)
+		if l := m.backend.fleetLatency(); l > 0 {
+			latencies = append(latencies, l)
 		}
 		m.backend.mu.Unlock()
 	}
@@ -282,8 +282,8 @@
 		slots *= coldShare
 	}
 	slow := 1.0
-	if b.latency > latency {
-		slow = min(float64(b.latency)/float64(latency), slowMost)
+	if own := b.fleetLatency(); own > latency {
+		slow = min(float64(own)/float64(latency), slowMost)
 	}
 	work := float64(b.work + b.opening)
 	return candidate{
--- a/bronzesteer/place_test.go
+++ b/bronzesteer/place_test.go
@@ -158,8 +158,8 @@
 	slow := s.node.known.Load().backendOf(s.node.View().ByName("a-0"), nil)
 	quick := s.node.known.Load().backendOf(s.node.View().ByName("a-1"), nil)
 	for range 50 {
-		slow.observe(200 * time.Millisecond)
-		quick.observe(20 * time.Millisecond)
+		slow.observe(200*time.Millisecond, time.Minute)
+		quick.observe(20*time.Millisecond, time.Minute)
 	}
 	byServer, _ := s.spread(100)
 	require.Less(t, byServer["a-0"], 30)
@@ -230,3 +230,28 @@
 		}
 	})
 }
+
+// A server has become slow. Of many nodes each sends it a request now and then: this one
+// has seen it quick, long ago, and would go on sending callers there. It goes by what the
+// others see.
+func TestSlowServerIsKnownFromOtherNodes(t *testing.T) {
+	s := newSite(t, 2)
+	s.load(4, live)
+	k := s.node.known.Load()
+	slow, quick := k.backendOf(s.node.View().ByName("a-0"), nil), k.backendOf(s.node.View().ByName("a-1"), nil)
+	s.node.SetNodes(60)
+	for node := range 20 {
+		s.node.SetLoads(string(rune('A'+node)), []Load{
+			{Server: slow.short, Rate: 0.3, Latency: 300 * time.Millisecond},
+			{Server: quick.short, Rate: 0.3, Latency: 30 * time.Millisecond},
+		}, s.now)
+	}
+	s.pass(loadsEvery)
+	toSlow := 0
+	for range 12 {
+		if _, d := s.open(live); d.Server.Instance == "a-0" {
+			toSlow++
+		}
+	}
+	require.LessOrEqual(t, toSlow, 2)
+}
