End open flows only when contradictions would have come

With 66 nodes a finding takes some steps of 100 to 150 ms to all, and an answer that contradicts it as many back; flows were ended before. A node now waits 0.8 s from when it knows of the first finding, 0.4 s for a flow that waits for its own answer, where it has more than 12 others; openings and requests count alike, five in all, and one of many nodes alone needs eight. Findings are passed on after 100 ms in place of 150.

--- a/bronzegossip/gossip.go
+++ b/bronzegossip/gossip.go
@@ -37,10 +37,10 @@
 	peersTold = 3
 	// reportsEvery is how often a node passes on reports at most, and largeReportsEvery
 	// the same with more than tellAll others. Three nodes are told at a time, with 100
-	// bytes and 14 for each report that is new: 3 KB a second while servers fail one after
+	// bytes and 14 for each report that is new: 4 KB a second while servers fail one after
 	// the other, of the 6 that a node may spend. News crosses 490 nodes in seven steps.
 	reportsEvery      = 20 * time.Millisecond
-	largeReportsEvery = 150 * time.Millisecond
+	largeReportsEvery = 100 * time.Millisecond
 	// maxDelta bounds the records that come with the news, in bytes.
 	maxDelta = 700
 )
--- a/bronzesteer/backend.go
+++ b/bronzesteer/backend.go
@@ -70,10 +70,11 @@
 	avoidUntil  time.Duration
 	avoidFor    time.Duration
 	// found is what other nodes have found of it, by node, and othersGoodAt when it last
-	// answered one of them as far as they tell. refutedAt is when the contrary was last
-	// contradicted.
+	// answered one of them as far as they tell. suspectedAt is since when this node knows
+	// that anybody found it silent, refutedAt when that was last contradicted.
 	found        map[uint32]finding
 	othersGoodAt time.Duration
+	suspectedAt  time.Duration
 	refutedAt    time.Duration
 	// latency is the average time to the first part of an answer, observedAt when one was
 	// last seen.
--- a/bronzesteer/flow.go
+++ b/bronzesteer/flow.go
@@ -194,30 +194,37 @@
 	return endings
 }
 
+// loss is what has become of a server, and whether it is known so well that flows are ended
+// there that don't wait for an answer.
+type loss struct {
+	reason Reason
+	sure   bool
+}
+
 // silentServers returns the servers that answer nobody.
-func (s *Steerer) silentServers(at time.Duration) (lost map[*backend]Reason) {
-	lost = make(map[*backend]Reason)
+func (s *Steerer) silentServers(at time.Duration) (lost map[*backend]loss) {
+	lost = make(map[*backend]loss)
 	if !s.judges(at) {
 		return lost
 	}
 	for _, b := range s.toTell(true) {
-		if s.dead(b, at) {
-			lost[b] = ServerSilent
+		if s.dead(b, true, at) {
+			lost[b] = loss{reason: ServerSilent, sure: s.dead(b, false, at)}
 		}
 	}
 	return lost
 }
 
 // addGone adds the servers that are no more.
-func (k *known) addGone(lost map[*backend]Reason) {
+func (k *known) addGone(lost map[*backend]loss) {
 	for _, m := range k.members {
 		if m.server.Status == bronzeroute.Gone {
-			lost[m.backend] = ServerGone
+			lost[m.backend] = loss{reason: ServerGone, sure: true}
 		}
 	}
 }
 
-func (sh *shard) sweep(at time.Duration, now time.Time, lost map[*backend]Reason) (endings []Ending) {
+func (sh *shard) sweep(at time.Duration, now time.Time, lost map[*backend]loss) (endings []Ending) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	for key, f := range sh.flows {
@@ -229,13 +236,13 @@
 			sh.end(key)
 			continue
 		}
-		reason, ended := lost[f.backend]
+		l, ended := lost[f.backend]
 		if f.reborn(at, now) {
-			reason, ended = ServerReborn, true
+			l, ended = loss{reason: ServerReborn, sure: true}, true
 		}
-		if ended && f.open && f.mayEnd(reason, at) {
+		if ended && f.open && f.mayEnd(l, at) {
 			p := Packet{Key: key, Token: f.token, Sequence: f.sequence, Acknowledged: f.acknowledged}
-			endings = append(endings, Ending{Packet: p, Instance: f.backend.instance, Reason: reason})
+			endings = append(endings, Ending{Packet: p, Instance: f.backend.instance, Reason: l.reason})
 			sh.end(key)
 			continue
 		}
@@ -249,8 +256,14 @@
 // mayEnd reports whether the flow may be ended for what has become of its server. One with
 // a request at a silent server may if that may be repeated: its caller would ask again
 // only 400 or 800 ms after the last time, and have no time left to be served elsewhere.
-func (f *flow) mayEnd(reason Reason, at time.Duration) bool {
-	return f.idle(at) || reason == ServerSilent && f.idempotent && f.askedAt != 0
+func (f *flow) mayEnd(l loss, at time.Duration) bool {
+	if l.reason == ServerSilent && f.idempotent && f.struck {
+		return true
+	}
+	if l.reason == ServerSilent && f.idempotent && f.askedAt != 0 {
+		return l.sure
+	}
+	return l.sure && f.idle(at)
 }
 
 // idle reports whether the flow has no request that waits for its answer. The
--- a/bronzesteer/report.go
+++ b/bronzesteer/report.go
@@ -8,26 +8,24 @@
 
 const (
 	// maxReports bounds the reports that a node tells at a time, maxReporters those that it
-	// keeps of one server, and toldReporters those of them that it tells: what two nodes
-	// found is enough to act on. A report takes 14 bytes; of 32, three nodes are told twice
+	// keeps of one server, and toldReporters those of them that it tells: what three nodes
+	// found is mostly enough to act on. A report takes 14 bytes; of 32, three nodes are told twice
 	// a second at most, which is 3 KB of the 6 that a node may spend. Where more servers
 	// fail at once, each message tells of some of them.
 	maxReports    = 32
 	maxReporters  = 6
-	toldReporters = 2
+	toldReporters = 3
 	// suspicionFor is how long a finding counts. While a server stays silent some node
 	// tries it about every 2 s and renews it; without an end, flows would be ended long
 	// after a cut has healed that kept nodes from a server.
 	suspicionFor = 3500 * time.Millisecond
 	// deadNodes is how many nodes must have found a server silent for silentFor to be
-	// enough to end its flows. Each opening that it left unanswered then counts for one and
-	// each request for requestProof, deadProof in all: an opening is given up after a few
-	// milliseconds, in which a link may be full, a request after 200. With three openings
-	// that nodes with full links gave up, callers lost flows that were open at a server
-	// that was well.
-	deadNodes    = 2
-	requestProof = 2
-	deadProof    = 4
+	// enough to end its flows, and deadProof how many openings and requests it must have
+	// left unanswered in all. An opening is given up after a few milliseconds, in which a
+	// link may be full: with three that nodes with full links gave up, callers lost flows
+	// that were open at a server that was well.
+	deadNodes = 2
+	deadProof = 5
 	// deadOpenings is how many openings must be among what a node has found if it goes by
 	// itself alone. A server takes openings at once whatever it has to do.
 	deadOpenings = 2
@@ -83,8 +81,13 @@
 	}
 }
 
-// proof returns how much speaks for the server being dead.
-func (u *suspicion) proof() int { return u.openings + requestProof*(u.all-u.openings) }
+// beSuspected notes that something is found at at, unless something was before; the
+// caller holds the lock.
+func (b *backend) beSuspected(at time.Duration) {
+	if b.unanswered == 0 && len(b.found) == 0 {
+		b.suspectedAt = at
+	}
+}
 
 // answeredAt returns when any node was last seen to be answered; the caller holds the
 // lock.
@@ -277,6 +280,7 @@
 	if b.found == nil {
 		b.found = make(map[uint32]finding)
 	}
+	b.beSuspected(at)
 	b.found[r.Node] = f
 	e, begins := b.avoidAsOthersDo(f, at)
 	b.mu.Unlock()
--- a/bronzesteer/silence.go
+++ b/bronzesteer/silence.go
@@ -34,7 +34,14 @@
 	// less than aloneProof that speaks for it: what a node sends through its own link
 	// reaches nobody while that is full.
 	aloneFor   = 1200 * time.Millisecond
-	aloneProof = 2 * deadProof
+	aloneProof = 8
+	// fewNodes is how many others a node may have for news to take a few milliseconds. With
+	// more it takes some steps of 100 ms there, and as many back: newsFor. Acted upon at
+	// once, findings of two nodes in the crowd of callers that moved between zones cost
+	// others flows that were open at a server that answered.
+	fewNodes       = 12
+	newsFor        = 800 * time.Millisecond
+	newsForWaiting = 400 * time.Millisecond
 	// silentServers is how many servers of another zone must be silent, with
 	// none of it answering, before the way to the zone counts as cut.
 	silentServers = 2
@@ -174,8 +181,9 @@
 // little to, two servers that crash look like a cut; without a sign of its own
 // a server that is well would lose its flows. A node that hears nobody says no:
 // it would end the flows that other nodes could still take on.
-func (s *Steerer) silent(b *backend, at time.Duration) bool {
-	return s.judges(at) && (s.dead(b, at) || b.asked(at) && s.zoneCut(b, at))
+// A flow that waits has left a request unanswered for that long that it counts.
+func (s *Steerer) silent(b *backend, waits bool, at time.Duration) bool {
+	return s.judges(at) && (s.dead(b, waits, at) || b.asked(at) && s.zoneCut(b, at))
 }
 
 // judges reports whether this node is in a state to judge servers.
@@ -193,15 +201,17 @@
 // dead reports whether the server has left several flows unanswered, and answered
 // nobody meanwhile, neither here nor, as far as other nodes tell, elsewhere. What others
 // found counts if one of them is in the server's zone: otherwise the way there may be cut,
-// and the server well. A node goes by itself alone only after longer.
-func (s *Steerer) dead(b *backend, at time.Duration) bool {
+// and the server well. A node goes by itself alone only after longer. It asks for a flow
+// that waits for an answer, or for one that doesn't.
+func (s *Steerer) dead(b *backend, waits bool, at time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.unanswered == 0 && len(b.found) == 0 {
 		return false
 	}
 	u := b.suspicion(at, b.zoneName == s.AvailabilityZone)
-	if u.nodes >= deadNodes && u.near && u.openings > 0 && u.proof() >= deadProof && at-u.first >= silentFor {
+	if u.nodes >= deadNodes && u.near && u.openings > 0 && u.all >= deadProof &&
+		at-u.first >= silentFor && at-b.suspectedAt >= s.newsTakes(waits) {
 		return true
 	}
 	f, ok := b.own(at, false)
@@ -213,11 +223,28 @@
 	return u.all >= silentFlows && at-u.first >= s.longEnough(&u)
 }
 
+// newsTakes returns how long it takes until nearly all nodes have heard of a finding, and
+// this one of an answer that contradicts it. For a flow that waits for its answer itself,
+// half of that is enough.
+func (s *Steerer) newsTakes(waits bool) time.Duration {
+	switch {
+	case s.others.Load() <= fewNodes:
+		return 0
+	case waits:
+		return newsForWaiting
+	default:
+		return newsFor
+	}
+}
+
 // longEnough returns how long a server must have been silent for a node to go by what it
-// has found itself alone.
+// has found itself alone. One of many nodes sees too little of each server for that.
 func (s *Steerer) longEnough(u *suspicion) time.Duration {
+	others := s.others.Load()
 	switch {
-	case s.others.Load() > 0 && u.proof() < aloneProof:
+	case others > fewNodes && u.all < aloneProof:
+		return suspicionFor
+	case others > fewNodes, others > 0 && u.all < aloneProof:
 		return aloneFor
 	case u.openings < deadOpenings:
 		return busyFor
@@ -301,6 +328,7 @@
 	if b.unanswered > 0 && at-b.silentAt >= suspicionFor {
 		b.silent, b.unanswered, b.openings = 0, 0, 0
 	}
+	b.beSuspected(at)
 	if b.unanswered == 0 {
 		b.silentSince = sent
 	}
--- a/bronzesteer/steer.go
+++ b/bronzesteer/steer.go
@@ -276,7 +276,7 @@
 		hedge = f.settle(b, at)
 	}
 	s.note(f, b, token, p, at)
-	if f.idempotent && p.Length > 0 && s.silent(b, at) {
+	if f.idempotent && p.Length > 0 && s.silent(b, f.struck, at) {
 		sh.end(p.Key)
 		return Decision{Kind: End, Reason: ServerSilent, Tried: server}
 	}
