Let a node that has started send second openings at once, and tidy up

Cause: what may be spent on second openings began at nothing, so after a restart the first ten openings that met silent servers waited for their callers' copies. The budget now begins full.

--- a/bronzecore/failure_test.go
+++ b/bronzecore/failure_test.go
@@ -126,10 +126,7 @@
 // and ends the flow seconds later.
 func TestProbeAnswerEntersElsewhere(t *testing.T) {
 	inBubble(t, 3, 4, func(w *world) {
-		f := w.open()
-		f.pause = true
-		w.settle(500 * time.Millisecond)
-		require.True(w.t, f.accepted)
+		f := w.openIdle()
 		w.kill(w.ownerOf(f))
 		w.setViews(w.names())
 		owner := w.ownerOf(f)
@@ -171,10 +168,7 @@
 // that reach each other.
 func TestProbesAreRepeatedWithTheCaller(t *testing.T) {
 	inBubble(t, 5, 4, func(w *world) {
-		f := w.open()
-		f.pause = true
-		w.settle(500 * time.Millisecond)
-		require.True(w.t, f.accepted)
+		f := w.openIdle()
 		gone := w.ownerOf(f)
 		w.kill(gone)
 		members := viewMembers(append(w.names(), gone))
@@ -332,11 +326,8 @@
 // where the flow is. The next try goes to the same server by another path.
 func TestSilentPathIsGoneAround(t *testing.T) {
 	inBubble(t, 3, 4, func(w *world) {
-		f := w.open()
-		f.pause = true
-		w.settle(500 * time.Millisecond)
-		owner := w.ownerOf(f)
-		w.cut = func(from, to string) bool { return from == owner && w.nodes[to] == nil }
+		f := w.openIdle()
+		owner := w.loseThePathOf(f)
 		f.via = slices.DeleteFunc(w.names(), func(n string) bool { return n == owner })[:1]
 		f.pause = false
 		w.settle(2 * time.Second)
@@ -350,11 +341,8 @@
 // another path: with pauses that double, a caller has no more than six tries.
 func TestSilentPathIsGoneAroundFromTheOwnerItself(t *testing.T) {
 	inBubble(t, 3, 4, func(w *world) {
-		f := w.open()
-		f.pause = true
-		w.settle(500 * time.Millisecond)
-		owner := w.ownerOf(f)
-		w.cut = func(from, to string) bool { return from == owner && w.nodes[to] == nil }
+		f := w.openIdle()
+		owner := w.loseThePathOf(f)
 		others := slices.DeleteFunc(w.names(), func(n string) bool { return n == owner })
 		f.via, f.back, f.pause = []string{owner}, others, false
 		w.settle(2*retransmit + 50*time.Millisecond)
--- a/bronzecore/harness_test.go
+++ b/bronzecore/harness_test.go
@@ -212,6 +212,23 @@
 	return f
 }
 
+// openIdle opens a flow whose caller sends nothing once it is open.
+func (w *world) openIdle() *flow {
+	f := w.open()
+	f.pause = true
+	w.settle(500 * time.Millisecond)
+	require.True(w.t, f.accepted)
+	return f
+}
+
+// loseThePathOf makes the path from a flow's owner to the servers silent, and returns the
+// owner.
+func (w *world) loseThePathOf(f *flow) (owner string) {
+	owner = w.ownerOf(f)
+	w.cut = func(from, to string) bool { return from == owner && w.nodes[to] == nil }
+	return owner
+}
+
 // reopen closes a flow and opens another one under its key.
 func (w *world) reopen(f *flow) {
 	w.fromCaller(f, bronzeflow.Packet{Key: f.key, Kind: bronzeflow.Close, Echo: f.echo})
--- a/bronzegossip/doc.go
+++ b/bronzegossip/doc.go
@@ -12,6 +12,9 @@
 // A node that hears of a higher revision fetches the difference from whoever
 // named it. Small differences come with the news.
 //
+// Beside that the messages carry what nodes have on servers (Load), and what they found
+// of servers that don't answer (Report), which each node passes on as it comes.
+//
 // Nobody is declared dead: a node that isn't heard of is no longer told, and
 // nothing else depends on it. That is why this is not package bronzefleet,
 // whose views decide who owns a flow.
--- a/bronzesteer/doc.go
+++ b/bronzesteer/doc.go
@@ -10,6 +10,10 @@
 // that they see of a server is how its callers go on. A caller that goes on
 // has been answered; one that repeats itself has not.
 //
+// An opening whose caller doesn't go on in the usual time is sent to a second server
+// (Hedges). What this node finds of servers that don't answer is told to the others and
+// theirs is taken in (Reports, SetReports), as are loads and latencies (Loads, SetLoads).
+//
 // When servers have too much to do, or none answers, openings are ended at once:
 // callers learn that nothing ran, and those that are let in are served in time.
 //
@@ -26,5 +30,6 @@
 //		// Ask again when there is a view.
 //	}
 //
-// Call Sweep once a second.
+// Call Sweep every 100 ms and end the flows that it returns, call Hedges at the time that
+// NextHedge returns, and tell other nodes of Reports when News says that there are some.
 package bronzesteer
--- a/bronzesteer/hedge.go
+++ b/bronzesteer/hedge.go
@@ -53,13 +53,14 @@
 	// waiting is ordered by due but for what is due in a zone that takes longer: an
 	// opening may wait for those before it, for hedgeMost at most.
 	waiting []*opening
-	budget  float64
+	// spent is how many second openings were sent that the openings since don't allow yet.
+	spent float64
 }
 
 // earn counts an opening.
 func (h *hedges) earn() {
 	h.mu.Lock()
-	h.budget = min(h.budget+hedgeShare, hedgeBurst)
+	h.spent = max(h.spent-hedgeShare, 0)
 	h.mu.Unlock()
 }
 
@@ -67,10 +68,10 @@
 func (h *hedges) spend() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.budget < 1 {
+	if h.spent+1 > hedgeBurst {
 		return false
 	}
-	h.budget--
+	h.spent++
 	return true
 }
 
