--- a/bronzesteer/hedge_test.go
+++ b/bronzesteer/hedge_test.go
@@ -23,15 +23,13 @@
 }
 
 // handshakes opens n flows whose servers answer after took.
-func (s *site) handshakes(n int, took time.Duration) (clients []*client) {
+func (s *site) handshakes(n int, took time.Duration) {
 	for range n {
 		c, d := s.open(live)
 		require.Equal(s.t, Forward, d.Kind)
 		s.now = s.now.Add(took)
 		c.accept()
-		clients = append(clients, c)
 	}
-	return clients
 }
 
 // A server crashes without a word, and a caller's opening goes there. The caller would
--- a/bronzesteer/packet.go
+++ b/bronzesteer/packet.go
@@ -153,11 +153,12 @@
 type HedgeOutcome uint8
 
 const (
-	// NotHedged: one server was asked.
+	// NotHedged says that one server was asked.
 	NotHedged HedgeOutcome = iota
-	// HedgeWon: the caller goes on with a further server.
+	// HedgeWon says that the caller goes on with a further server.
 	HedgeWon
-	// HedgeLost: the caller goes on with the first, which took longer than expected.
+	// HedgeLost says that the caller goes on with the first, which took longer than
+	// expected.
 	HedgeLost
 )
 
