Don't take a server that begins to tell its start for one that started again

Cause: the time before a server told when it started counted as before any start, so its first registration with it ended callers' idle flows; found on reading the change. Ruled out: nothing else compares starts. Conclusion: a start is later only than one that is known.

--- a/bronzesteer/flow.go
+++ b/bronzesteer/flow.go
@@ -173,9 +173,10 @@
 
 // Sweep forgets flows without packets and work without answers, and brings
 // loads up to date. It is to be called about every 100 ms. It returns the flows
-// that are to be ended: those without a request at a server that is gone, or
-// answers nobody. Their callers would find out by their next request, which
-// would be lost if it must not be repeated.
+// that are to be ended: those without a request at a server that is gone, has
+// started again, or answers nobody, and those whose request may be repeated at one that
+// answers nobody. Callers would find out by their next request, which would be lost if it
+// must not be repeated.
 func (s *Steerer) Sweep(now time.Time) (endings []Ending) {
 	s.init()
 	k := s.known.Load()
--- a/bronzesteer/hedge.go
+++ b/bronzesteer/hedge.go
@@ -25,7 +25,7 @@
 	deviationGrows  = 0.25
 	deviationFalls  = 0.03
 	// hedgeShare is how many second openings each opening allows, and hedgeBurst how many
-	// may be saved. A fleet whose servers are well needs none; while a third of them are
+	// may be sent at once. A fleet whose servers are well needs none; while a third of them are
 	// silent, each costs a node one until it is avoided.
 	hedgeShare = 0.1
 	hedgeBurst = 30
--- a/bronzesteer/reborn_test.go
+++ b/bronzesteer/reborn_test.go
@@ -43,6 +43,20 @@
 	require.Equal(t, 1, status.Work)
 }
 
+// A server didn't tell when it started, and now it does: it is a newer release's entry, or
+// another writer had left the field out. Taken for a new start, it would cost callers their
+// idle flows.
+func TestAServerThatBeginsToTellItsStartHasNotStartedAgain(t *testing.T) {
+	s := newSite(t, 1)
+	server := s.node.View().ByName("a-0")
+	c := s.serve(outline)
+	s.pass(5 * time.Second)
+	s.start(server, s.now)
+	s.pass(time.Second)
+	require.Empty(t, s.endings)
+	require.Equal(t, Forward, c.ask().Kind)
+}
+
 // The registration of an earlier start comes after that of a later one. Flows of the
 // later start would be taken for lost.
 func TestAnEarlierStartIsNotTakenForALaterOne(t *testing.T) {
@@ -60,6 +74,9 @@
 // callers would keep away from it for seconds for what its earlier start did.
 func TestANewStartIsNotAvoidedForWhatTheEarlierDid(t *testing.T) {
 	s := newSite(t, 2)
+	for _, server := range s.node.View().Servers {
+		s.start(server, s.now.Add(-time.Minute))
+	}
 	s.serve(live)
 	stuck, _ := s.open(live)
 	s.pass(200 * time.Millisecond)
