Prove by tests what late acceptances and a node's own doubts are for

Each now has one that does: a server whose acceptance is only late is used again at once, and a node that was wrong twice ends no flows and tells nothing.

--- a/bronzesteer/hedge_test.go
+++ b/bronzesteer/hedge_test.go
@@ -95,6 +95,23 @@
 	require.False(t, s.status(d.Server.Instance).Avoided, "it has answered")
 }
 
+// The same, but the caller took the second server's acceptance; the first's comes a moment
+// later. The node sees it by the token that the caller sends back then: the first server
+// is late, not silent, and new callers go there again at once.
+func TestALateAcceptanceClearsItsServer(t *testing.T) {
+	s := newSite(t, 3)
+	s.handshakes(20, 3*time.Millisecond)
+	c, d := s.open(live)
+	h := s.wait()[0].Decision
+	c.packet.Token = h.Token
+	require.Equal(t, HedgeWon, c.accept().Hedge)
+	require.True(t, s.status(d.Server.Instance).Avoided)
+	s.now = s.now.Add(5 * time.Millisecond)
+	c.packet.Token = d.Token
+	require.Equal(t, h.Server.Instance, c.ask().Server.Instance)
+	require.False(t, s.status(d.Server.Instance).Avoided)
+}
+
 // Servers are far away, or the node is slow: answers take 30 ms. Openings are left that
 // time; hedged after the usual few milliseconds, each would go to two servers.
 func TestHedgesWaitAsLongAsAnswersTake(t *testing.T) {
--- a/bronzesteer/report_test.go
+++ b/bronzesteer/report_test.go
@@ -63,6 +63,36 @@
 	require.Empty(t, s.endings)
 }
 
+// A node has a full link for some seconds. Twice it finds a server silent whose answer then
+// comes. What it finds after that is no better: three flows at another server are left
+// unanswered for as long as it would take to end flows there, and none is ended, nor do
+// other nodes hear of it.
+func TestANodeThatWasWrongJudgesNobody(t *testing.T) {
+	s := newSite(t, 4)
+	idle, _ := atFirst(s.load(16, outline))
+	require.NotEmpty(t, idle)
+	for range wrongMost {
+		late := s.overdue("a-1")
+		s.pass(200 * time.Millisecond)
+		late.repeat()
+		late.packet.Token = s.node.View().Token(live, s.node.View().ByName("a-1"))
+		late.accept()
+	}
+	stuck := []*client{s.overdue("a-0"), s.overdue("a-0"), s.overdue("a-0")}
+	s.pass(200 * time.Millisecond)
+	for _, c := range stuck {
+		c.repeat()
+	}
+	for range 3 {
+		s.pass(200 * time.Millisecond)
+		s.serve(live)
+	}
+	require.Empty(t, s.endings)
+	for _, r := range s.node.Reports(true, s.now) {
+		require.True(t, r.Answered)
+	}
+}
+
 // A server has crashed. Of many nodes each sends it little: this one has a request
 // unanswered, another node three openings. New flows keep away from the server as soon as
 // the other node tells. When news that contradicts it would have come from any node, that
