Set aside what a node waited for while it stood still

Cause: nothing but a suspension of the VM was noticed; when a process alone stands still the clocks run on. What waited in the socket when it woke was handled as if it had just come: openings of a second and more before, with their copies beside them, were placed, and as their callers had gone elsewhere, nobody went on with any of them; each overdue one, and its hedges, made a server seem silent since the pause began. All nodes that woke told that, everybody believed it, and 1 s later nodes that had never slept reset idle flows at servers that answered all the while. Ruled out: findings from before the pause (older than 3.5 s by the clock that runs on), records (no reset gave ServerGone).

A pause is now found in one place (no loop went on for 500 ms, or the VM was suspended), and each subject has its rule: packets that waited 1.4 s or more and other nodes' messages are dropped; openings and requests without an answer count no more; what was found of servers is forgotten; the node judges nobody for 2 s; by old records nothing is refused until the store's word since; peers aren't lost; an answer of the store that waited confirms nothing. Copies of an opening that come within 100 ms of it show that packets waited here, and strike no server. Besides, one node's word keeps flows from a tenth of all servers at most, and answers are told before findings.

--- a/bronzeedge/edge.go
+++ b/bronzeedge/edge.go
@@ -51,6 +51,7 @@
 	store    storeState   // used by the follower alone
 
 	suspended suspension
+	pauses    pauses
 
 	data    *bronzesocket.Socket
 	peers   *net.UDPConn
@@ -282,15 +283,17 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	w := e.newWorker()
+	e.pauses.begin(time.Now())
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		e.noteSuspension()
+		e.lookForPause()
 		now := time.Now()
 		e.gossip.Tick(now)
+		e.noteConfirmed(now)
 		e.counts.knowledge.RecordDuration(e.gossip.Confirmed(now))
 		for _, ending := range e.steerer.Sweep(now) {
 			w.end(&ending)
--- a/bronzeedge/knowledge.go
+++ b/bronzeedge/knowledge.go
@@ -93,7 +93,8 @@
 func (e *Edge) advance(now time.Time) {
 	e.book.mu.Lock()
 	defer e.book.mu.Unlock()
-	if e.book.directory.Advance(now) {
+	// While the node stood still, servers that seemed missing may have come back.
+	if !e.pauses.isUnsure() && e.book.directory.Advance(now) {
 		e.publish()
 	}
 }
@@ -147,11 +148,15 @@
 
 // onStoreEvent spreads what the store answers, and logs it.
 func (e *Edge) onStoreEvent(ev bronzerecord.Event) {
+	e.lookForPause()
 	e.noteStore(ev, time.Now())
 	changed, removed := len(ev.Delta.Changed), len(ev.Delta.Removed)
 	if ev.Kind == bronzerecord.Loaded || ev.Kind == bronzerecord.Watched {
 		now := time.Now()
-		e.gossip.Contact(now)
+		// An answer that waited while the node stood still says what was true before.
+		if !e.pauses.since(now, ev.Took) {
+			e.gossip.Contact(now)
+		}
 		if changed+removed > 0 {
 			e.gossip.Spread(ev.Delta, now)
 		}
--- a/bronzeedge/packets.go
+++ b/bronzeedge/packets.go
@@ -53,6 +53,7 @@
 	for ctx.Err() == nil {
 		w.setDeadline()
 		n, err := e.data.ReadBatch(w.in)
+		e.lookForPause()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -64,6 +65,9 @@
 			e.log.Line("ReadFailed", F{"Error": err.Error()})
 			continue
 		}
+		if e.dropOldPackets(n) {
+			continue
+		}
 		now := time.Now()
 		e.packetAt.Store(int64(now.Sub(e.started)))
 		for i := range w.in[:n] {
--- a/bronzeedge/peers.go
+++ b/bronzeedge/peers.go
@@ -142,6 +142,7 @@
 // reads reports whether this node is to read the store now, and logs when that
 // changes.
 func (e *Edge) reads() bool {
+	e.lookForPause()
 	now := time.Now()
 	reads := e.gossip.Reads(now)
 	if e.reading.Swap(reads) != reads {
@@ -157,7 +158,13 @@
 	e.log.Line("Peer"+event, F{"Peer": p.Name, "AvailabilityZone": p.AvailabilityZone, "Address": p.Address.String()})
 }
 
+// sendPeer sends a message, unless the node stood still since it was put together: it says
+// how old things are.
 func (e *Edge) sendPeer(to netip.AddrPort, b []byte) {
+	if e.pauses.interrupts(time.Now()) {
+		e.count("PeerNotSentLate")
+		return
+	}
 	if _, err := e.peers.WriteToUDPAddrPort(b, to); err != nil {
 		e.count("PeerSendFailed")
 		return
@@ -178,7 +185,10 @@
 			continue
 		}
 		e.counts.received.add(n)
-		e.noteSuspension()
+		e.lookForPause()
+		if e.dropOldNews() {
+			continue
+		}
 		now := time.Now()
 		e.gossip.Handle(b[:n], now)
 		e.tellReports(now)
--- a/bronzegossip/gossip.go
+++ b/bronzegossip/gossip.go
@@ -105,7 +105,11 @@
 	ahead       Peer
 	storeFailed bool
 	leaving     bool
-	out         []datagram
+	// resumed is when the node last went on after it stood still, and unheard for how long
+	// it heard nobody by then.
+	resumed time.Time
+	unheard time.Duration
+	out     []datagram
 }
 
 // datagram is a message that is sent after the lock is released.
@@ -159,6 +163,17 @@
 	}
 }
 
+// Paused takes into account that the node didn't run until now: for paused by its clock,
+// and for suspended that the clock didn't count. It heard nobody meanwhile, and nobody is
+// lost for that. Otherwise a node that woke would take itself for the only one and the
+// store's last word for lost, and read the store with all others that woke.
+func (g *Gossip) Paused(paused, suspended time.Duration, now time.Time) {
+	g.Suspended(suspended)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.resumed, g.unheard = now, paused
+}
+
 // Leave tells all nodes known that this one is about to end.
 func (g *Gossip) Leave(now time.Time) {
 	g.do(func() {
--- a/bronzegossip/gossip_test.go
+++ b/bronzegossip/gossip_test.go
@@ -391,3 +391,36 @@
 		g.Tick(time.Now())
 	})
 }
+
+// A node stands still for four seconds, longer than others count as there without a word.
+// When it wakes it must not take itself for the only one: it would read the store, with
+// all others that woke, and they would ask all of it.
+func TestNodeThatStoodStillHasLostNobody(t *testing.T) {
+	for _, n := range []int{9, 30} {
+		_, nodes := newNetwork(n)
+		s := &store{revision: 1}
+		s.run(nodes, 20*time.Second)
+		var woken *node
+		for _, d := range nodes {
+			if r := d.gossip.rank(d.net.now); !r.reader && r.before > 0 {
+				woken = d
+			}
+		}
+		woken.stopped = true
+		s.run(nodes, 4*time.Second)
+		woken.stopped = false
+		woken.gossip.Paused(4*time.Second, 0, woken.net.now)
+		woken.gossip.Tick(woken.net.now)
+		require.Equal(t, n-1, woken.gossip.Others(woken.net.now))
+		calls := woken.calls
+		s.run(nodes, 3*time.Second)
+		require.Equal(t, calls, woken.calls)
+		require.Less(t, woken.gossip.Confirmed(woken.net.now), 2*time.Second)
+
+		for _, d := range nodes {
+			d.stopped = d != woken
+		}
+		s.run(nodes, 20*time.Second)
+		require.Zero(t, woken.gossip.Others(woken.net.now), "those that are gone since are lost as ever")
+	}
+}
--- a/bronzegossip/peers.go
+++ b/bronzegossip/peers.go
@@ -81,7 +81,7 @@
 	switch {
 	case left:
 		g.peerEvent(known, Left)
-	case known.lost && now.Sub(heardAt) < g.heardFor():
+	case known.lost && now.Sub(heardAt) < g.heardFor(now):
 		known.lost = false
 		g.peerEvent(known, Met)
 	}
@@ -91,7 +91,7 @@
 func (g *Gossip) expire(now time.Time) {
 	for name, p := range g.peers {
 		age := now.Sub(p.heardAt)
-		if age >= g.heardFor() && !p.lost {
+		if age >= g.heardFor(now) && !p.lost {
 			p.lost = true
 			g.peerEvent(p, Lost)
 		}
@@ -131,7 +131,7 @@
 // eachThere calls do with each node that was heard of lately and isn't leaving,
 // by name.
 func (g *Gossip) eachThere(now time.Time, do func(p *peer)) {
-	limit := g.heardFor()
+	limit := g.heardFor(now)
 	for _, p := range g.byName {
 		if now.Sub(p.heardAt) < limit && !p.Leaving {
 			do(p)
@@ -157,11 +157,17 @@
 	return g.chosen[:n]
 }
 
-func (g *Gossip) heardFor() time.Duration {
-	if len(g.peers) <= tellAll {
-		return heardFor
+// heardFor returns how long a node counts as there after it was last heard. Time in which
+// this one heard nobody doesn't count, until all have had time to be heard again.
+func (g *Gossip) heardFor(now time.Time) (d time.Duration) {
+	d = heardFor
+	if len(g.peers) > tellAll {
+		d = largeHeardFor + time.Duration(len(g.peers))*heardForEach
 	}
-	return largeHeardFor + time.Duration(len(g.peers))*heardForEach
+	if now.Sub(g.resumed) < d {
+		d += g.unheard
+	}
+	return d
 }
 
 // Others returns how many nodes were heard of lately.
--- a/bronzegossip/reader.go
+++ b/bronzegossip/reader.go
@@ -41,7 +41,13 @@
 		return false
 	}
 	r := g.rank(now)
-	return r.reader || g.isBehind(now) || g.confirmed(now) >= takeOverAfter(r.before)
+	return r.reader || g.isBehind(now) || g.unconfirmed(now) >= takeOverAfter(r.before)
+}
+
+// unconfirmed returns for how long this node could have heard the store's word and
+// didn't.
+func (g *Gossip) unconfirmed(now time.Time) time.Duration {
+	return min(g.confirmed(now), now.Sub(g.resumed))
 }
 
 // Yields reports whether another node of this one's zone comes before it in the
--- a/bronzesteer/backend.go
+++ b/bronzesteer/backend.go
@@ -77,9 +77,11 @@
 	found        map[uint32]finding
 	othersGoodAt time.Duration
 	suspectedAt  time.Duration
-	// told says that nodes have told each other lately that it doesn't answer.
-	told      bool
-	refutedAt time.Duration
+	// told says that nodes have told each other lately that it doesn't answer, and
+	// disputedAt is when an answer last contradicted one of them.
+	told       bool
+	refutedAt  time.Duration
+	disputedAt time.Duration
 	// latency is the average time to the first part of an answer, observedAt when one was
 	// last seen.
 	latency    time.Duration
--- a/bronzesteer/fitness.go
+++ b/bronzesteer/fitness.go
@@ -6,14 +6,18 @@
 )
 
 // fitness tells whether a node can judge servers: it can't while its link or its
-// processor has too much to do. What is sent through it is then late both ways, and
-// servers that are well seem silent until their answers come. A node with 10 Mbit/s
-// takes 65 ms for each upload of 80 KB: it reset callers' idle flows at a server that
-// other nodes had answers from. All methods may be called concurrently.
+// processor has too much to do, nor after it stood still. What is sent through it is then
+// late both ways, and servers that are well seem silent until their answers come. A node
+// with 10 Mbit/s takes 65 ms for each upload of 80 KB: it reset callers' idle flows at a
+// server that other nodes had answers from. All methods may be called concurrently.
 type fitness struct {
 	mu sync.Mutex
 	// wrong is when the last servers answered that had been found silent just before.
 	wrong [wrongMost]time.Duration
+	// lateUntil is until when packets count as having waited here, and restedAt when the
+	// node has seen enough again after it stood still.
+	lateUntil time.Duration
+	restedAt  time.Duration
 }
 
 const (
@@ -30,7 +34,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	oldest := f.wrong[0]
-	return oldest == 0 || at-oldest >= wrongFor
+	return (oldest == 0 || at-oldest >= wrongFor) && at >= f.lateUntil && at >= f.restedAt
 }
 
 // wasWrong notes that a server has answered that was found silent.
@@ -40,3 +44,24 @@
 	copy(f.wrong[:], f.wrong[1:])
 	f.wrong[wrongMost-1] = at
 }
+
+// wasLate notes that packets have waited in this node.
+func (f *fitness) wasLate(at time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lateUntil = at + wrongFor
+}
+
+// rest has the node judge nothing until it has run for settling.
+func (f *fitness) rest(at time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.restedAt = at + settling
+}
+
+// from returns since when what the node finds counts.
+func (f *fitness) from() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.restedAt
+}
--- a/bronzesteer/flow.go
+++ b/bronzesteer/flow.go
@@ -187,7 +187,10 @@
 	s.renewNews()
 	lost := s.silentServers(at)
 	if at-s.loadsAt >= loadsEvery {
-		k.addGone(lost)
+		if !s.unsure.Load() {
+			k.addGone(lost)
+		}
+		s.forgetBlames(at)
 		s.updateLoads(k, at)
 	}
 	for i := range s.shards {
--- a/bronzesteer/packet.go
+++ b/bronzesteer/packet.go
@@ -100,6 +100,8 @@
 	NotACaller
 	// NoView: nothing is known yet.
 	NoView
+	// Unsure: the records would have the packet refused, but may be out of date.
+	Unsure
 	// ReasonCount is how many reasons there are.
 	ReasonCount
 )
@@ -107,6 +109,7 @@
 var reasonNames = [ReasonCount]string{
 	"Placed", "Repeated", "Retried", "Hedged", "Steered", "NoRoute", "RouteWithdrawn", "NoServer", "NoneAnswers",
 	"Overloaded", "ServerGone", "ServerSilent", "ServerReborn", "NoToken", "TokenUnknown", "NotACaller", "NoView",
+	"Unsure",
 }
 
 // String returns the reason's name.
--- /dev/null
+++ b/bronzesteer/pause.go
@@ -0,0 +1,109 @@
+package bronzesteer
+
+import "time"
+
+// SetAside is what a node no longer goes by after it stood still.
+type SetAside struct {
+	// Openings and Requests are those whose answers it waited for, and Findings the
+	// servers that it or others had found silent.
+	Openings int
+	Requests int
+	Findings int
+}
+
+// Paused notes that the node stood still for some time, until now. It couldn't see
+// meanwhile whether a server answered, so that nothing counts as unanswered that was sent
+// before. Otherwise each server that it waited for seems to have been silent for as long
+// as it slept itself; told to a fleet by all that woke together, that ended open flows at
+// servers that answered all the while.
+//
+// For two seconds from now on it judges no server, and until Confirmed is called it ends
+// no flow by its records, which may have changed meanwhile: packets that old records say
+// to refuse are dropped, and their callers repeat them.
+func (s *Steerer) Paused(now time.Time) (aside SetAside) {
+	s.init()
+	at := s.since(now)
+	s.fit.rest(at)
+	s.unsure.Store(true)
+	s.hedges.clear()
+	for i := range s.shards {
+		s.shards[i].pause(&aside, at)
+	}
+	aside.Findings = s.forgetFindings()
+	return aside
+}
+
+// Confirmed notes that the records in force are known to be the newest since Paused.
+func (s *Steerer) Confirmed() { s.unsure.Store(false) }
+
+// pause forgets what the shard's flows wait for. Openings are kept: their callers may go
+// on with the server that was asked.
+func (sh *shard) pause(aside *SetAside, at time.Duration) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	for _, f := range sh.flows {
+		switch {
+		case !f.open:
+			aside.Openings++
+			f.retriedAt = at
+			f.dropOpening()
+		case f.askedAt != 0:
+			aside.Requests++
+			f.finish()
+			f.askedAt, f.struck = 0, false
+		}
+	}
+}
+
+// dropOpening ends the waiting for an opening's answer, which shows nothing any more.
+func (f *flow) dropOpening() {
+	if f.opening != nil {
+		f.opening.settled.Store(true)
+		f.opening = nil
+	}
+}
+
+// clear forgets the openings that wait.
+func (h *hedges) clear() {
+	h.mu.Lock()
+	h.waiting = nil
+	h.mu.Unlock()
+}
+
+// forgetFindings forgets what was found of servers, here and elsewhere, and returns how
+// many servers there was something of.
+func (s *Steerer) forgetFindings() (n int) {
+	s.mu.Lock()
+	suspects := s.suspects
+	s.suspects = make(map[*backend]bool)
+	clear(s.blamed)
+	zones := make([]*zone, 0, len(s.zones))
+	for _, z := range s.zones {
+		zones = append(zones, z)
+	}
+	s.mu.Unlock()
+	for b := range suspects {
+		if b.forgetFindings() {
+			n++
+		}
+	}
+	for _, z := range zones {
+		z.mu.Lock()
+		clear(z.silent)
+		clear(z.quiet)
+		z.mu.Unlock()
+	}
+	return n
+}
+
+// forgetFindings forgets what was found of the server, and reports whether there was
+// something.
+func (b *backend) forgetFindings() (had bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	had = b.unanswered > 0 || len(b.found) > 0
+	clear(b.found)
+	b.silent, b.unanswered, b.openings, b.silentSince = 0, 0, 0, 0
+	b.told = false
+	return had
+}
--- /dev/null
+++ b/bronzesteer/pause_test.go
@@ -0,0 +1,173 @@
+package bronzesteer
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// sleep lets time pass in which the node doesn't run.
+func (s *site) sleep(d time.Duration) (aside SetAside) {
+	s.now = s.now.Add(d)
+	return s.node.Paused(s.now)
+}
+
+// told returns what the node tells of servers that it found silent.
+func (s *site) told() (findings []Report) {
+	for _, r := range s.node.Reports(true, s.now) {
+		if !r.Answered {
+			findings = append(findings, r)
+		}
+	}
+	return findings
+}
+
+// A node of a large fleet stands still for five seconds. Three callers wait for the
+// acceptance of their openings, three for answers; all go elsewhere meanwhile, but for one
+// that asks again when the node has woken. The servers have answered other nodes all the
+// while. The node that woke tells nobody that they are silent, sends none of the openings
+// on, and ends no flow at any of them.
+func TestANodeThatStoodStillFindsNobodySilent(t *testing.T) {
+	s := newSite(t, 6)
+	s.node.SetNodes(294)
+	idle := s.load(12, outline)
+	waiting := s.load(6, live)
+	s.handshakes(20, 3*time.Millisecond)
+	for _, c := range waiting[:3] {
+		c.ask()
+	}
+	for range 3 {
+		s.open(live)
+	}
+	aside := s.sleep(5 * time.Second)
+	require.Equal(t, SetAside{Openings: 3, Requests: 3}, aside)
+	require.Empty(t, s.wait())
+	require.Equal(t, Forward, waiting[0].askAgain().Kind)
+	for range 8 {
+		s.pass(200 * time.Millisecond)
+		s.serve(live)
+		require.Empty(t, s.told())
+	}
+	require.Empty(t, s.endings)
+	require.Equal(t, Forward, idle[0].ask().Kind)
+}
+
+// The same node judges servers again two seconds after it woke: one that crashed meanwhile
+// is found, and told of.
+func TestANodeThatStoodStillJudgesAgain(t *testing.T) {
+	s := newSite(t, 6)
+	s.node.SetNodes(294)
+	s.handshakes(20, 3*time.Millisecond)
+	s.sleep(5 * time.Second)
+	s.open(live)
+	s.wait()
+	s.pass(settling)
+	s.node.Hedges(s.now)
+	require.Empty(t, s.told(), "what it saw while it woke doesn't count")
+	s.open(live)
+	s.wait()
+	s.pass(2 * tellAfter)
+	require.NotEmpty(t, s.told())
+}
+
+// Findings that a node had from others before it stood still are as old as the pause when
+// it wakes, and the servers may have answered since. It neither passes them on nor goes by
+// them.
+func TestFindingsFromBeforeAPauseAreForgotten(t *testing.T) {
+	s := newSite(t, 6)
+	s.node.SetNodes(294)
+	idle, _ := atFirst(s.load(12, outline))
+	require.NotEmpty(t, idle)
+	s.pass(400 * time.Millisecond)
+	s.node.SetReports([]Report{
+		s.found("a-0", 7, 3, 300*time.Millisecond), s.found("a-0", 8, 3, 300*time.Millisecond),
+	}, s.now)
+	require.Equal(t, 1, s.sleep(600*time.Millisecond).Findings)
+	for range 10 {
+		s.serve(live)
+		s.pass(200 * time.Millisecond)
+	}
+	require.Empty(t, s.told())
+	require.Empty(t, s.endings)
+}
+
+// A server disappears from the records, and comes back while the node stands still. The
+// node doesn't know that yet when a packet of an open flow comes: its caller isn't reset,
+// and repeats the packet a moment later. Once the records are confirmed, a flow of a server
+// that is gone is ended as ever.
+func TestRecordsFromBeforeAPauseEndNoFlows(t *testing.T) {
+	s := newSite(t, 3)
+	there, _ := atFirst(s.load(9, live))
+	require.Greater(t, len(there), 1)
+	s.directory.Unregister("a-0", s.now)
+	s.directory.Advance(s.now.Add(time.Minute))
+	s.node.SetView(s.directory.View())
+	s.sleep(5 * time.Second)
+	d := there[0].ask()
+	require.Equal(t, Drop, d.Kind)
+	require.Equal(t, Unsure, d.Reason)
+	unknown, _ := s.open(netip.MustParseAddrPort("198.18.0.9:80"))
+	require.Equal(t, Unsure, unknown.repeat().Reason, "its route may be new")
+	s.pass(time.Second)
+	require.Empty(t, s.endings)
+
+	s.node.Confirmed()
+	require.Equal(t, ServerGone, there[0].askAgain().Reason)
+	require.Equal(t, NoRoute, unknown.repeat().Reason)
+	s.pass(time.Second)
+	require.NotEmpty(t, s.endings)
+}
+
+// A node had nothing to run on for a while. A caller's opening waited in its socket with
+// both of its copies, and is read with them; the caller has gone elsewhere and goes on with
+// no server. None of them is asked twice, avoided or told of.
+func TestCopiesThatWaitedWithTheirOpeningShowNoSilence(t *testing.T) {
+	s := newSite(t, 3)
+	s.node.SetNodes(294)
+	s.handshakes(20, 3*time.Millisecond)
+	c, d := s.open(live)
+	for range 2 {
+		again := c.repeat()
+		require.Equal(t, Repeated, again.Reason)
+		require.Equal(t, d.Server.Instance, again.Server.Instance)
+	}
+	require.Empty(t, s.wait())
+	s.pass(time.Second)
+	require.False(t, s.status(d.Server.Instance).Avoided)
+	require.Empty(t, s.told())
+}
+
+// One node of a large fleet says that all servers are silent: it is its own link or
+// processor that is. New flows keep away from a tenth of them at most.
+func TestOneNodesWordKeepsFlowsFromFewServers(t *testing.T) {
+	const servers = 100
+	s := newSite(t, servers)
+	s.node.SetNodes(294)
+	s.load(8, live)
+	for _, m := range s.node.known.Load().members {
+		s.node.SetReports([]Report{s.found(m.server.Instance, 7, 3, 10*time.Millisecond)}, s.now)
+	}
+	avoided := 0
+	for _, m := range s.node.known.Load().members {
+		if s.status(m.server.Instance).Avoided {
+			avoided++
+		}
+	}
+	require.Positive(t, avoided)
+	require.LessOrEqual(t, avoided, servers*1/10)
+}
+
+// News takes a step more for each fourfold size of the fleet, and as many back for what
+// contradicts it.
+func TestWaitsForNewsFollowFromTheFleetsSize(t *testing.T) {
+	var s Steerer
+	for others, want := range map[int]time.Duration{
+		0: 0, fewNodes: 0, 19: 800, 65: 800, 77: 800, 294: 1000, 489: 1000, 1100: 1200,
+	} {
+		s.SetNodes(others)
+		require.Equal(t, want*time.Millisecond, s.newsTakes(false), others)
+		require.Equal(t, want*time.Millisecond/2, s.newsTakes(true), others)
+	}
+}
--- a/bronzesteer/report.go
+++ b/bronzesteer/report.go
@@ -34,8 +34,9 @@
 	// told each other of each, and again that it was wrong.
 	tellAfter = 100 * time.Millisecond
 	// refuteEvery is how often others are told at most that a server has answered of which
-	// they still tell the contrary. News takes a few steps to reach all.
-	refuteEvery = 500 * time.Millisecond
+	// they still tell the contrary. It is well under the time in which that has to reach
+	// all, before they end flows (newsTakes).
+	refuteEvery = 200 * time.Millisecond
 )
 
 // Report is what a node has found of a server, as nodes tell each other. Of a server that
@@ -97,9 +98,9 @@
 // lock.
 func (b *backend) answeredAt() time.Duration { return max(b.goodAt, b.othersGoodAt) }
 
-// own returns what this node itself has found; the caller holds the lock.
-func (b *backend) own(at time.Duration, near bool) (f finding, ok bool) {
-	if b.unanswered == 0 || at-b.silentAt >= suspicionFor || b.answeredAt() > b.silentSince {
+// own returns what this node itself has found since from; the caller holds the lock.
+func (b *backend) own(at time.Duration, near bool, from time.Duration) (f finding, ok bool) {
+	if b.unanswered == 0 || at-b.silentAt >= suspicionFor || b.answeredAt() > b.silentSince || b.silentSince < from {
 		return f, false
 	}
 	return finding{
@@ -108,8 +109,8 @@
 }
 
 // suspicion returns what all nodes together have found; the caller holds the lock.
-func (b *backend) suspicion(at time.Duration, near bool) (u suspicion) {
-	if f, ok := b.own(at, near); ok {
+func (b *backend) suspicion(at time.Duration, near bool, from time.Duration) (u suspicion) {
+	if f, ok := b.own(at, near, from); ok {
 		u.add(f)
 	}
 	for node, f := range b.found {
@@ -154,14 +155,35 @@
 		list = append(list, told...)
 	}
 	s.unsuspect(over)
+	return s.some(list)
+}
+
+// some returns some of the reports if they are too many: answers before findings. While
+// nodes that are late find more servers silent than a message holds, what clears those has
+// to come through.
+func (s *Steerer) some(list []Report) []Report {
 	if len(list) <= maxReports {
 		return list
 	}
-	for i := range maxReports {
+	s.shuffle(list)
+	slices.SortStableFunc(list, func(a, b Report) int {
+		switch {
+		case a.Answered == b.Answered:
+			return 0
+		case a.Answered:
+			return -1
+		default:
+			return 1
+		}
+	})
+	return list[:maxReports]
+}
+
+func (s *Steerer) shuffle(list []Report) {
+	for i := range list {
 		j := i + s.random(len(list)-i)
 		list[i], list[j] = list[j], list[i]
 	}
-	return list[:maxReports]
 }
 
 // tellLater keeps a server among those that there is something new of.
@@ -221,7 +243,7 @@
 	near := b.zoneName == s.AvailabilityZone
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if f, ok := b.own(at, near); ok && s.fit.isFit(at) {
+	if f, ok := b.own(at, near, s.fit.from()); ok && s.fit.isFit(at) {
 		if later = s.manyNodes() && at-f.first < tellAfter; !later {
 			list = append(list, f.report(b.short, s.Node, at))
 			b.told = true
@@ -232,14 +254,23 @@
 			list = append(list, f.report(b.short, node, at))
 		}
 	}
-	if len(list) > 0 {
-		slices.SortFunc(list, Report.compare)
+	slices.SortFunc(list, Report.compare)
+	if !b.tellsAnswer(len(list) > 0, at) {
 		return list[:min(len(list), toldReporters)], later
 	}
-	if ago := at - b.answeredAt(); b.told && b.answeredAt() > 0 && ago < suspicionFor {
-		list = append(list, Report{Server: b.short, Node: s.Node, Near: near, Answered: true, Last: ago})
+	list = list[:min(len(list), toldReporters-1)]
+	answer := Report{Server: b.short, Node: s.Node, Near: near, Answered: true, Last: at - b.answeredAt()}
+	return append(list, answer), later
+}
+
+// tellsAnswer reports whether others are to be told when the server last answered: if it
+// was said lately that it doesn't, and beside findings that are newer than its answer only
+// if that contradicts others. The caller holds the lock.
+func (b *backend) tellsAnswer(found bool, at time.Duration) bool {
+	if !b.told || b.answeredAt() == 0 || at-b.answeredAt() >= suspicionFor {
+		return false
 	}
-	return list, later
+	return !found || b.disputedAt > 0 && at-b.disputedAt < suspicionFor
 }
 
 // compare orders reports by what they are worth to others: those from the server's zone
@@ -272,21 +303,22 @@
 	for i := range reports {
 		for _, m := range k.members {
 			if m.backend.short == reports[i].Server {
-				s.takeReport(m.backend, &reports[i], at)
+				s.takeReport(m.backend, &reports[i], len(k.members), at)
 			}
 		}
 	}
 }
 
-// takeReport takes in one report.
-func (s *Steerer) takeReport(b *backend, r *Report, at time.Duration) {
+// takeReport takes in one report; servers is how many there are.
+func (s *Steerer) takeReport(b *backend, r *Report, servers int, at time.Duration) {
 	if r.Node == s.Node || r.Last < 0 || r.Last >= suspicionFor {
 		return
 	}
 	news := false
-	if r.Answered {
-		news = s.answeredOther(b, at-r.Last)
-	} else {
+	switch {
+	case r.Answered:
+		news = s.answeredOther(b, at-r.Last, at)
+	case s.mayBlame(r.Node, r.Server, servers, at):
 		news = s.foundByOther(b, r, at)
 	}
 	if news {
@@ -303,6 +335,7 @@
 	b.told = true
 	switch {
 	case b.answeredAt() > f.first:
+		b.disputedAt = at
 		news = b.refutedAt == 0 || at-b.refutedAt >= refuteEvery
 		if news {
 			b.refutedAt = at
@@ -344,8 +377,10 @@
 }
 
 // answeredOther notes that the server has answered another node at goodAt, and reports
-// whether that contradicts what is known here.
-func (s *Steerer) answeredOther(b *backend, goodAt time.Duration) (news bool) {
+// whether that contradicts what is known here. What is then still said against it has to
+// wait for further answers as if it was new: while some nodes keep finding a server silent,
+// one that answers others is never without a finding that no answer has contradicted yet.
+func (s *Steerer) answeredOther(b *backend, goodAt, at time.Duration) (news bool) {
 	b.mu.Lock()
 	if goodAt <= b.answeredAt() {
 		b.mu.Unlock()
@@ -356,6 +391,7 @@
 	for node, f := range b.found {
 		if goodAt > f.first {
 			delete(b.found, node)
+			b.disputedAt, b.suspectedAt = at, at
 		}
 	}
 	if goodAt > b.silentSince {
--- a/bronzesteer/silence.go
+++ b/bronzesteer/silence.go
@@ -1,6 +1,7 @@
 package bronzesteer
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,12 +37,14 @@
 	aloneFor   = 1200 * time.Millisecond
 	aloneProof = 8
 	// fewNodes is how many others a node may have for news to take a few milliseconds. With
-	// more it takes some steps of 100 ms there, and as many back: newsFor. Acted upon at
-	// once, findings of two nodes in the crowd of callers that moved between zones cost
-	// others flows that were open at a server that answered.
-	fewNodes       = 12
-	newsFor        = 800 * time.Millisecond
-	newsForWaiting = 400 * time.Millisecond
+	// more it takes some steps of newsStep there, and as many back, newsLeast at least:
+	// each node that hears tells newsFanout others. Acted upon at once, findings of two
+	// nodes in the crowd of callers that moved between zones cost others flows that were
+	// open at a server that answered.
+	fewNodes   = 12
+	newsStep   = 100 * time.Millisecond
+	newsFanout = 3
+	newsLeast  = 400 * time.Millisecond
 	// silentServers is how many servers of another zone must be silent, with
 	// none of it answering, before the way to the zone counts as cut.
 	silentServers = 2
@@ -121,6 +124,9 @@
 	b.goodAt = at
 	contradicts := b.told && (avoided || b.unanswered > 0 || len(b.found) > 0)
 	wrong := b.unanswered > 0 && at-b.silentSince < wrongBy
+	if len(b.found) > 0 {
+		b.disputedAt = at
+	}
 	clear(b.found)
 	b.silent, b.unanswered, b.openings, b.silentSince = 0, 0, 0, 0
 	b.avoidUntil, b.avoidFor = 0, 0
@@ -188,7 +194,7 @@
 
 // judges reports whether this node is in a state to judge servers.
 func (s *Steerer) judges(at time.Duration) bool {
-	return at >= settling && at-time.Duration(s.goodAt.Load()) <= hearingFor && !s.isLate(at)
+	return at >= max(settling, s.fit.from()) && at-time.Duration(s.goodAt.Load()) <= hearingFor && !s.isLate(at)
 }
 
 // asked reports whether the server has left something unanswered lately.
@@ -209,12 +215,12 @@
 	if b.unanswered == 0 && len(b.found) == 0 {
 		return false
 	}
-	u := b.suspicion(at, b.zoneName == s.AvailabilityZone)
+	u := b.suspicion(at, b.zoneName == s.AvailabilityZone, s.fit.from())
 	if u.nodes >= deadNodes && u.near && u.openings > 0 && u.all >= s.proof() &&
 		at-u.first >= silentFor && at-b.suspectedAt >= s.newsTakes(waits) {
 		return true
 	}
-	f, ok := b.own(at, false)
+	f, ok := b.own(at, false, s.fit.from())
 	if !ok || !s.fit.isFit(at) {
 		return false
 	}
@@ -239,14 +245,15 @@
 // this one of an answer that contradicts it. For a flow that waits for its answer itself,
 // half of that is enough.
 func (s *Steerer) newsTakes(waits bool) time.Duration {
-	switch {
-	case !s.manyNodes():
+	if !s.manyNodes() {
 		return 0
-	case waits:
-		return newsForWaiting
-	default:
-		return newsFor
 	}
+	steps := math.Ceil(math.Log(float64(s.others.Load()+1)) / math.Log(newsFanout+1))
+	there := max(time.Duration(steps)*newsStep, newsLeast)
+	if waits {
+		return there
+	}
+	return 2 * there
 }
 
 // longEnough returns how long a server must have been silent for a node to go by what it
--- a/bronzesteer/steer.go
+++ b/bronzesteer/steer.go
@@ -39,6 +39,8 @@
 	admission bronzepool.Admission
 	hedges    hedges
 	fit       fitness
+	// unsure says that the node stood still and its records weren't confirmed since.
+	unsure atomic.Bool
 
 	// goodAt is when any server was last seen to answer, since start.
 	goodAt atomic.Int64
@@ -48,6 +50,8 @@
 	nodes    map[string]nodeLoads
 	services map[string]*service
 	suspects suspects
+	// blamed are the servers that each other node has found silent of late.
+	blamed   map[uint32]blame
 	accounts map[netip.AddrPort]*account
 	// free counts the openings that aren't turned away where others are.
 	free map[netip.AddrPort]*rate.Limiter
@@ -123,6 +127,7 @@
 		s.nodes = make(map[string]nodeLoads)
 		s.services = make(map[string]*service)
 		s.suspects = make(suspects)
+		s.blamed = make(map[uint32]blame)
 		s.accounts = make(map[netip.AddrPort]*account)
 		s.admission.Open, s.admission.HalfOpen = maxFlows, maxHalfOpen
 		s.free = make(map[netip.AddrPort]*rate.Limiter)
@@ -167,7 +172,7 @@
 	service := p.Key.ServiceAddrPort()
 	route := v.Route(service)
 	if route == nil {
-		return Decision{Kind: End, Reason: NoRoute}
+		return s.byRecords(Decision{Kind: End, Reason: NoRoute})
 	}
 	at := s.since(now)
 	sh := s.shard(p)
@@ -208,10 +213,13 @@
 	server := v.ByName(f.backend.instance)
 	if f.open {
 		if server == nil || server.Status == bronzeroute.Gone {
-			return Decision{Kind: End, Reason: ServerGone}
+			return s.byRecords(Decision{Kind: End, Reason: ServerGone})
 		}
 		return Decision{Kind: Forward, Reason: Repeated, Server: server, Token: f.token}
 	}
+	if server != nil && server.Status == bronzeroute.Serving && s.cameTogether(f, p, at) {
+		return Decision{Kind: Forward, Reason: Repeated, Server: server, Token: f.token}
+	}
 	if server != nil && server.Status == bronzeroute.Serving && f.backend.answeredSince(f.sentAt(f.openedAt)) {
 		return Decision{Kind: Forward, Reason: Repeated, Server: server, Token: f.token}
 	}
@@ -227,6 +235,35 @@
 	return Decision{Kind: Forward, Reason: Retried, Server: next.server, Token: f.token, Tried: server}
 }
 
+// copiesApart is the least time between an opening and its caller's first copy, which is
+// sent 200 ms later. Those that come closer together have waited, here or on the way.
+const copiesApart = 100 * time.Millisecond
+
+// cameTogether reports whether the copy of an opening says nothing of the server that was
+// asked, as it came too soon after it. If it is the caller's own, this node is late. Of a
+// node that stood still or had too much to do, the packets that waited are openings whose
+// callers have long gone elsewhere: none of the servers that these are sent to is ever
+// gone on with, and all would be taken for silent.
+func (s *Steerer) cameTogether(f *flow, p *Packet, at time.Duration) bool {
+	if at-f.openedAt >= copiesApart {
+		return false
+	}
+	if p.Copy > 0 {
+		s.fit.wasLate(at)
+		f.dropOpening()
+	}
+	return true
+}
+
+// byRecords returns the decision to refuse a packet for what records say, or to drop it
+// while they are in doubt.
+func (s *Steerer) byRecords(d Decision) Decision {
+	if s.unsure.Load() {
+		return Decision{Reason: Unsure}
+	}
+	return d
+}
+
 // steer sends a packet of an established flow where its token says.
 func (s *Steerer) steer(k *known, p *Packet, now time.Time) Decision {
 	v := k.view
@@ -234,7 +271,7 @@
 	route := v.Route(service)
 	if route == nil {
 		if v.Withdrawn(service) {
-			return Decision{Kind: End, Reason: RouteWithdrawn}
+			return s.byRecords(Decision{Kind: End, Reason: RouteWithdrawn})
 		}
 		return Decision{Reason: NoRoute}
 	}
@@ -258,6 +295,8 @@
 	switch {
 	case server == nil:
 		return Decision{Reason: TokenUnknown}
+	case server.Status == bronzeroute.Gone && s.unsure.Load():
+		return Decision{Reason: Unsure}
 	case server.Status == bronzeroute.Gone:
 		sh.end(p.Key)
 		return Decision{Kind: End, Reason: ServerGone, Tried: server}
