End flows by others' findings only after asking the server oneself

Cause: a flow was ended by the word of two nodes if nobody contradicted it in time, and where all avoid a server nobody asks it, so nobody does.

A node now ends flows by others' findings only if it has asked the server itself, in vain for 100 ms. Where it has only idle flows there, the opening of one caller tries the server and goes on to another one when it is overdue (some 20 ms for that caller). Ruled out: a quorum of nodes (of 295 few ever ask a given server in time).

--- /dev/null
+++ b/bronzesteer/fleet_test.go
@@ -0,0 +1,87 @@
+package bronzesteer
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// fleet is some nodes that tell each other of servers, each with callers of its own.
+type fleet struct {
+	sites []*site
+	// flows are those that callers have open at each node, at all servers.
+	flows  [][]*client
+	random *rand.Rand
+	// liars is how many of them, the last, say what they like.
+	liars int
+}
+
+// newFleet returns a fleet whose nodes all have idle flows at all servers.
+func newFleet(t *testing.T, nodes, liars, servers int, seed uint64) *fleet {
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), liars: liars}
+	for i := range nodes {
+		s := newSite(t, servers)
+		s.node.Node = uint32(i + 1)
+		s.node.Random = f.random.IntN
+		s.node.SetNodes(nodes - 1)
+		f.flows = append(f.flows, s.load(3*servers, outline))
+		f.sites = append(f.sites, s)
+	}
+	for _, s := range f.sites {
+		s.now = f.sites[0].now
+	}
+	return f
+}
+
+// honest are the nodes that tell what they see.
+func (f *fleet) honest() []*site { return f.sites[:len(f.sites)-f.liars] }
+
+// step lets some time pass, in which each node serves a new caller and one that it knows,
+// and tells three others what is new.
+func (f *fleet) step(lies func() []Report) {
+	for i, s := range f.sites {
+		s.serve(live)
+		s.round(f.flows[i][f.random.IntN(len(f.flows[i])):][:1])
+		reports := s.node.Reports(false, s.now)
+		if i >= len(f.sites)-f.liars {
+			reports = lies()
+		}
+		for range newsFanout {
+			to := f.sites[f.random.IntN(len(f.sites))]
+			to.node.SetReports(reports, to.now)
+		}
+		s.pass(50 * time.Millisecond)
+	}
+}
+
+// Whatever a minority of nodes says of servers, for as long as it likes and to whomever, no
+// flow is ended at a server that answers the others' callers, of the others' flows. What
+// they say may keep some new flows away from it.
+func TestWhatAMinoritySaysEndsNoFlows(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		nodes := rapid.IntRange(fewNodes+2, 24).Draw(r, "Nodes")
+		liars := rapid.IntRange(1, (nodes-1)/2).Draw(r, "Liars")
+		servers := rapid.IntRange(2, 4).Draw(r, "Servers")
+		f := newFleet(t, nodes, liars, servers, rapid.Uint64().Draw(r, "Seed"))
+		lies := func() (reports []Report) {
+			for range f.random.IntN(maxReports) {
+				server := f.sites[0].node.known.Load().members[f.random.IntN(servers)].backend.short
+				first := time.Duration(f.random.IntN(4000)) * time.Millisecond
+				reports = append(reports, Report{
+					Server: server, Node: uint32(nodes - f.random.IntN(liars)), Near: true, Openings: 1 + f.random.IntN(9),
+					Requests: f.random.IntN(9), First: first, Last: time.Duration(f.random.Int64N(int64(first) + 1)),
+				})
+			}
+			return reports
+		}
+		for range 40 {
+			f.step(lies)
+		}
+		for _, s := range f.honest() {
+			require.Empty(r, s.endings)
+		}
+	})
+}
--- a/bronzesteer/flow.go
+++ b/bronzesteer/flow.go
@@ -212,7 +212,9 @@
 	if !s.judges(at) {
 		return lost
 	}
-	for _, b := range s.toTell(true) {
+	suspects := s.toTell(true)
+	s.findTrials(suspects, at)
+	for _, b := range suspects {
 		if s.dead(b, true, at) {
 			lost[b] = loss{reason: ServerSilent, sure: s.dead(b, false, at)}
 		}
--- a/bronzesteer/refuse.go
+++ b/bronzesteer/refuse.go
@@ -52,7 +52,7 @@
 			continue
 		}
 		for _, m := range k.membersOf(share.Pool) {
-			if m.server.Status != bronzeroute.Draining && !s.silent(m.backend, false, at) {
+			if m.server.Status != bronzeroute.Draining && !s.answersNobody(m.backend, at) {
 				return false
 			}
 		}
--- a/bronzesteer/silence.go
+++ b/bronzesteer/silence.go
@@ -45,6 +45,10 @@
 	newsStep   = 100 * time.Millisecond
 	newsFanout = 3
 	newsLeast  = 400 * time.Millisecond
+	// askedFor is for how long a server must have left this node itself without an answer
+	// for others' findings to end flows there. One that is well accepts an opening at once,
+	// and through a link that is full for a moment the acceptance comes within some 50 ms.
+	askedFor = 100 * time.Millisecond
 	// silentServers is how many servers of another zone must be silent, with
 	// none of it answering, before the way to the zone counts as cut.
 	silentServers = 2
@@ -192,6 +196,11 @@
 	return s.judges(at) && (s.dead(b, waits, at) || b.asked(at) && s.zoneCut(b, at))
 }
 
+// answersNobody reports whether a new flow at the server would wait in vain.
+func (s *Steerer) answersNobody(b *backend, at time.Duration) bool {
+	return s.judges(at) && (s.believedDead(b, at) || b.asked(at) && s.zoneCut(b, at))
+}
+
 // judges reports whether this node is in a state to judge servers.
 func (s *Steerer) judges(at time.Duration) bool {
 	return at >= max(settling, s.fit.from()) && at-time.Duration(s.goodAt.Load()) <= hearingFor && !s.isLate(at)
@@ -205,30 +214,46 @@
 }
 
 // dead reports whether the server has left several flows unanswered, and answered
-// nobody meanwhile, neither here nor, as far as other nodes tell, elsewhere. What others
-// found counts if one of them is in the server's zone: otherwise the way there may be cut,
-// and the server well. A node goes by itself alone only after longer. A flow that waits
-// for an answer itself needs less.
+// nobody meanwhile, neither here nor, as far as other nodes tell, elsewhere, so that its
+// flows may be ended. Others' word alone doesn't end a flow: this node must have asked the
+// server itself, in vain. A node goes by itself alone only after longer.
 func (s *Steerer) dead(b *backend, waits bool, at time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.unanswered == 0 && len(b.found) == 0 {
-		return false
-	}
-	u := b.suspicion(at, b.zoneName == s.AvailabilityZone, s.fit.from())
-	if u.nodes >= deadNodes && u.near && u.openings > 0 && u.all >= s.proof() &&
-		at-u.first >= silentFor && at-b.suspectedAt >= s.newsTakes(waits) {
-		return true
-	}
 	f, ok := b.own(at, false, s.fit.from())
 	if !ok || !s.fit.isFit(at) {
 		return false
 	}
-	u = suspicion{}
+	if at-f.first >= askedFor && s.othersFind(b, waits, at) {
+		return true
+	}
+	u := suspicion{}
 	u.add(f)
 	return u.all >= silentFlows && at-u.first >= s.longEnough(&u)
 }
 
+// othersFind reports whether what all nodes together have found says that the server is
+// dead, as far as news takes to contradict that. What others found counts if one of them
+// is in the server's zone: otherwise the way there may be cut, and the server well. For a
+// flow that waits for an answer itself less time is needed. The caller holds the server's
+// lock.
+func (s *Steerer) othersFind(b *backend, waits bool, at time.Duration) bool {
+	u := b.suspicion(at, b.zoneName == s.AvailabilityZone, s.fit.from())
+	return u.nodes >= deadNodes && u.near && u.openings > 0 && u.all >= s.proof() &&
+		at-u.first >= silentFor && at-b.suspectedAt >= s.newsTakes(waits)
+}
+
+// believedDead reports whether no new flow has a chance at the server: it is dead, or
+// others find it so.
+func (s *Steerer) believedDead(b *backend, at time.Duration) bool {
+	if s.dead(b, false, at) {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return s.othersFind(b, false, at)
+}
+
 // manyNodes reports whether news takes more than some milliseconds to all nodes.
 func (s *Steerer) manyNodes() bool { return s.others.Load() > fewNodes }
 
--- a/bronzesteer/steer.go
+++ b/bronzesteer/steer.go
@@ -52,6 +52,7 @@
 	suspects suspects
 	// blamed are the servers that each other node has found silent of late.
 	blamed   map[uint32]blame
+	trials   trials
 	accounts map[netip.AddrPort]*account
 	// free counts the openings that aren't turned away where others are.
 	free map[netip.AddrPort]*rate.Limiter
@@ -189,6 +190,9 @@
 	if d, ok := s.refusal(k, route, p, c, now); ok {
 		return d
 	}
+	if t, ok := s.trial(k, c, p); ok {
+		c, server = t, t.server
+	}
 	token := v.Token(service, server)
 	d := Decision{Kind: Forward, Reason: Placed, Server: server, Token: token}
 	account := s.account(route)
--- /dev/null
+++ b/bronzesteer/trial.go
@@ -0,0 +1,67 @@
+package bronzesteer
+
+import (
+	"slices"
+	"time"
+
+	"bronzeusher.example/bronzeusher/bronzeroute"
+)
+
+// trials are servers that other nodes find dead, and that this one has flows at without
+// having asked them anything since. Each is to have the opening of one caller, which goes
+// to a further server when the answer is overdue: it costs that caller some 20 ms, and
+// shows whether the flows are lost, whose callers would find it out only by their next
+// request, and lose it if it must not be repeated.
+type trials []*backend
+
+// findTrials brings up to date which servers are to be tried. The suspects are those that
+// something is told of.
+func (s *Steerer) findTrials(suspects []*backend, at time.Duration) {
+	var found trials
+	for _, b := range suspects {
+		if s.wantsTrial(b, at) {
+			found = append(found, b)
+		}
+	}
+	s.mu.Lock()
+	s.trials = found
+	s.mu.Unlock()
+}
+
+func (s *Steerer) wantsTrial(b *backend, at time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, asked := b.own(at, false, s.fit.from())
+	return b.flows > 0 && b.opening == 0 && !asked && s.othersFind(b, true, at)
+}
+
+// trial returns the server that an opening is to try, in place of the one that was chosen
+// for it; ok is false if there is none. The opening must be one that can go on to another
+// server soon.
+func (s *Steerer) trial(k *known, chosen choice, p *Packet) (c choice, ok bool) {
+	if chosen.tier <= tierAvoided || len(p.Bytes) == 0 {
+		return c, false
+	}
+	b := s.takeTrial(chosen.backend.service)
+	if b == nil || s.patience(b) > hedgeMost {
+		return c, false
+	}
+	server := k.view.ByName(b.instance)
+	if server == nil || server.Status != bronzeroute.Serving {
+		return c, false
+	}
+	return choice{server: server, backend: b, tier: chosen.tier, atWork: chosen.atWork}, true
+}
+
+// takeTrial takes one of the pool's servers that are to be tried, nil if there is none.
+func (s *Steerer) takeTrial(pool *service) *backend {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := slices.IndexFunc(s.trials, func(b *backend) bool { return b.service == pool })
+	if i < 0 {
+		return nil
+	}
+	b := s.trials[i]
+	s.trials = slices.Delete(s.trials, i, i+1)
+	return b
+}
--- /dev/null
+++ b/bronzesteer/trial_test.go
@@ -0,0 +1,79 @@
+package bronzesteer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// findDead has two nodes of the server's zone tell that it leaves all unanswered, until
+// this node has the opening of a caller go there, and returns that caller.
+func (s *site) findDead(instance string) *client {
+	s.t.Helper()
+	told := s.now
+	for range 20 {
+		first := s.now.Sub(told) + 20*time.Millisecond
+		s.node.SetReports([]Report{s.found(instance, 7, 3, first), s.found(instance, 8, 3, first)}, s.now)
+		s.pass(100 * time.Millisecond)
+		c, d := s.open(live)
+		if d.Server.Instance == instance {
+			return c
+		}
+		c.accept()
+	}
+	require.Fail(s.t, "no opening tries the server")
+	return nil
+}
+
+// A server has crashed, and two other nodes of a large fleet find it out. This node has
+// only idle flows there, whose callers would lose their next request. The opening of a
+// caller tries the server and goes on to another one at once; when no answer has come, the
+// idle flows are ended.
+func TestIdleFlowsOfADeadServerAreFoundByATrial(t *testing.T) {
+	s := newSite(t, 6)
+	s.node.SetNodes(294)
+	idle, _ := atFirst(s.load(12, outline))
+	require.NotEmpty(t, idle)
+	s.handshakes(20, 3*time.Millisecond)
+	s.pass(100 * time.Millisecond)
+	s.findDead("a-0")
+	list := s.wait()
+	require.Len(t, list, 1)
+	require.NotEqual(t, "a-0", list[0].Decision.Server.Instance)
+	for range 8 {
+		s.serve(live)
+		s.pass(100 * time.Millisecond)
+	}
+	ended := map[flowKey]bool{}
+	for _, e := range s.endings {
+		require.Equal(t, "a-0", e.Instance)
+		ended[e.Packet.Key] = true
+	}
+	for _, c := range idle {
+		require.True(t, ended[c.packet.Key])
+	}
+}
+
+// What the two nodes say is wrong: their packets are late. The server accepts the opening
+// that tries it, and no flow is ended, however long they go on; other nodes are told that
+// it answers.
+func TestATrialThatIsAnsweredKeepsFlows(t *testing.T) {
+	s := newSite(t, 6)
+	s.node.SetNodes(294)
+	s.load(12, outline)
+	s.handshakes(20, 3*time.Millisecond)
+	s.pass(100 * time.Millisecond)
+	tries := s.findDead("a-0")
+	s.now = s.now.Add(3 * time.Millisecond)
+	s.node.News()
+	tries.accept()
+	require.True(t, s.node.News())
+	require.True(t, s.node.Reports(false, s.now)[0].Answered)
+	for range 20 {
+		s.node.SetReports([]Report{s.found("a-0", 7, 3, 900*time.Millisecond), s.found("a-0", 8, 3, 900*time.Millisecond)}, s.now)
+		s.serve(live)
+		s.pass(100 * time.Millisecond)
+	}
+	require.Empty(t, s.endings)
+}
