Load what may be stale at a node's start

The store answers a read that may be some seconds old for a tenth, and doesn't count it to its limit. A first load takes that; the watch that follows brings the rest, from the lowest revision of any page. Such a load confirms nothing to other nodes. After a lost history the load takes the store's own word: a replica may be behind what a watch can begin from.

--- a/bronzeedge/knowledge.go
+++ b/bronzeedge/knowledge.go
@@ -153,8 +153,9 @@
 	changed, removed := len(ev.Delta.Changed), len(ev.Delta.Removed)
 	if ev.Kind == bronzerecord.Loaded || ev.Kind == bronzerecord.Watched {
 		now := time.Now()
-		// An answer that waited while the node stood still says what was true before.
-		if !e.pauses.since(now, ev.Took) {
+		// An answer that waited while the node stood still says what was true before, and
+		// one that may be stale what was true some seconds ago.
+		if !ev.Stale && !e.pauses.since(now, ev.Took) {
 			e.gossip.Contact(now)
 		}
 		if changed+removed > 0 {
--- a/bronzeedge/pause_test.go
+++ b/bronzeedge/pause_test.go
@@ -166,6 +166,10 @@
 		watched.Took = 100 * time.Millisecond
 		e.onStoreEvent(watched)
 		require.Zero(t, e.gossip.Confirmed(time.Now()))
+		e.pauses.begin(time.Now().Add(100 * time.Millisecond))
+		time.Sleep(100 * time.Millisecond)
+		e.onStoreEvent(bronzerecord.Event{Kind: bronzerecord.Loaded, Stale: true})
+		require.Equal(t, 100*time.Millisecond, e.gossip.Confirmed(time.Now()), "nor does one that may be stale")
 		e.log.Close()
 	})
 }
--- a/bronzerecord/follower.go
+++ b/bronzerecord/follower.go
@@ -23,8 +23,9 @@
 // Source reads a store. Its functions return when ctx is done.
 type Source struct {
 	// Read returns the records after a name, or the first ones for "", as many as
-	// a page has.
-	Read func(ctx context.Context, after string) (Page, error)
+	// a page has. If stale, they may be those of some seconds ago, which costs the store
+	// a tenth.
+	Read func(ctx context.Context, after string, stale bool) (Page, error)
 	// Watch returns what changed after a revision, as soon as something has,
 	// or an empty Delta after a wait of its own choice.
 	Watch func(ctx context.Context, after uint64) (Delta, error)
@@ -38,6 +39,8 @@
 	Revision uint64
 	// Delta is what the store answered, if it did.
 	Delta Delta
+	// Stale says that the contents may be those of some seconds ago.
+	Stale bool
 	Took  time.Duration
 	Err   error
 }
@@ -109,8 +112,10 @@
 	}
 	revision := f.Set.Revision()
 	whole := revision == 0 || f.reload
+	// A watch brings what changed since, if the store still has it.
+	stale := whole && !f.reload
 	begun := time.Now()
-	d, err := f.call(ctx, whole, revision)
+	d, err := f.call(ctx, whole, stale, revision)
 	took := time.Since(begun)
 	if ctx.Err() != nil {
 		return 0
@@ -128,18 +133,18 @@
 		return f.pause(&f.backoff, err)
 	}
 	f.backoff.Reset()
-	return f.take(d, whole, took)
+	return f.take(d, whole, stale, took)
 }
 
-func (f *Follower) call(ctx context.Context, whole bool, revision uint64) (d Delta, err error) {
+func (f *Follower) call(ctx context.Context, whole, stale bool, revision uint64) (d Delta, err error) {
 	if whole {
-		return f.load(ctx)
+		return f.load(ctx, stale)
 	}
 	return f.Source.Watch(ctx, revision)
 }
 
 // take applies an answer.
-func (f *Follower) take(d Delta, whole bool, took time.Duration) time.Duration {
+func (f *Follower) take(d Delta, whole, stale bool, took time.Duration) time.Duration {
 	kind := Watched
 	if whole {
 		kind = Loaded
@@ -156,7 +161,7 @@
 		d.To = d.From
 	}
 	f.Set.Apply(d)
-	f.event(Event{Kind: kind, Delta: d, Took: took})
+	f.event(Event{Kind: kind, Delta: d, Stale: stale, Took: took})
 	if f.Set.Revision() == 0 {
 		// An empty store has nothing to watch from.
 		return emptyInterval
--- a/bronzerecord/follower_test.go
+++ b/bronzerecord/follower_test.go
@@ -28,8 +28,11 @@
 	throttles func() bool
 	pageSize  int
 	latency   time.Duration
-	loads     int
-	watches   int
+	// behind is how many changes a replica lags that answers a stale read, none if nil.
+	behind  func() uint64
+	loads   int
+	stale   int
+	watches int
 }
 
 func (f *fakeStore) source() Source { return Source{Read: f.read, Watch: f.watch} }
@@ -41,7 +44,7 @@
 	step()
 }
 
-func (f *fakeStore) read(ctx context.Context, after string) (p Page, err error) {
+func (f *fakeStore) read(ctx context.Context, after string, stale bool) (p Page, err error) {
 	bronzeretry.Pause(ctx, f.latency)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -53,7 +56,13 @@
 		return p, ErrThrottled
 	}
 	p.Revision = f.h.revision
-	for _, r := range f.h.whole(f.h.revision).Changed {
+	if stale {
+		f.stale++
+		if f.behind != nil {
+			p.Revision -= min(f.behind(), p.Revision)
+		}
+	}
+	for _, r := range f.h.whole(p.Revision).Changed {
 		if r.Name > after {
 			p.Records = append(p.Records, r)
 		}
--- a/bronzerecord/load.go
+++ b/bronzerecord/load.go
@@ -36,19 +36,23 @@
 }
 
 // load reads the whole contents, page by page. Pages are no snapshot: the
-// contents are complete up to the revision of the first one, and a watch from
+// contents are complete up to the lowest revision of any, and a watch from
 // there brings the rest.
 //
+// The first load takes what may be some seconds old. Hundreds of nodes that start need
+// many times what they need for the rest of the day, and a tenth of that, which isn't
+// counted to the store's limit, gets them started as well.
+//
 // A page that isn't answered is asked for again, and what was read is kept.
 // Hundreds of nodes that start at once ask for tens of pages each, many times
 // what the store answers in a second; beginning anew with each refusal, none of
 // them got to the end in 30 s.
-func (f *Follower) load(ctx context.Context) (d Delta, err error) {
+func (f *Follower) load(ctx context.Context, stale bool) (d Delta, err error) {
 	d.Whole = true
 	empty, after, fails := f.Set.Revision() == 0, "", 0
 	var backoff bronzeretry.Backoff
 	for {
-		p, err := f.Source.Read(ctx, after)
+		p, err := f.Source.Read(ctx, after, stale)
 		if empty && f.Set.Revision() > 0 {
 			return d, errOvertaken
 		}
@@ -63,7 +67,7 @@
 		}
 		fails = 0
 		backoff.Reset()
-		if d.To == 0 {
+		if after == "" || p.Revision < d.To {
 			d.To = p.Revision
 		}
 		d.Changed = append(d.Changed, p.Records...)
--- a/bronzerecord/load_test.go
+++ b/bronzerecord/load_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 )
 
 // newPagedStore returns a store with n records in pages of ten.
@@ -103,3 +104,53 @@
 		}
 	})
 }
+
+// A node starts while servers come and go, and reads pages from replicas that lag by
+// different times. With the watch that follows it has just what the store holds: no server
+// that left between two pages, and none missing.
+func TestPagesOfDifferentAgesLeadToWhatTheStoreHolds(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newPagedStore(60)
+			f.latency = 4 * time.Millisecond
+			f.behind = func() uint64 { return rapid.Uint64Range(0, 80).Draw(r, "Behind") }
+			changes := rapid.IntRange(0, 30).Draw(r, "Changes")
+			var s Set
+			stop := follow(t, &Follower{Source: f.source(), Set: &s, OnEvent: func(e Event) {
+				require.Equal(t, e.Kind == Loaded, e.Stale)
+			}})
+			for range changes {
+				time.Sleep(2 * time.Millisecond)
+				f.do(func() {
+					f.h.change(fmt.Sprintf("r-%04d", rapid.IntRange(0, 70).Draw(r, "Record")), rapid.Bool().Draw(r, "Remove"))
+				})
+			}
+			time.Sleep(5 * time.Second)
+			f.do(func() {
+				require.Equal(r, f.h.revision, s.Revision())
+				require.Equal(r, f.h.states[f.h.revision], contents(&s))
+			})
+			stop()
+		})
+	})
+}
+
+// The store has lost its history since the replicas that a node loads from were up to
+// date. Their contents would be behind what a watch can begin from, again and again: the
+// next load takes none but the store's own word.
+func TestLoadAfterALostHistoryIsNotStale(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPagedStore(25)
+		f.behind = func() uint64 { return 5 }
+		f.compacted = 24
+		var s Set
+		stop := follow(t, &Follower{Source: f.source(), Set: &s})
+		time.Sleep(time.Second)
+		require.EqualValues(t, 25, s.Revision())
+		f.do(func() {
+			require.Equal(t, 2, f.stale)
+			require.Equal(t, 5, f.loads)
+		})
+		stop()
+	})
+}
