Don't take a node that keeps up with many changes for one that is behind

Cause: a node read the store itself when it had known of some higher revision for 0.3 s. While servers are replaced there is a newer one several times a second, so one that has each change 0.1 s later was never without, and read. A node now waits for the highest revision that it knew of when it had the last one that it waited for.

Reports are gathered once for all messages of a step, as loads are, and stand in a file of their own.

--- a/bronzegossip/gossip.go
+++ b/bronzegossip/gossip.go
@@ -35,14 +35,6 @@
 	behindFor = 300 * time.Millisecond
 	// peersTold is how many other nodes a message names.
 	peersTold = 3
-	// reportsEvery is how often a node passes on reports at most, and largeReportsEvery
-	// the same with more than tellAll others, and reportEach later for each report of the
-	// last time. Three nodes are told, with 100 bytes and 14 for each report that is new:
-	// 4 KB a second with a few at a time, 6 with 32, of the 6 that a node may spend. News
-	// crosses 490 nodes in seven steps.
-	reportsEvery      = 20 * time.Millisecond
-	largeReportsEvery = 100 * time.Millisecond
-	reportEach        = 5 * time.Millisecond
 	// maxDelta bounds the records that come with the news, in bytes.
 	maxDelta = 700
 )
@@ -96,9 +88,10 @@
 	nextReports time.Time
 	reportsDue  bool
 	started     time.Time
-	// behind is since when a higher revision than this node's is known, the
-	// zero time if none is.
+	// behind is since when this node knows of the revision missed, which it doesn't have;
+	// the zero time if it has all that it knows of. highest is the highest that it knows of.
 	behind  time.Time
+	missed  uint64
 	highest uint64
 	// ahead is the node that last told of a higher revision than this one's, and
 	// storeFailed says that the store has failed this node.
@@ -123,7 +116,7 @@
 // Contact notes that the store has just told this node that it has the newest
 // records, and spreads that.
 func (g *Gossip) Contact(now time.Time) {
-	g.do(func() {
+	g.do(now, func() {
 		stale := now.Sub(g.contact) >= fresher
 		g.contact = now
 		if stale {
@@ -134,7 +127,7 @@
 
 // Spread tells others what changed in this node's records.
 func (g *Gossip) Spread(delta bronzerecord.Delta, now time.Time) {
-	g.do(func() {
+	g.do(now, func() {
 		if size(delta) <= maxDelta && !delta.Whole {
 			g.spread(now, &delta)
 			return
@@ -176,7 +169,7 @@
 
 // Leave tells all nodes known that this one is about to end.
 func (g *Gossip) Leave(now time.Time) {
-	g.do(func() {
+	g.do(now, func() {
 		g.leaving = true
 		for _, p := range g.heard(now) {
 			g.tell(p.Address, now, nil)
@@ -193,7 +186,7 @@
 
 // Tick does what is due.
 func (g *Gossip) Tick(now time.Time) {
-	g.do(func() {
+	g.do(now, func() {
 		if g.started.IsZero() {
 			g.started = now
 		}
@@ -264,7 +257,7 @@
 		return
 	}
 	applied := m.Delta != nil && g.Records.Apply(*m.Delta)
-	g.do(func() { g.take(&m, applied, now) })
+	g.do(now, func() { g.take(&m, applied, now) })
 	if g.OnLoads != nil && len(m.Loads) > 0 {
 		g.OnLoads(m.From.Name, m.Loads, m.Latencies, now)
 	}
@@ -326,22 +319,27 @@
 
 // noteBehind keeps track of whether a higher revision is known.
 func (g *Gossip) noteBehind(revision uint64, now time.Time) {
+	g.highest = max(g.highest, revision)
+	g.catchUp(now)
+}
+
+// catchUp begins to wait for the highest revision that is known when the one that was
+// waited for is there. While servers are replaced there is a newer one several times a
+// second: a node that has each a moment later is never without one that it misses, and
+// isn't behind for that.
+func (g *Gossip) catchUp(now time.Time) {
+	mine := g.Records.Revision()
 	switch {
-	case revision <= g.Records.Revision():
-		if revision >= g.highest {
-			g.behind = time.Time{}
-		}
-	case g.behind.IsZero():
-		g.behind = now
+	case mine >= g.highest:
+		g.behind, g.missed = time.Time{}, 0
+	case g.behind.IsZero(), mine >= g.missed:
+		g.behind, g.missed = now, g.highest
 	}
-	g.highest = max(g.highest, revision)
 }
 
 // isBehind reports whether a higher revision has been known for long.
 func (g *Gossip) isBehind(now time.Time) bool {
-	if g.Records.Revision() >= g.highest {
-		g.behind = time.Time{}
-	}
+	g.catchUp(now)
 	return !g.behind.IsZero() && now.Sub(g.behind) >= behindFor
 }
 
@@ -375,45 +373,6 @@
 	}
 }
 
-// Report passes on what is new in Reports, at once or as soon as it may. Reports of a
-// server that fails reach all nodes within some steps, so that callers of each don't have
-// to find it out.
-func (g *Gossip) Report(now time.Time) {
-	g.do(func() {
-		g.reportsDue = true
-		g.passReports(now)
-	})
-}
-
-// passReports tells a few nodes what is due; the caller holds the lock.
-func (g *Gossip) passReports(now time.Time) {
-	if !g.reportsDue || now.Before(g.nextReports) {
-		return
-	}
-	g.reportsDue = false
-	reports := g.reports(false, now)
-	if len(reports) == 0 {
-		return
-	}
-	every := reportsEvery
-	if len(g.peers) > tellAll {
-		every = largeReportsEvery + time.Duration(len(reports))*reportEach
-	}
-	g.nextReports = now.Add(every)
-	for _, to := range g.targets(now, fanout) {
-		g.queue(to, now, Message{Reports: reports}, false)
-	}
-}
-
-// reports returns what is to be told of servers. One node in twenty isn't among those
-// that are told at once; it hears with the next message that it asks for.
-func (g *Gossip) reports(all bool, now time.Time) []Report {
-	if g.Reports == nil {
-		return nil
-	}
-	return g.Reports(all, now)
-}
-
 // spread tells some others, or all if they are few.
 func (g *Gossip) spread(now time.Time, delta *bronzerecord.Delta) {
 	n := fanout
@@ -455,7 +414,6 @@
 	m.ContactMS = g.contactAge(now)
 	if whole {
 		m.Peers = g.some(now)
-		m.Reports = g.reports(true, now)
 	}
 	g.out = append(g.out, datagram{to: to, m: m, whole: whole})
 }
@@ -469,30 +427,38 @@
 }
 
 // do runs a step under the lock and sends what it left to be sent.
-func (g *Gossip) do(step func()) {
+func (g *Gossip) do(now time.Time, step func()) {
 	g.mu.Lock()
 	step()
 	out := g.out
 	g.out = nil
 	g.mu.Unlock()
-	if len(out) == 0 {
+	g.fill(out, now)
+	for i := range out {
+		b, err := out[i].m.fit()
+		if err != nil {
+			g.count("NotEncoded")
+			continue
+		}
+		g.Send(out[i].to, b)
+	}
+}
+
+// fill puts into the messages that have all there is what is gathered once for all of them.
+func (g *Gossip) fill(out []datagram, now time.Time) {
+	if !slices.ContainsFunc(out, func(d datagram) bool { return d.whole }) {
 		return
 	}
 	var loads []Load
 	var latencies []uint32
-	if g.Loads != nil && slices.ContainsFunc(out, func(d datagram) bool { return d.whole }) {
+	if g.Loads != nil {
 		loads, latencies = g.Loads()
 	}
+	reports := g.reports(true, now)
 	for i := range out {
 		if out[i].whole {
-			out[i].m.Loads, out[i].m.Latencies = loads, latencies
+			out[i].m.Loads, out[i].m.Latencies, out[i].m.Reports = loads, latencies, reports
 		}
-		b, err := out[i].m.fit()
-		if err != nil {
-			g.count("NotEncoded")
-			continue
-		}
-		g.Send(out[i].to, b)
 	}
 }
 
--- a/bronzegossip/reader_test.go
+++ b/bronzegossip/reader_test.go
@@ -80,3 +80,29 @@
 		g.Reads(now)
 	}
 }
+
+// While servers are replaced the store changes ten times a second, and a node has each
+// change from a peer a moment after it heard of it. There is always one that it doesn't
+// have yet. It doesn't read the store for that, as each other node would; one that no peer
+// gives a change to does.
+func TestNodeThatKeepsUpWithManyChangesDoesNotRead(t *testing.T) {
+	var records bronzerecord.Set
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	g := Gossip{Self: Peer{Name: "z"}, Records: &records}
+	has := func(revision uint64) {
+		records.Apply(bronzerecord.Delta{From: records.Revision(), To: revision})
+	}
+	g.Tick(now)
+	for revision := uint64(1); revision < 50; revision++ {
+		g.noteBehind(revision, now)
+		now = now.Add(step)
+		g.noteBehind(revision+1, now)
+		require.False(t, g.isBehind(now))
+		has(revision)
+		require.False(t, g.isBehind(now))
+	}
+	require.False(t, g.isBehind(now.Add(behindFor-step)))
+	require.True(t, g.isBehind(now.Add(behindFor)))
+	has(50)
+	require.False(t, g.isBehind(now.Add(behindFor)))
+}
--- /dev/null
+++ b/bronzegossip/report.go
@@ -0,0 +1,53 @@
+package bronzegossip
+
+import "time"
+
+const (
+	// reportsEvery is how often a node passes on reports at most, and largeReportsEvery
+	// the same with more than tellAll others, and reportEach later for each report of the
+	// last time. Three nodes are told, with 100 bytes and 14 for each report that is new:
+	// 4 KB a second with a few at a time, 6 with 32, of the 6 that a node may spend. News
+	// crosses 490 nodes in seven steps.
+	reportsEvery      = 20 * time.Millisecond
+	largeReportsEvery = 100 * time.Millisecond
+	reportEach        = 5 * time.Millisecond
+)
+
+// Report passes on what is new in Reports, at once or as soon as it may. Reports of a
+// server that fails reach all nodes within some steps, so that callers of each don't have
+// to find it out.
+func (g *Gossip) Report(now time.Time) {
+	g.do(now, func() {
+		g.reportsDue = true
+		g.passReports(now)
+	})
+}
+
+// passReports tells a few nodes what is due; the caller holds the lock.
+func (g *Gossip) passReports(now time.Time) {
+	if !g.reportsDue || now.Before(g.nextReports) {
+		return
+	}
+	g.reportsDue = false
+	reports := g.reports(false, now)
+	if len(reports) == 0 {
+		return
+	}
+	every := reportsEvery
+	if len(g.peers) > tellAll {
+		every = largeReportsEvery + time.Duration(len(reports))*reportEach
+	}
+	g.nextReports = now.Add(every)
+	for _, to := range g.targets(now, fanout) {
+		g.queue(to, now, Message{Reports: reports}, false)
+	}
+}
+
+// reports returns what is to be told of servers. One node in twenty isn't among those
+// that are told at once; it hears with the next message that it asks for.
+func (g *Gossip) reports(all bool, now time.Time) []Report {
+	if g.Reports == nil {
+		return nil
+	}
+	return g.Reports(all, now)
+}
