--- /dev/null
+++ b/bronzesteer/evidence.go
@@ -0,0 +1,225 @@
+package bronzesteer
+
+import "time"
+
+// finding is what another node has found of a server, in this node's time.
+type finding struct {
+	near        bool
+	openings    int
+	requests    int
+	first, last time.Duration
+}
+
+// suspicion is what all nodes together have found of a server since anybody was answered.
+type suspicion struct {
+	nodes    int
+	near     bool
+	openings int
+	all      int
+	first    time.Duration
+}
+
+// add adds one node's part.
+func (u *suspicion) add(f finding) {
+	u.nodes++
+	u.near = u.near || f.near
+	u.openings += f.openings
+	u.all += f.openings + f.requests
+	if u.nodes == 1 || f.first < u.first {
+		u.first = f.first
+	}
+}
+
+// answeredSince reports whether the server was seen to answer after at.
+func (b *backend) answeredSince(at time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.goodAt > at
+}
+
+// good notes that the server answers.
+func (s *Steerer) good(b *backend, at time.Duration) {
+	b.mu.Lock()
+	avoided := at < b.avoidUntil
+	silence := at - b.goodAt
+	b.goodAt = at
+	contradicts := b.told && (avoided || b.unanswered > 0 || len(b.found) > 0)
+	wrong := b.unanswered > 0 && at-b.silentSince < wrongBy
+	if len(b.found) > 0 {
+		b.disputedAt = at
+	}
+	clear(b.found)
+	b.silent, b.unanswered, b.openings, b.silentSince = 0, 0, 0, 0
+	b.avoidUntil, b.avoidFor = 0, 0
+	b.mu.Unlock()
+	if wrong {
+		s.fit.wasWrong(at)
+	}
+	if contradicts {
+		s.suspect(b)
+	}
+	s.goodAt.Store(int64(at))
+	b.zone.good(b, at)
+	if avoided {
+		s.event(Event{Kind: Cleared, Instance: b.instance, AvailabilityZone: b.zoneName, Silence: silence})
+	}
+}
+
+// asked reports whether the server has left something unanswered lately.
+func (b *backend) asked(at time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.unanswered > 0 && at-b.silentAt < silenceCounts
+}
+
+// unanswered notes that what was sent to the server at sent has no answer
+// at at. It counts only if nobody else was answered meanwhile: then the server
+// or the way to it is silent, and not just one packet lost.
+func (s *Steerer) unanswered(b *backend, sent, at time.Duration, weight int) {
+	e, counts, begins := b.unansweredAt(sent, at, weight)
+	if counts {
+		s.suspect(b)
+	}
+	if begins {
+		s.event(e)
+	}
+}
+
+// unansweredAt notes the same in the server's entry, and reports whether it counts and
+// whether the server begins to be avoided.
+func (b *backend) unansweredAt(sent, at time.Duration, weight int) (e Event, counts, begins bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.answeredAt() > sent {
+		return e, false, false
+	}
+	if b.unanswered > 0 && at-b.silentAt >= suspicionFor {
+		b.silent, b.unanswered, b.openings = 0, 0, 0
+	}
+	b.beSuspected(at)
+	if b.unanswered == 0 {
+		b.silentSince = sent
+	}
+	b.silentAt = at
+	b.silent += weight
+	b.unanswered++
+	if weight == openingWeight {
+		b.openings++
+	}
+	if b.silent < avoidAt {
+		return e, true, false
+	}
+	b.zone.addSilent(b, at)
+	if at < b.avoidUntil {
+		return e, true, false
+	}
+	b.avoidFor = min(max(2*b.avoidFor, avoidFirst), avoidMost)
+	b.avoidUntil = at + b.avoidFor
+	return Event{
+		Kind: Avoided, Instance: b.instance, AvailabilityZone: b.zoneName,
+		Unanswered: b.unanswered, Silence: at - b.goodAt, For: b.avoidFor,
+	}, true, true
+}
+
+// beSuspected notes that something is found at at, unless something was before; the
+// caller holds the lock.
+func (b *backend) beSuspected(at time.Duration) {
+	if b.unanswered == 0 && len(b.found) == 0 {
+		b.suspectedAt = at
+	}
+}
+
+// answeredAt returns when any node was last seen to be answered; the caller holds the
+// lock.
+func (b *backend) answeredAt() time.Duration { return max(b.goodAt, b.othersGoodAt) }
+
+// own returns what this node itself has found since from; the caller holds the lock.
+func (b *backend) own(at time.Duration, near bool, from time.Duration) (f finding, ok bool) {
+	if b.unanswered == 0 || at-b.silentAt >= suspicionFor || b.answeredAt() > b.silentSince || b.silentSince < from {
+		return f, false
+	}
+	return finding{
+		near: near, openings: b.openings, requests: b.unanswered - b.openings, first: b.silentSince, last: b.silentAt,
+	}, true
+}
+
+// suspicion returns what all nodes together have found; the caller holds the lock.
+func (b *backend) suspicion(at time.Duration, near bool, from time.Duration) (u suspicion) {
+	if f, ok := b.own(at, near, from); ok {
+		u.add(f)
+	}
+	for node, f := range b.found {
+		if at-f.last >= suspicionFor || b.answeredAt() > f.first {
+			delete(b.found, node)
+			continue
+		}
+		u.add(f)
+	}
+	return u
+}
+
+// foundByOther takes in that another node has found a server silent, and reports whether
+// others are to be told: of that, or that it isn't so.
+func (s *Steerer) foundByOther(b *backend, r *Report, at time.Duration) (news bool) {
+	f := finding{near: r.Near, openings: r.Openings, requests: r.Requests, first: at - r.First, last: at - r.Last}
+	b.mu.Lock()
+	before, known := b.found[r.Node]
+	b.told = true
+	switch {
+	case b.answeredAt() > f.first:
+		b.disputedAt = at
+		news = b.refutedAt == 0 || at-b.refutedAt >= refuteEvery
+		if news {
+			b.refutedAt = at
+		}
+		b.mu.Unlock()
+		return news
+	case known && before.openings >= f.openings && before.requests >= f.requests, !known && len(b.found) >= maxReporters:
+		b.mu.Unlock()
+		return false
+	}
+	if b.found == nil {
+		b.found = make(map[uint32]finding)
+	}
+	b.beSuspected(at)
+	b.found[r.Node] = f
+	e, begins := b.avoidAsOthersDo(f, at)
+	b.mu.Unlock()
+	if begins {
+		s.event(e)
+	}
+	return true
+}
+
+// answeredOther notes that the server has answered another node at goodAt, and reports
+// whether that contradicts what is known here. What is then still said against it has to
+// wait for further answers as if it was new: while some nodes keep finding a server silent,
+// one that answers others is never without a finding that no answer has contradicted yet.
+func (s *Steerer) answeredOther(b *backend, goodAt, at time.Duration) (news bool) {
+	b.mu.Lock()
+	if goodAt <= b.answeredAt() {
+		b.mu.Unlock()
+		return false
+	}
+	b.othersGoodAt = goodAt
+	news = len(b.found) > 0 || b.unanswered > 0
+	for node, f := range b.found {
+		if goodAt > f.first {
+			delete(b.found, node)
+			b.disputedAt, b.suspectedAt = at, at
+		}
+	}
+	if goodAt > b.silentSince {
+		b.silent, b.unanswered, b.openings, b.silentSince = 0, 0, 0, 0
+	}
+	cleared := news && len(b.found) == 0 && b.unanswered == 0 && b.avoidUntil > 0
+	if cleared {
+		b.avoidUntil, b.avoidFor = 0, 0
+	}
+	silence := goodAt - b.goodAt
+	b.mu.Unlock()
+	if cleared {
+		s.event(Event{Kind: Cleared, Instance: b.instance, AvailabilityZone: b.zoneName, Silence: silence})
+	}
+	return news
+}
--- a/bronzesteer/flow.go
+++ b/bronzesteer/flow.go
@@ -24,9 +24,6 @@
 	// on without a sign of its answer.
 	workLeast = 60 * time.Millisecond
 	workMost  = 250 * time.Millisecond
-	// repeatAfter is the least age of data at which its repetition counts as
-	// unanswered; copies that a network made come at once.
-	repeatAfter = 150 * time.Millisecond
 )
 
 type flowKey = bronzeflow.Key
--- a/bronzesteer/place.go
+++ b/bronzesteer/place.go
@@ -244,17 +244,6 @@
 	}
 }
 
-// avoids reports whether new flows keep away from the server.
-func (s *Steerer) avoids(b *backend, at time.Duration) bool {
-	return b.avoided(at) || s.zoneCut(b, at)
-}
-
-func (b *backend) avoided(at time.Duration) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return at < b.avoidUntil
-}
-
 // poolLatency returns the median latency of a pool's servers, which a few
 // slow ones don't change, so that they stand out.
 func poolLatency(members []member) time.Duration {
--- a/bronzesteer/report.go
+++ b/bronzesteer/report.go
@@ -6,37 +6,14 @@
 	"time"
 )
 
+// maxReports bounds the reports that a node tells at a time, maxReporters those that it
+// keeps of one server, and toldReporters those of them that it tells: what three nodes
+// found is mostly enough to act on. A report takes 14 bytes, and all fit into one
+// message. Where more servers fail at once, each message tells of some of them.
 const (
-	// maxReports bounds the reports that a node tells at a time, maxReporters those that it
-	// keeps of one server, and toldReporters those of them that it tells: what three nodes
-	// found is mostly enough to act on. A report takes 14 bytes, and all fit into one
-	// message. Where more servers fail at once, each message tells of some of them.
 	maxReports    = 32
 	maxReporters  = 6
 	toldReporters = 3
-	// suspicionFor is how long a finding counts. While a server stays silent some node
-	// tries it about every 2 s and renews it; without an end, flows would be ended long
-	// after a cut has healed that kept nodes from a server.
-	suspicionFor = 3500 * time.Millisecond
-	// deadNodes is how many nodes must have found a server silent for silentFor to be
-	// enough to end its flows, and deadProof how many openings and requests it must have
-	// left unanswered in all where there are many nodes, silentFlows where there are few. An opening is given up after a few milliseconds, in which a
-	// link may be full: with three that nodes with full links gave up, callers lost flows
-	// that were open at a server that was well.
-	deadNodes = 2
-	deadProof = 5
-	// deadOpenings is how many openings must be among what a node has found if it goes by
-	// itself alone. A server takes openings at once whatever it has to do.
-	deadOpenings = 2
-	// tellAfter is how old a finding is before it is told where there are many nodes. Of openings that are overdue
-	// because a link is full for a moment, the answer comes within some 50 ms: of 66 nodes
-	// with links of 10 Mbit/s some had such a finding three times a second, and all nodes
-	// told each other of each, and again that it was wrong.
-	tellAfter = 100 * time.Millisecond
-	// refuteEvery is how often others are told at most that a server has answered of which
-	// they still tell the contrary. It is well under the time in which that has to reach
-	// all, before they end flows (newsTakes).
-	refuteEvery = 200 * time.Millisecond
 )
 
 // Report is what a node has found of a server, as nodes tell each other. Of a server that
@@ -58,71 +35,6 @@
 	First, Last time.Duration
 }
 
-// finding is what another node has found of a server, in this node's time.
-type finding struct {
-	near        bool
-	openings    int
-	requests    int
-	first, last time.Duration
-}
-
-// suspicion is what all nodes together have found of a server since anybody was answered.
-type suspicion struct {
-	nodes    int
-	near     bool
-	openings int
-	all      int
-	first    time.Duration
-}
-
-// add adds one node's part.
-func (u *suspicion) add(f finding) {
-	u.nodes++
-	u.near = u.near || f.near
-	u.openings += f.openings
-	u.all += f.openings + f.requests
-	if u.nodes == 1 || f.first < u.first {
-		u.first = f.first
-	}
-}
-
-// beSuspected notes that something is found at at, unless something was before; the
-// caller holds the lock.
-func (b *backend) beSuspected(at time.Duration) {
-	if b.unanswered == 0 && len(b.found) == 0 {
-		b.suspectedAt = at
-	}
-}
-
-// answeredAt returns when any node was last seen to be answered; the caller holds the
-// lock.
-func (b *backend) answeredAt() time.Duration { return max(b.goodAt, b.othersGoodAt) }
-
-// own returns what this node itself has found since from; the caller holds the lock.
-func (b *backend) own(at time.Duration, near bool, from time.Duration) (f finding, ok bool) {
-	if b.unanswered == 0 || at-b.silentAt >= suspicionFor || b.answeredAt() > b.silentSince || b.silentSince < from {
-		return f, false
-	}
-	return finding{
-		near: near, openings: b.openings, requests: b.unanswered - b.openings, first: b.silentSince, last: b.silentAt,
-	}, true
-}
-
-// suspicion returns what all nodes together have found; the caller holds the lock.
-func (b *backend) suspicion(at time.Duration, near bool, from time.Duration) (u suspicion) {
-	if f, ok := b.own(at, near, from); ok {
-		u.add(f)
-	}
-	for node, f := range b.found {
-		if at-f.last >= suspicionFor || b.answeredAt() > f.first {
-			delete(b.found, node)
-			continue
-		}
-		u.add(f)
-	}
-	return u
-}
-
 // suspects are the servers that some node suspects, or did a moment ago, and whether
 // there is something new to be told of them.
 type suspects map[*backend]bool
@@ -325,86 +237,3 @@
 		s.suspect(b)
 	}
 }
-
-// foundByOther takes in that another node has found a server silent, and reports whether
-// others are to be told: of that, or that it isn't so.
-func (s *Steerer) foundByOther(b *backend, r *Report, at time.Duration) (news bool) {
-	f := finding{near: r.Near, openings: r.Openings, requests: r.Requests, first: at - r.First, last: at - r.Last}
-	b.mu.Lock()
-	before, known := b.found[r.Node]
-	b.told = true
-	switch {
-	case b.answeredAt() > f.first:
-		b.disputedAt = at
-		news = b.refutedAt == 0 || at-b.refutedAt >= refuteEvery
-		if news {
-			b.refutedAt = at
-		}
-		b.mu.Unlock()
-		return news
-	case known && before.openings >= f.openings && before.requests >= f.requests, !known && len(b.found) >= maxReporters:
-		b.mu.Unlock()
-		return false
-	}
-	if b.found == nil {
-		b.found = make(map[uint32]finding)
-	}
-	b.beSuspected(at)
-	b.found[r.Node] = f
-	e, begins := b.avoidAsOthersDo(f, at)
-	b.mu.Unlock()
-	if begins {
-		s.event(e)
-	}
-	return true
-}
-
-// avoidAsOthersDo keeps new flows away from a server that has left another node's
-// opening unanswered, and reports whether that begins; the caller holds the lock. That
-// takes weak evidence: it costs the server some new flows, and they have others to go to.
-func (b *backend) avoidAsOthersDo(f finding, at time.Duration) (e Event, begins bool) {
-	until := f.last + avoidFirst
-	if f.openings == 0 || until <= max(at, b.avoidUntil) {
-		return e, false
-	}
-	begins = at >= b.avoidUntil
-	b.avoidFor = max(b.avoidFor, avoidFirst)
-	b.avoidUntil = until
-	return Event{
-		Kind: Avoided, Instance: b.instance, AvailabilityZone: b.zoneName,
-		Unanswered: f.openings + f.requests, Silence: at - b.goodAt, For: until - at, Nodes: len(b.found),
-	}, begins
-}
-
-// answeredOther notes that the server has answered another node at goodAt, and reports
-// whether that contradicts what is known here. What is then still said against it has to
-// wait for further answers as if it was new: while some nodes keep finding a server silent,
-// one that answers others is never without a finding that no answer has contradicted yet.
-func (s *Steerer) answeredOther(b *backend, goodAt, at time.Duration) (news bool) {
-	b.mu.Lock()
-	if goodAt <= b.answeredAt() {
-		b.mu.Unlock()
-		return false
-	}
-	b.othersGoodAt = goodAt
-	news = len(b.found) > 0 || b.unanswered > 0
-	for node, f := range b.found {
-		if goodAt > f.first {
-			delete(b.found, node)
-			b.disputedAt, b.suspectedAt = at, at
-		}
-	}
-	if goodAt > b.silentSince {
-		b.silent, b.unanswered, b.openings, b.silentSince = 0, 0, 0, 0
-	}
-	cleared := news && len(b.found) == 0 && b.unanswered == 0 && b.avoidUntil > 0
-	if cleared {
-		b.avoidUntil, b.avoidFor = 0, 0
-	}
-	silence := goodAt - b.goodAt
-	b.mu.Unlock()
-	if cleared {
-		s.event(Event{Kind: Cleared, Instance: b.instance, AvailabilityZone: b.zoneName, Silence: silence})
-	}
-	return news
-}
--- a/bronzesteer/steer.go
+++ b/bronzesteer/steer.go
@@ -239,10 +239,6 @@
 	return Decision{Kind: Forward, Reason: Retried, Server: next.server, Token: f.token, Tried: server}
 }
 
-// copiesApart is the least time between an opening and its caller's first copy, which is
-// sent 200 ms later. Those that come closer together have waited, here or on the way.
-const copiesApart = 100 * time.Millisecond
-
 // cameTogether reports whether the copy of an opening says nothing of the server that was
 // asked, as it came too soon after it. If it is the caller's own, this node is late. Of a
 // node that stood still or had too much to do, the packets that waited are openings whose
