--- a/bronzeedge/pause.go
+++ b/bronzeedge/pause.go
@@ -52,8 +52,7 @@
 }
 
 // pauses finds the times for which the process stood still while the steady clock ran
-// on, and keeps what follows from the last pause. Its methods but look and begin may be
-// called concurrently.
+// on, and keeps what follows from the last pause. Its methods may be called concurrently.
 type pauses struct {
 	// looking is held while a pause is looked for and taken in, so that no loop goes on
 	// before everything knows of it.
--- a/bronzesocket/socket_test.go
+++ b/bronzesocket/socket_test.go
@@ -113,3 +113,22 @@
 	})
 	require.LessOrEqual(t, allocs, float64(2*count+8))
 }
+
+// A process stood still while datagrams came, more than one read takes. They are dropped
+// without waiting for any, and what comes later is read.
+func TestDiscardDropsWhatWaits(t *testing.T) {
+	from, to := listen(t, "127.0.0.1:0"), listen(t, "127.0.0.1:0")
+	for range 2 {
+		send(t, from, to.LocalAddrPort(), 48)
+	}
+	n, err := to.Discard()
+	require.NoError(t, err)
+	require.Equal(t, 96, n)
+	n, err = to.Discard()
+	require.NoError(t, err)
+	require.Zero(t, n)
+	send(t, from, to.LocalAddrPort(), 1)
+	n, err = to.ReadBatch(buffers(4))
+	require.NoError(t, err)
+	require.Equal(t, 1, n)
+}
