Go by five findings again, whatever this node opened itself

The trials themselves stay: they only add to what must speak against a server. The test that two trials and one other node's word are enough is turned round: they end no flow.

--- a/bronzesteer/judge.go
+++ b/bronzesteer/judge.go
@@ -37,7 +37,7 @@
 	if !ok || !s.fit.isFit(at) {
 		return false
 	}
-	if at-f.first >= askedFor && s.othersFind(b, waits, s.proof(f.openings > 0), at) {
+	if at-f.first >= askedFor && s.othersFind(b, waits, at) {
 		return true
 	}
 	u := suspicion{}
@@ -50,9 +50,9 @@
 // is in the server's zone: otherwise the way there may be cut, and the server well. For a
 // flow that waits for an answer itself less time is needed. The caller holds the server's
 // lock.
-func (s *Steerer) othersFind(b *backend, waits bool, proof int, at time.Duration) bool {
+func (s *Steerer) othersFind(b *backend, waits bool, at time.Duration) bool {
 	u := b.suspicion(at, b.zoneName == s.AvailabilityZone, s.fit.from())
-	return u.nodes >= deadNodes && u.near && u.openings > 0 && u.all >= proof &&
+	return u.nodes >= deadNodes && u.near && u.openings > 0 && u.all >= s.proof() &&
 		at-u.first >= silentFor && at-b.suspectedAt >= s.newsTakes(waits)
 }
 
@@ -64,17 +64,16 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return s.othersFind(b, false, s.proof(false), at)
+	return s.othersFind(b, false, at)
 }
 
 // manyNodes reports whether news takes more than some milliseconds to all nodes.
 func (s *Steerer) manyNodes() bool { return s.others.Load() > fewNodes }
 
 // proof returns how many flows a server must have left unanswered at all nodes together
-// to be dead; opened says that this node has opened one there in vain. Where there are few
-// nodes, each sees as much of it as they do.
-func (s *Steerer) proof(opened bool) int {
-	if s.manyNodes() && !opened {
+// to be dead. Where there are few nodes, each sees as much of it as they do.
+func (s *Steerer) proof() int {
+	if s.manyNodes() {
 		return deadProof
 	}
 	return silentFlows
--- a/bronzesteer/timing.go
+++ b/bronzesteer/timing.go
@@ -82,11 +82,10 @@
 	aloneProof = 8
 	// deadNodes is how many nodes must have found a server silent to be enough to end its
 	// flows, and deadProof how many openings and requests it must have left unanswered in
-	// all where there are many nodes. An opening is given up after a few milliseconds, in
-	// which a link may be full: with three that nodes with full links gave up, callers lost
-	// flows that were open at a server that was well. Where there are few nodes, and where
-	// an opening of this one's own is among them that was given askedFor, silentFlows are
-	// enough.
+	// all where there are many nodes, silentFlows where there are few. An opening is given
+	// up after a few milliseconds, in which a link may be full: with three that nodes with
+	// full links gave up, callers lost flows that were open at a server that was well, also
+	// where an opening of this node's own was among them that was given askedFor.
 	deadNodes = 2
 	deadProof = 5
 	// fewNodes is how many others a node may have for news to take a few milliseconds, and
--- a/bronzesteer/trial.go
+++ b/bronzesteer/trial.go
@@ -16,9 +16,8 @@
 type trials []*backend
 
 // trialsMost is how many openings of this node a server must have left unanswered for no
-// more to try it. With one of another node's they are proof (silentFlows). Of 120 servers
-// that crash at once each node hears little at a time: waiting for five findings of each,
-// three quarters of the idle flows there were ended only by the records, 6 s later.
+// more to try it. Of 120 servers that crash at once each node hears little at a time: two
+// trials bring it nearer to deadProof.
 const trialsMost = 2
 
 // findTrials brings up to date which servers are to be tried. The suspects are those that
--- a/bronzesteer/trial_test.go
+++ b/bronzesteer/trial_test.go
@@ -78,10 +78,10 @@
 	require.Empty(t, s.endings)
 }
 
-// Many servers crash at once, and of this one the node hears no more than that another
-// node's opening was left unanswered. Two callers' openings try it in vain, a moment apart,
-// and when news that contradicts it would have come its idle flows are ended.
-func TestTwoTrialsAndAnotherNodesWordAreEnough(t *testing.T) {
+// A server is well, and one packet of another node's was lost; both openings that try the
+// server from here are, too, as packets may be. That is too little to end flows, however
+// long nothing else is heard: the next opening is answered.
+func TestTwoTrialsAndAnotherNodesWordEndNoFlow(t *testing.T) {
 	s := newSite(t, 6)
 	s.node.SetNodes(294)
 	idle, _ := atFirst(s.load(12, outline))
@@ -104,12 +104,5 @@
 		c.accept()
 	}
 	require.Equal(t, trialsMost, tried)
-	ended := map[flowKey]bool{}
-	for _, e := range s.endings {
-		require.Equal(t, "a-0", e.Instance)
-		ended[e.Packet.Key] = true
-	}
-	for _, c := range idle {
-		require.True(t, ended[c.packet.Key])
-	}
+	require.Empty(t, s.endings)
 }
