--- a/bronzesteer/trial_test.go
+++ b/bronzesteer/trial_test.go
@@ -7,6 +7,18 @@
 	"github.com/stretchr/testify/require"
 )
 
+// newIdleSite returns a site whose node, one of many, has some idle flows at server a-0.
+func newIdleSite(t *testing.T) (s *site, idle []*client) {
+	t.Helper()
+	s = newSite(t, 6)
+	s.node.SetNodes(294)
+	idle, _ = atFirst(s.load(12, outline))
+	require.NotEmpty(t, idle)
+	s.handshakes(20, 3*time.Millisecond)
+	s.pass(100 * time.Millisecond)
+	return s, idle
+}
+
 // findDead has two nodes of the server's zone tell that it leaves all unanswered, until
 // this node has the opening of a caller go there, and returns that caller.
 func (s *site) findDead(instance string) *client {
@@ -31,12 +43,7 @@
 // caller tries the server and goes on to another one at once; when no answer has come, the
 // idle flows are ended.
 func TestIdleFlowsOfADeadServerAreFoundByATrial(t *testing.T) {
-	s := newSite(t, 6)
-	s.node.SetNodes(294)
-	idle, _ := atFirst(s.load(12, outline))
-	require.NotEmpty(t, idle)
-	s.handshakes(20, 3*time.Millisecond)
-	s.pass(100 * time.Millisecond)
+	s, idle := newIdleSite(t)
 	s.findDead("a-0")
 	list := s.wait()
 	require.Len(t, list, 1)
@@ -59,11 +66,7 @@
 // that tries it, and no flow is ended, however long they go on; other nodes are told that
 // it answers.
 func TestATrialThatIsAnsweredKeepsFlows(t *testing.T) {
-	s := newSite(t, 6)
-	s.node.SetNodes(294)
-	s.load(12, outline)
-	s.handshakes(20, 3*time.Millisecond)
-	s.pass(100 * time.Millisecond)
+	s, _ := newIdleSite(t)
 	tries := s.findDead("a-0")
 	s.now = s.now.Add(3 * time.Millisecond)
 	s.node.News()
@@ -82,12 +85,7 @@
 // server from here are, too, as packets may be. That is too little to end flows, however
 // long nothing else is heard: the next opening is answered.
 func TestTwoTrialsAndAnotherNodesWordEndNoFlow(t *testing.T) {
-	s := newSite(t, 6)
-	s.node.SetNodes(294)
-	idle, _ := atFirst(s.load(12, outline))
-	require.NotEmpty(t, idle)
-	s.handshakes(20, 3*time.Millisecond)
-	s.pass(100 * time.Millisecond)
+	s, _ := newIdleSite(t)
 	told := s.found("a-0", 7, 1, 20*time.Millisecond)
 	told.Requests = 0
 	s.node.SetReports([]Report{told}, s.now)
