Call what was there already in place of writing it again

Found on a last read of the change. The benchmark of the first view takes its records from the stand-in of the store, which knows the platform's names, and no longer spells them outside platform/.

--- a/bronzeedge/view_bench_test.go
+++ b/bronzeedge/view_bench_test.go
@@ -4,40 +4,42 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"testing"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"bronzeusher.example/bronzeusher/bronzeedge"
 	"bronzeusher.example/bronzeusher/bronzerecord"
 	"bronzeusher.example/bronzeusher/platform"
+	"bronzeusher.example/bronzeusher/platform/standin"
 )
 
-// allRecords returns the records of 22 routes and some servers.
+// allRecords returns the records of 22 routes and some servers, as a store holds them.
 func allRecords(t testing.TB, servers int) (d bronzerecord.Delta) {
 	t.Helper()
-	var routes []any
+	store := &standin.Store{PageSize: servers + 1}
+	table := standin.Table{Version: 7}
 	for i := range 22 {
-		routes = append(routes, map[string]any{
-			"name": fmt.Sprint(i), "host": "198.18.0.1", "prefix": fmt.Sprintf("/%d/", 443+i), "type": "safe", "service": "live",
+		table.Routes = append(table.Routes, standin.Route{
+			Name: fmt.Sprint(i), Service: netip.MustParseAddrPort(fmt.Sprintf("198.18.0.1:%d", 443+i)), Pool: "live", Idempotent: true,
 		})
 	}
-	d = bronzerecord.Delta{Whole: true, To: uint64(servers) + 1}
-	add := func(name string, body any) {
-		b, err := cbor.Marshal(body)
-		require.NoError(t, err)
-		d.Changed = append(d.Changed, bronzerecord.Record{Name: name, Revision: uint64(len(d.Changed)) + 1, Body: b})
-	}
-	add("op/config", map[string]any{"version": 7, "routes": routes})
+	require.NoError(t, store.PutTable(table))
 	for i := range servers {
-		add(fmt.Sprintf("servers/i-%010x", i*7919), map[string]any{
-			"service": "live", "addr": fmt.Sprintf("10.1.%d.%d:8000", i/250, i%250+1), "zone": "a", "version": "v1",
-			"max-concurrent": 2, "state": "ready", "warmup-left-ms": 0, "seq": 1,
-		})
+		require.NoError(t, store.PutServer(standin.Server{
+			Name: fmt.Sprintf("i-%010x", i*7919), Pool: "live", AvailabilityZone: "a", Slots: 2,
+			Address: netip.MustParseAddrPort(fmt.Sprintf("10.1.%d.%d:8000", i/250, i%250+1)),
+		}))
 	}
-	return d
+	server := httptest.NewServer(store)
+	defer server.Close()
+	p, err := platform.NewStore(strings.TrimPrefix(server.URL, "http://")).Source().Read(t.Context(), "", false)
+	require.NoError(t, err)
+	require.Len(t, p.Records, servers+1)
+	return bronzerecord.Delta{Whole: true, To: p.Revision, Changed: p.Records}
 }
 
 // BenchmarkFirstView takes in all records of 600 servers, as a node does at its start while
--- a/bronzesteer/evidence.go
+++ b/bronzesteer/evidence.go
@@ -49,7 +49,7 @@
 		b.disputedAt = at
 	}
 	clear(b.found)
-	b.silent, b.unanswered, b.openings, b.silentSince = 0, 0, 0, 0
+	b.clearUnanswered()
 	b.avoidUntil, b.avoidFor = 0, 0
 	b.mu.Unlock()
 	if wrong {
@@ -94,7 +94,7 @@
 		return e, false, false
 	}
 	if b.unanswered > 0 && at-b.silentAt >= suspicionFor {
-		b.silent, b.unanswered, b.openings = 0, 0, 0
+		b.clearUnanswered()
 	}
 	b.beSuspected(at)
 	if b.unanswered == 0 {
@@ -121,6 +121,12 @@
 	}, true, true
 }
 
+// clearUnanswered forgets what this node's flows left unanswered; the caller holds the
+// lock.
+func (b *backend) clearUnanswered() {
+	b.silent, b.unanswered, b.openings, b.silentSince = 0, 0, 0, 0
+}
+
 // beSuspected notes that something is found at at, unless something was before; the
 // caller holds the lock.
 func (b *backend) beSuspected(at time.Duration) {
@@ -210,7 +216,7 @@
 		}
 	}
 	if goodAt > b.silentSince {
-		b.silent, b.unanswered, b.openings, b.silentSince = 0, 0, 0, 0
+		b.clearUnanswered()
 	}
 	cleared := news && len(b.found) == 0 && b.unanswered == 0 && b.avoidUntil > 0
 	if cleared {
--- a/bronzesteer/flow.go
+++ b/bronzesteer/flow.go
@@ -87,9 +87,7 @@
 // release takes the flow out of its server's and its Customer's figures.
 func (f *flow) release() {
 	f.finish()
-	if f.opening != nil {
-		f.opening.settled.Store(true)
-	}
+	f.dropOpening()
 	f.account.Ended(f.open)
 	if f.open {
 		f.backend.addFlows(-1)
--- a/bronzesteer/hedge.go
+++ b/bronzesteer/hedge.go
@@ -195,8 +195,7 @@
 	if o == nil {
 		return NotHedged
 	}
-	o.settled.Store(true)
-	f.opening = nil
+	f.dropOpening()
 	if b == o.first {
 		b.zone.observe(at - f.openedAt)
 	}
--- a/bronzesteer/pause.go
+++ b/bronzesteer/pause.go
@@ -103,7 +103,7 @@
 	defer b.mu.Unlock()
 	had = b.unanswered > 0 || len(b.found) > 0
 	clear(b.found)
-	b.silent, b.unanswered, b.openings, b.silentSince = 0, 0, 0, 0
+	b.clearUnanswered()
 	b.told = false
 	return had
 }
