Drain an AvailabilityZone by the operator's record, and pace what cold servers get

A drained zone's servers count as draining on every way to place a flow; open flows stay; where nobody else can serve, the opening is refused at once (ZoneDrained). Ruled out: serving there as a last resort when the zone is cut off: the operator's word holds until the store takes it back.

Cold servers: three nodes of the server's zone, chosen by a hash of names that are kept for minutes, share 0.7 of what it bears.

--- a/bronzeedge/config.go
+++ b/bronzeedge/config.go
@@ -164,8 +164,13 @@
 
 // Decoder reads records.
 type Decoder struct {
-	IsTable    func(name string) bool
-	ServerName func(name string) (instance string, ok bool)
-	Table      func(r bronzerecord.Record) (*bronzeroute.Table, error)
-	Server     func(r bronzerecord.Record, now time.Time) (bronzeroute.Server, error)
+	IsTable func(name string) bool
+	// ServerName and DrainedZone return the server that a record registers, and the
+	// AvailabilityZone that one has drained while it is there.
+	ServerName  func(name string) (instance string, ok bool)
+	DrainedZone func(name string) (zone string, ok bool)
+	Table       func(r bronzerecord.Record) (*bronzeroute.Table, error)
+	Server      func(r bronzerecord.Record, now time.Time) (bronzeroute.Server, error)
+	// CheckDrain returns what is wrong with a record that has a zone drained.
+	CheckDrain func(r bronzerecord.Record) error
 }
--- a/bronzeedge/edge.go
+++ b/bronzeedge/edge.go
@@ -304,6 +304,7 @@
 		}
 		w.flush()
 		e.tellReports(now)
+		e.tellNear(now)
 		e.advance(now)
 	}
 }
--- a/bronzeedge/knowledge.go
+++ b/bronzeedge/knowledge.go
@@ -28,19 +28,27 @@
 		e.log.Line("RegisteredAll", F{"Records": len(c.Changed), "Revision": c.Revision})
 	}
 	for _, name := range c.Removed {
-		instance, ok := e.seams.Decoder.ServerName(name)
-		if !ok {
-			continue
-		}
-		e.book.directory.Unregister(instance, now)
-		e.log.Line("Unregistered", F{"Instance": instance, "Revision": c.Revision})
-		changed = true
+		changed = e.removeRecord(name, c.Revision, now) || changed
 	}
 	if changed {
 		e.publish()
 	}
 }
 
+// removeRecord takes in that a record is no more.
+func (e *Edge) removeRecord(name string, revision uint64, now time.Time) (changed bool) {
+	if zone, ok := e.seams.Decoder.DrainedZone(name); ok {
+		return e.returnZone(zone, revision, now)
+	}
+	instance, ok := e.seams.Decoder.ServerName(name)
+	if !ok {
+		return false
+	}
+	e.book.directory.Unregister(instance, now)
+	e.log.Line("Unregistered", F{"Instance": instance, "Revision": revision})
+	return true
+}
+
 // hasView reports whether the node has had a view.
 func (e *Edge) hasView() bool {
 	select {
@@ -63,6 +71,9 @@
 	if e.seams.Decoder.IsTable(r.Name) {
 		return e.takeTable(r, now)
 	}
+	if zone, ok := e.seams.Decoder.DrainedZone(r.Name); ok {
+		return e.drainZone(zone, r)
+	}
 	instance, ok := e.seams.Decoder.ServerName(r.Name)
 	if !ok {
 		return false
--- a/bronzeedge/metrics.go
+++ b/bronzeedge/metrics.go
@@ -30,6 +30,10 @@
 	e.counts.gauge("ConfirmedSeconds", e.gossip.Confirmed(now).Seconds())
 	e.counts.gauge("Peers", float64(e.gossip.Others(now)))
 	e.counts.gauge("Flows", float64(e.steerer.Flows()))
+	if v := e.steerer.View(); v != nil {
+		e.counts.gauge("DrainedZones", float64(len(v.DrainedZones)))
+	}
+	e.counts.gauge("FlowsInDrainedZones", float64(e.steerer.FlowsInDrainedZones()))
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	if _, err := w.Write(e.counts.text()); err != nil {
 		e.count("MetricsNotSent")
@@ -49,8 +53,11 @@
 	Routes           int
 	ConfirmedSeconds float64
 	ReadsStore       bool
-	Peers            []bronzegossip.Peer
-	Servers          []bronzesteer.ServerStatus
+	// DrainedZones take no new flows; FlowsInDrainedZones are open there still.
+	DrainedZones        []string
+	FlowsInDrainedZones int
+	Peers               []bronzegossip.Peer
+	Servers             []bronzesteer.ServerStatus
 }
 
 // Status returns the node's state.
@@ -64,6 +71,7 @@
 	}
 	if v := e.steerer.View(); v != nil {
 		s.Version, s.Routes = v.Table.Version, len(v.Table.Routes)
+		s.DrainedZones, s.FlowsInDrainedZones = v.DrainedZones, e.steerer.FlowsInDrainedZones()
 	}
 	return s
 }
--- a/bronzeedge/peers.go
+++ b/bronzeedge/peers.go
@@ -64,6 +64,7 @@
 	g.OnLoads = e.onLoads
 	g.Reports = e.reports
 	g.OnReports = e.onReports
+	e.steerer.Name = e.cfg.Name
 	e.steerer.Node = uint32(xxhash.Sum64String(e.cfg.Name))
 }
 
@@ -154,6 +155,29 @@
 	return reads
 }
 
+// tellNear tells the decisions which other nodes there are in this node's zone, where cold
+// servers are shared among them.
+func (e *Edge) tellNear(now time.Time) {
+	v := e.steerer.View()
+	if v == nil || len(v.Table.Warmups) == 0 {
+		return
+	}
+	names, others := e.gossip.Remembered(e.cfg.AvailabilityZone)
+	e.steerer.SetNear(names, others > 0 || e.joinsNobody(), now)
+}
+
+// joinsNobody reports whether the settings name no other node to join.
+func (e *Edge) joinsNobody() bool {
+	e.cfgMu.Lock()
+	defer e.cfgMu.Unlock()
+	for _, seed := range e.cfg.Seeds {
+		if seed.Addr() != e.cfg.ControlAddress.Addr() {
+			return false
+		}
+	}
+	return true
+}
+
 func (e *Edge) onPeer(p bronzegossip.Peer, event string) {
 	e.log.Line("Peer"+event, F{"Peer": p.Name, "AvailabilityZone": p.AvailabilityZone, "Address": p.Address.String()})
 }
--- a/bronzegossip/peers.go
+++ b/bronzegossip/peers.go
@@ -177,6 +177,20 @@
 	return g.there(now)
 }
 
+// Remembered returns the names of the nodes of an AvailabilityZone that were heard of in the
+// last minutes, whether they are there or not, in order, and how many nodes of all zones
+// were.
+func (g *Gossip) Remembered(zone string) (names []string, all int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.byName {
+		if p.AvailabilityZone == zone {
+			names = append(names, p.Name)
+		}
+	}
+	return names, len(g.byName)
+}
+
 // Peers returns the nodes that were heard of lately, by name.
 func (g *Gossip) Peers(now time.Time) []Peer {
 	g.mu.Lock()
--- a/bronzeroute/directory.go
+++ b/bronzeroute/directory.go
@@ -33,6 +33,7 @@
 	// for the others, which are thousands, and it is looked at ten times a second.
 	absent    map[string]*entry
 	withdrawn map[netip.AddrPort]time.Time
+	zones     zones
 	tokens    *tokens
 	// last is the last view. What didn't change since is taken from it: routesStale
 	// says that routes did, stale which pools.
@@ -63,6 +64,9 @@
 			d.withdrawn[d.table.Routes[i].Service] = now
 		}
 	}
+	if d.table != nil && !maps.Equal(d.table.Warmups, t.Warmups) {
+		d.touchAll()
+	}
 	for i := range t.Routes {
 		delete(d.withdrawn, t.Routes[i].Service)
 	}
@@ -148,6 +152,7 @@
 			changed = true
 		}
 	}
+	d.zones.forget(now)
 	for service, at := range d.withdrawn {
 		if now.Sub(at) > RememberRoutesFor {
 			delete(d.withdrawn, service)
@@ -174,7 +179,7 @@
 	if d.table == nil {
 		return nil
 	}
-	v := &View{Table: d.table, tokens: d.book()}
+	v := &View{Table: d.table, DrainedZones: d.zones.names(), tokens: d.book()}
 	d.showRoutes(v)
 	d.showServers(v)
 	d.last, d.routesStale = v, false
@@ -200,7 +205,7 @@
 func (d *Directory) showServers(v *View) {
 	v.Servers = make([]*Server, len(d.byName))
 	for i, e := range d.byName {
-		v.Servers[i] = e.show()
+		v.Servers[i] = d.show(e)
 	}
 	v.pools = make(map[string][]*Server)
 	if d.last != nil {
@@ -232,19 +237,25 @@
 }
 
 // show returns the server as views have it, which nobody changes.
-func (e *entry) show() *Server {
+func (d *Directory) show(e *entry) *Server {
 	if e.shown == nil {
 		s := e.server
-		s.Status = e.status()
+		s.ZoneDrained, s.ZoneReturned = d.zones.of(s.AvailabilityZone)
+		s.Status = e.status(s.ZoneDrained)
+		s.Warmup = d.table.Warmups[s.Pool]
 		e.shown = &s
 	}
 	return e.shown
 }
 
-func (e *entry) status() Status {
+// status returns the server's status. A missing one of a drained zone is draining: missing
+// servers take new flows where no other can, those of a drained zone never.
+func (e *entry) status(zoneDrained bool) Status {
 	switch {
 	case !e.gone.IsZero():
 		return Gone
+	case zoneDrained:
+		return Draining
 	case !e.missing.IsZero():
 		return Missing
 	case e.server.Draining:
--- a/bronzeroute/server.go
+++ b/bronzeroute/server.go
@@ -12,7 +12,8 @@
 const (
 	// Serving servers take new flows.
 	Serving Status = iota
-	// Draining servers keep their flows and take no new ones.
+	// Draining servers keep their flows and take no new ones: they leave, or their
+	// AvailabilityZone is drained.
 	Draining
 	// Missing servers were registered until just now and never said that they
 	// would leave. They keep their flows, and take new ones only where no
@@ -51,11 +52,25 @@
 	Heard time.Time
 	// Draining says that it announced to leave.
 	Draining bool
-	// Status is set by the Directory.
+
+	// The Directory sets what follows.
+
+	// Status is how far the registration is to be believed.
 	Status Status
+	// ZoneDrained says that its AvailabilityZone takes no new flows, and ZoneReturned
+	// when that last ended, the zero time if it never did.
+	ZoneDrained  bool
+	ZoneReturned time.Time
+	// Warmup is what its pool's servers bear after a start.
+	Warmup Warmup
 }
 
-// Warm reports whether the server has passed its slow start.
+// Warm reports whether the server has passed its slow start. After its zone's return
+// it counts as cold for as long as a start takes: it may have started just before, and
+// its registration that says so come later than the return does.
 func (s *Server) Warm(now time.Time) bool {
+	if !s.ZoneReturned.IsZero() && now.Sub(s.ZoneReturned) < s.Warmup.For {
+		return false
+	}
 	return now.Sub(s.Heard) >= s.Cold
 }
--- a/bronzeroute/table.go
+++ b/bronzeroute/table.go
@@ -67,11 +67,22 @@
 // pickSalt is any number that no other use of Mix has.
 const pickSalt = 0x706f6f6c
 
+// Warmup is what the servers of a pool bear after a start.
+type Warmup struct {
+	// For is how long a start takes.
+	For time.Duration
+	// PerSecond is how many requests a second one server may get meanwhile, of all nodes
+	// together; 0 if no limit is told.
+	PerSecond float64
+}
+
 // Table is one published version of the routes.
 type Table struct {
 	// Version grows with each publication, in uneven steps.
 	Version uint64
 	Routes  []Route
+	// Warmups are those of the pools that tell any.
+	Warmups map[string]Warmup
 	// IdleTimeout is how long a flow may be silent before it may be
 	// forgotten, 0 for no limit.
 	IdleTimeout time.Duration
--- a/bronzeroute/view.go
+++ b/bronzeroute/view.go
@@ -10,6 +10,8 @@
 // safe for concurrent use.
 type View struct {
 	Table *Table
+	// DrainedZones are the AvailabilityZones that take no new flows, by name.
+	DrainedZones []string
 	// Servers are all that are known, those that are gone too, by name.
 	Servers []*Server
 
--- a/bronzesteer/backend.go
+++ b/bronzesteer/backend.go
@@ -86,6 +86,7 @@
 	// last seen.
 	latency    time.Duration
 	observedAt time.Duration
+	warmup     warmup
 	// rate is the average of the requests that this node sends to it, and
 	// others that of the other nodes as far as they tell, in requests a second.
 	rate   float64
--- a/bronzesteer/packet.go
+++ b/bronzesteer/packet.go
@@ -80,6 +80,12 @@
 	RouteWithdrawn
 	// NoServer: no server of the route may take the flow.
 	NoServer
+	// ZoneDrained: the servers of the route that could take the flow are in
+	// AvailabilityZones that are drained.
+	ZoneDrained
+	// ServersCold: the servers of the route that could take the flow have just started,
+	// and have as much to do as they bear.
+	ServersCold
 	// NoneAnswers: the servers of the route leave all callers without an answer.
 	NoneAnswers
 	// Overloaded: the route's servers have too much to do to serve another flow
@@ -107,8 +113,8 @@
 )
 
 var reasonNames = [ReasonCount]string{
-	"Placed", "Repeated", "Retried", "Hedged", "Steered", "NoRoute", "RouteWithdrawn", "NoServer", "NoneAnswers",
-	"Overloaded", "ServerGone", "ServerSilent", "ServerReborn", "NoToken", "TokenUnknown", "NotACaller", "NoView",
+	"Placed", "Repeated", "Retried", "Hedged", "Steered", "NoRoute", "RouteWithdrawn", "NoServer", "ZoneDrained",
+	"ServersCold", "NoneAnswers", "Overloaded", "ServerGone", "ServerSilent", "ServerReborn", "NoToken", "TokenUnknown", "NotACaller", "NoView",
 	"Unsure",
 }
 
@@ -137,7 +143,8 @@
 	Token  uint32
 	// Tried is the flow's server where that is why the flow goes elsewhere or
 	// ends: where Reason is Retried, Hedged, ServerGone or ServerSilent. Where it is
-	// NoneAnswers or Overloaded, it is the server that would have been asked.
+	// NoneAnswers or Overloaded, it is the server that would have been asked, and where it
+	// is ZoneDrained or ServersCold the one that has an earlier copy.
 	Tried *bronzeroute.Server
 	// Takes is how long the requests at work in the pool will take, set where an
 	// opening is turned away.
--- a/bronzesteer/place.go
+++ b/bronzesteer/place.go
@@ -82,9 +82,20 @@
 func (c *candidate) use() float64 { return c.load + c.used }
 
 // place chooses the server for a new flow, not the one tried before; the choice
-// has none if there is none. The pool is chosen by the route's weights. If none
-// of its servers can be reached, a pool of the route with a better one is used.
+// has none if there is none. Of a cold server's part it takes what the flow needs.
 func (s *Steerer) place(k *known, route *bronzeroute.Route, p *Packet, tried *backend, at time.Duration, now time.Time) choice {
+	for {
+		c := s.prefer(k, route, p, tried, at, now)
+		if c.server == nil || !s.isLimited(c.server, now) || s.takeWarm(c.server, c.backend, at) {
+			return c
+		}
+		// Another goroutine took it meanwhile: the server is no candidate any more.
+	}
+}
+
+// prefer returns the best server for a flow. The pool is chosen by the route's weights. If
+// none of its servers can be reached, a pool of the route with a better one is used.
+func (s *Steerer) prefer(k *known, route *bronzeroute.Route, p *Packet, tried *backend, at time.Duration, now time.Time) choice {
 	pool, ok := route.Pick(p.Key.Hash())
 	if !ok {
 		return choice{}
@@ -155,7 +166,7 @@
 			continue
 		}
 		t := s.tier(m.server, m.backend, sum.mayAvoid, at)
-		if t == tierNone {
+		if t == tierNone || s.isLimited(m.server, now) && !s.mayWarm(m.server, m.backend, at) {
 			continue
 		}
 		list = append(list, m.backend.candidate(m.server, t, sum.latency, now))
--- a/bronzesteer/refuse.go
+++ b/bronzesteer/refuse.go
@@ -42,6 +42,36 @@
 	return d, !s.isFree(route, now)
 }
 
+// nobody returns what becomes of an opening that no server may take: it is refused at once,
+// with the reason. An earlier copy may have reached a server that could take it a moment
+// ago, so that a later one is dropped where servers are there.
+func (s *Steerer) nobody(k *known, route *bronzeroute.Route, p *Packet, now time.Time) Decision {
+	d := Decision{Kind: End, Reason: s.whyNobody(k, route, now)}
+	if d.Reason != NoServer && p.Copy > 0 {
+		d.Kind = Drop
+	}
+	return d
+}
+
+// whyNobody tells why no server of a route may take a flow.
+func (s *Steerer) whyNobody(k *known, route *bronzeroute.Route, now time.Time) (r Reason) {
+	r = NoServer
+	for i := range route.Shares {
+		if route.Shares[i].Weight <= 0 {
+			continue
+		}
+		for _, m := range k.membersOf(route.Shares[i].Pool) {
+			switch {
+			case m.server.ZoneDrained && !m.server.Draining:
+				r = ZoneDrained
+			case m.server.Status == bronzeroute.Serving && s.isLimited(m.server, now):
+				return ServersCold
+			}
+		}
+	}
+	return r
+}
+
 // noneAnswers reports whether all servers that may take a flow of the route are
 // silent, as in a zone that is cut off and has no server of the pool. A caller
 // would wait 1.4 s for nothing with each try.
--- a/bronzesteer/status.go
+++ b/bronzesteer/status.go
@@ -45,6 +45,23 @@
 	return list
 }
 
+// FlowsInDrainedZones returns how many open flows this node follows at servers of drained
+// zones.
+func (s *Steerer) FlowsInDrainedZones() (n int) {
+	k := s.known.Load()
+	if k == nil {
+		return 0
+	}
+	for _, m := range k.members {
+		if m.server.ZoneDrained {
+			m.backend.mu.Lock()
+			n += m.backend.flows
+			m.backend.mu.Unlock()
+		}
+	}
+	return n
+}
+
 // Flows returns how many flows this node follows.
 func (s *Steerer) Flows() (n int) {
 	s.init()
--- a/bronzesteer/steer.go
+++ b/bronzesteer/steer.go
@@ -22,7 +22,8 @@
 	AvailabilityZone string
 	Region           string
 	Regions          map[string]string
-	// Node stands for this node in reports, which other nodes pass on.
+	// Name is this node's, and Node stands for it in reports, which other nodes pass on.
+	Name string
 	Node uint32
 	// OnEvent is called with what changes this node's belief of a server. It
 	// must not call the Steerer.
@@ -64,6 +65,7 @@
 
 	// others is how many nodes there are beside this one.
 	others atomic.Int64
+	near   nearNodes
 	// told is what other nodes are told of this one's loads.
 	told atomic.Pointer[[]Load]
 	// loadsAt is when loads were last brought up to date; Sweep alone uses it.
@@ -185,12 +187,12 @@
 	c := s.place(k, route, p, nil, at, now)
 	server := c.server
 	if server == nil {
-		return Decision{Kind: End, Reason: NoServer}
+		return s.nobody(k, route, p, now)
 	}
 	if d, ok := s.refusal(k, route, p, c, now); ok {
 		return d
 	}
-	if t, ok := s.trial(k, c, p); ok {
+	if t, ok := s.trial(k, c, p, now); ok {
 		c, server = t, t.server
 	}
 	token := v.Token(service, server)
@@ -222,10 +224,10 @@
 		return Decision{Kind: Forward, Reason: Repeated, Server: server, Token: f.token}
 	}
 	if server != nil && server.Status == bronzeroute.Serving && s.cameTogether(f, p, at) {
-		return Decision{Kind: Forward, Reason: Repeated, Server: server, Token: f.token}
+		return s.again(server, f, at, now)
 	}
 	if server != nil && server.Status == bronzeroute.Serving && f.backend.answeredSince(f.sentAt(f.openedAt)) {
-		return Decision{Kind: Forward, Reason: Repeated, Server: server, Token: f.token}
+		return s.again(server, f, at, now)
 	}
 	s.unanswered(f.backend, f.sentAt(f.openedAt), at, openingWeight)
 	next := s.place(k, route, p, f.backend, at, now)
@@ -233,12 +235,25 @@
 		if server == nil || server.Status == bronzeroute.Gone {
 			return Decision{Kind: End, Reason: NoServer}
 		}
-		return Decision{Kind: Forward, Reason: Repeated, Server: server, Token: f.token}
+		return s.again(server, f, at, now)
 	}
 	f.retry(next, v.Token(route.Service, next.server), at)
 	return Decision{Kind: Forward, Reason: Retried, Server: next.server, Token: f.token, Tried: server}
 }
 
+// again sends a copy of an opening to the server that has the first, unless that may take
+// none: the first may have reached it, so that the copy is dropped and not refused.
+func (s *Steerer) again(server *bronzeroute.Server, f *flow, at time.Duration, now time.Time) Decision {
+	switch {
+	case server.ZoneDrained:
+		return Decision{Reason: ZoneDrained, Tried: server}
+	case s.isLimited(server, now) && !s.takeWarm(server, f.backend, at):
+		return Decision{Reason: ServersCold, Tried: server}
+	default:
+		return Decision{Kind: Forward, Reason: Repeated, Server: server, Token: f.token}
+	}
+}
+
 // cameTogether reports whether the copy of an opening says nothing of the server that was
 // asked, as it came too soon after it. If it is the caller's own, this node is late. Of a
 // node that stood still or had too much to do, the packets that waited are openings whose
--- a/bronzesteer/trial.go
+++ b/bronzesteer/trial.go
@@ -47,7 +47,7 @@
 // trial returns the server that an opening is to try, in place of the one that was chosen
 // for it; ok is false if there is none. The opening must be one that can go on to another
 // server soon.
-func (s *Steerer) trial(k *known, chosen choice, p *Packet) (c choice, ok bool) {
+func (s *Steerer) trial(k *known, chosen choice, p *Packet, now time.Time) (c choice, ok bool) {
 	if chosen.tier <= tierAvoided || len(p.Bytes) == 0 {
 		return c, false
 	}
@@ -56,7 +56,7 @@
 		return c, false
 	}
 	server := k.view.ByName(b.instance)
-	if server == nil || server.Status != bronzeroute.Serving {
+	if server == nil || server.Status != bronzeroute.Serving || s.isLimited(server, now) {
 		return c, false
 	}
 	return choice{server: server, backend: b, tier: chosen.tier, atWork: chosen.atWork}, true
--- /dev/null
+++ b/bronzesteer/warmup.go
@@ -0,0 +1,158 @@
+package bronzesteer
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bronzeusher.example/bronzeusher/bronzeroute"
+)
+
+// A server that has just started bears few requests a second, of all nodes together, and
+// nobody counts them. So some nodes of its AvailabilityZone share what it bears, in equal
+// parts: those that come first by a hash of the server and their names. All nodes that know
+// the same names choose the same ones without a word. The others send it nothing while it
+// is cold, and turn callers away if no other server can take them.
+//
+// Nodes of its own zone reach it whatever zones are cut off from each other. A node that is
+// cut off from the others keeps their names, and so doesn't take their part. One that has
+// just started takes none until it has heard all names, however many there are.
+const (
+	// warmupNodes is how many nodes share what a cold server bears. Each may send one at
+	// any moment, all of them in the same second, which has to stay within what the
+	// server is allowed in excess.
+	warmupNodes = 3
+	// warmupPart is the part of it that they share. The rest is for nodes whose names
+	// some haven't heard yet, and for what flows ask that were opened just before.
+	warmupPart = 0.7
+	// namesSettle is for how long a node must have heard no new name. A node hears some
+	// of them each second, new ones the more rarely the fewer are missing.
+	namesSettle = 5 * time.Second
+)
+
+// nearNodes are the names of the other nodes of this node's zone, those that aren't there
+// any more among them for some minutes. All methods may be called concurrently.
+type nearNodes struct {
+	mu    sync.Mutex
+	names []string
+	// known says that the node knows of others, or can't have heard of any.
+	known bool
+	// grewAt is when a name was last added.
+	grewAt time.Duration
+	// version counts changes, for what is worked out from the names.
+	version uint64
+}
+
+// SetNear tells the names of the other nodes in this node's zone, which the Steerer keeps.
+// Known says that the node has heard of some anywhere, or that there are none to hear of:
+// one that hears nobody can't tell.
+func (s *Steerer) SetNear(names []string, known bool, now time.Time) {
+	s.init()
+	n := &s.near
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.known = known
+	slices.Sort(names)
+	if slices.Equal(names, n.names) {
+		return
+	}
+	for _, name := range names {
+		if _, known := slices.BinarySearch(n.names, name); !known {
+			n.grewAt = s.since(now)
+		}
+	}
+	n.names = names
+	n.version++
+}
+
+// settled reports whether the node has heard all names, as far as it can know; the caller
+// holds the lock.
+func (n *nearNodes) settled(at time.Duration) bool {
+	return n.known && at >= n.grewAt+namesSettle && at >= namesSettle
+}
+
+// isLimited reports whether the server may be given only what a cold one bears. A node that
+// stood still doesn't know which have started meanwhile.
+func (s *Steerer) isLimited(server *bronzeroute.Server, now time.Time) bool {
+	return server.Warmup.PerSecond > 0 && (!server.Warm(now) || s.unsure.Load())
+}
+
+// warmup is this node's part of what a cold server bears.
+type warmup struct {
+	// every is the pause between two openings, 0 if the node has no part, as of version
+	// of the names.
+	every   time.Duration
+	version uint64
+	known   bool
+	// next is when the server may be sent the next.
+	next time.Duration
+}
+
+// mayWarm reports whether a cold server may be sent an opening at at.
+func (s *Steerer) mayWarm(server *bronzeroute.Server, b *backend, at time.Duration) bool {
+	every := s.warmupEvery(server, b, at)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return every > 0 && at >= b.warmup.next
+}
+
+// takeWarm takes the part of an opening that is sent to a cold server; ok is false if none
+// is left.
+func (s *Steerer) takeWarm(server *bronzeroute.Server, b *backend, at time.Duration) (ok bool) {
+	every := s.warmupEvery(server, b, at)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if every == 0 || at < b.warmup.next {
+		return false
+	}
+	b.warmup.next = at + every
+	return true
+}
+
+// warmupEvery returns the pause between two openings of this node at a cold server, 0 if it
+// is to send none.
+func (s *Steerer) warmupEvery(server *bronzeroute.Server, b *backend, at time.Duration) time.Duration {
+	if server.AvailabilityZone != s.AvailabilityZone {
+		return 0
+	}
+	n := &s.near
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.settled(at) {
+		return 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := &b.warmup
+	if !w.known || w.version != n.version {
+		w.every, w.version, w.known = n.every(server, s.Name), n.version, true
+	}
+	return w.every
+}
+
+// every works out the pause between two openings of the node of a name.
+func (n *nearNodes) every(server *bronzeroute.Server, name string) time.Duration {
+	own := warmupRank(server, name)
+	before := 0
+	for _, other := range n.names {
+		if r := warmupRank(server, other); r < own || r == own && other < name {
+			before++
+		}
+	}
+	if before >= warmupNodes {
+		return 0
+	}
+	nodes := min(warmupNodes, len(n.names)+1)
+	return time.Duration(float64(nodes) / (warmupPart * server.Warmup.PerSecond) * float64(time.Second))
+}
+
+// warmupRank is a node's place in the order of those that may send to a cold server.
+func warmupRank(server *bronzeroute.Server, name string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(server.Instance)
+	_, _ = d.WriteString(name)
+	return d.Sum64()
+}
--- /dev/null
+++ b/bronzesteer/zones_test.go
@@ -0,0 +1,140 @@
+package bronzesteer
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bronzeusher.example/bronzeusher/bronzeroute"
+)
+
+// drain has the zone drained in the node's view.
+func (s *site) drain(zone string) {
+	s.directory.DrainZone(zone)
+	s.node.SetView(s.directory.View())
+}
+
+// The operator drains the node's own zone under load. Callers open new flows, which go to
+// the other zones evenly; those that were open there stay, and go on asking.
+func TestNewFlowsKeepAwayFromADrainedZone(t *testing.T) {
+	s := newSite(t, 3, 3, 3)
+	s.node.Random = rand.New(rand.NewPCG(1, 2)).IntN
+	open := s.load(6, outline)
+	s.drain("a")
+	require.Equal(t, len(open), s.node.FlowsInDrainedZones())
+	byServer, byZone := s.spread(120)
+	require.Zero(t, byZone["a"])
+	for _, n := range byServer {
+		require.InDelta(t, 20, n, 8)
+	}
+	s.round(open)
+	for _, c := range open {
+		require.Equal(t, "a", c.server.AvailabilityZone)
+	}
+	require.Empty(t, s.endings)
+
+	s.pass(20 * time.Second)
+	s.directory.ReturnZone("a", s.now)
+	s.node.SetView(s.directory.View())
+	_, byZone = s.spread(30)
+	require.Equal(t, 30, byZone["a"])
+}
+
+// A server of the drained zone has an opening when the drain comes, and doesn't answer. The
+// caller's copy, and a second opening of ours, go to another zone and not there again.
+func TestCopiesLeaveADrainedZone(t *testing.T) {
+	s := newSite(t, 1, 1)
+	c, d := s.open(live)
+	require.Equal(t, "a", d.Server.AvailabilityZone)
+	s.drain("a")
+	s.pass(hedgeUnknown)
+	hedges := s.node.Hedges(s.now)
+	require.Len(t, hedges, 1)
+	require.Equal(t, "b", hedges[0].Decision.Server.AvailabilityZone)
+
+	s = newSite(t, 1, 1)
+	c, _ = s.open(live)
+	s.drain("a")
+	s.pass(200 * time.Millisecond)
+	require.Equal(t, "b", c.repeat().Server.AvailabilityZone)
+}
+
+// All servers that could take a caller's flow are in drained zones. It is refused at once,
+// with the reason: a caller that waits for nothing has no time left to try elsewhere. A
+// copy is dropped, as the first may have been accepted.
+func TestOpeningsAreRefusedWhereAllZonesAreDrained(t *testing.T) {
+	s := newSite(t, 2, 2)
+	early, _ := s.open(live)
+	s.drain("a")
+	s.drain("b")
+	_, d := s.open(live)
+	require.Equal(t, Decision{Kind: End, Reason: ZoneDrained}, d)
+	s.pass(200 * time.Millisecond)
+	token := early.packet.Token
+	d = early.repeat()
+	early.packet.Token = token
+	require.Equal(t, Drop, d.Kind)
+	require.Equal(t, ZoneDrained, d.Reason)
+	require.Equal(t, Forward, early.accept().Kind, "it was open all the while")
+
+	late, _ := s.open(live)
+	late.packet.Copy = 1
+	require.Equal(t, Drop, late.send().Kind, "another node may have placed it")
+}
+
+// Whatever else befalls the servers that remain, a drained zone is no last resort: they are
+// silent, or gone, or the registrations of all lapse.
+func TestADrainedZoneIsNoLastResort(t *testing.T) {
+	s := newSite(t, 2, 2)
+	s.drain("b")
+	for range 8 {
+		c, d := s.open(live)
+		require.Equal(t, "a", d.Server.AvailabilityZone)
+		s.pass(200 * time.Millisecond)
+		if d = c.repeat(); d.Kind == Forward {
+			require.Equal(t, "a", d.Server.AvailabilityZone)
+		}
+	}
+	for _, name := range []string{"a-0", "a-1", "b-0", "b-1"} {
+		s.directory.Unregister(name, s.now)
+	}
+	s.node.SetView(s.directory.View())
+	for range 4 {
+		_, d := s.open(live)
+		require.Equal(t, "a", d.Server.AvailabilityZone, "missing servers of other zones are")
+	}
+	s.directory.Advance(s.now.Add(bronzeroute.MissingFor + 1))
+	s.node.SetView(s.directory.View())
+	_, d := s.open(live)
+	require.Equal(t, Decision{Kind: End, Reason: NoServer}, d, "nobody is there")
+}
+
+// A route has a second pool for when its first has no server. That is drained, too.
+func TestASecondPoolInADrainedZoneTakesNothing(t *testing.T) {
+	s, _ := newCutSite(t)
+	s.directory.SetTable(&bronzeroute.Table{Version: 3, Routes: []bronzeroute.Route{{
+		Name: "archive", Service: archive,
+		Shares: []bronzeroute.Share{{Pool: "none", Weight: 1 << 30}, {Pool: "archive", Weight: 1}},
+	}}}, s.now)
+	s.node.SetView(s.directory.View())
+	_, d := s.open(archive)
+	require.Equal(t, Forward, d.Kind)
+	s.drain("b")
+	_, d = s.open(archive)
+	require.Equal(t, Decision{Kind: End, Reason: ZoneDrained}, d)
+}
+
+// A pool is so large that openings look at a sample of it. All of the own zone's share of
+// the sample is drained.
+func TestADrainedZoneOfALargePoolTakesNothing(t *testing.T) {
+	s := newSite(t, 100, 100)
+	s.node.Random = rand.New(rand.NewPCG(3, 4)).IntN
+	s.drain("a")
+	byServer, byZone := s.spread(200)
+	require.Zero(t, byZone["a"])
+	for _, n := range byServer {
+		require.LessOrEqual(t, n, 6)
+	}
+}
