Bound the flows that a node follows by the memory it has

Cause: 400,000 flows, some 100 MB, were a constant, while nodes have 64 to 280 MB: one that is full would be ended with all that goes through it. What the settings tell (memory-mb) bounds them now at 0.35 of it; without it nothing changes. Flows beyond the bound are forwarded and not followed, as before: first those that aren't open, past an eighth.

--- a/bronzeedge/config.go
+++ b/bronzeedge/config.go
@@ -52,6 +52,8 @@
 	Seeds []netip.AddrPort
 	// Store is where the store of records listens.
 	Store string
+	// MemoryMB is how much memory the node may use, 0 if that isn't told.
+	MemoryMB int
 	// GraceSeconds is how long the node may take to leave, and QuietSeconds for
 	// how long no packet may have come before it ends; 0 means the defaults.
 	GraceSeconds float64
@@ -107,6 +109,8 @@
 		return &FieldError{Field: "PeerAddress", Reason: "is missing"}
 	case c.Store == "":
 		return &FieldError{Field: "Store", Reason: "is missing"}
+	case c.MemoryMB < 0:
+		return &FieldError{Field: "MemoryMB", Reason: "is below 0"}
 	case c.GraceSeconds < 0:
 		return &FieldError{Field: "GraceSeconds", Reason: "is below 0"}
 	case c.QuietSeconds < 0:
--- a/bronzeedge/config_test.go
+++ b/bronzeedge/config_test.go
@@ -21,6 +21,7 @@
 		{`{"Name": 5}`, "Name"},
 		{`{"Name": "x", "AvailabilityZone": "a"}`, "DataAddress"},
 		{`{"Name": "x", "AvailabilityZone": "a", "DataAddress": "127.0.0.1:1"}`, "ReadyAddress"},
+		{`{"MemoryMB": "much"}`, "MemoryMB"},
 		{`{"GraceSeconds": "long"}`, "GraceSeconds"},
 	} {
 		_, err = ParseConfig([]byte(c.body))
--- a/bronzesteer/account.go
+++ b/bronzesteer/account.go
@@ -7,15 +7,28 @@
 )
 
 const (
-	// maxFlows bounds the flows that are followed, about 100 MB, and maxHalfOpen
-	// those of them that aren't open: a flood of openings that nobody goes on
-	// with takes an eighth of the memory. Flows beyond are forwarded all the
-	// same; what is lost is their part in judging servers. Each Customer has a
-	// fair part of both, so a flood to one doesn't blind the node for others.
-	maxFlows    = 400_000
-	maxHalfOpen = maxFlows / 8
+	// maxFlows bounds the flows that are followed, and halfOpenPart is the part of them
+	// that needn't be open: a flood of openings that nobody goes on with takes no more of
+	// the memory. Flows beyond are forwarded all the same; what is lost is their part in
+	// judging servers. Each Customer has a fair part of both, so a flood to one doesn't
+	// blind the node for others.
+	maxFlows     = 400_000
+	halfOpenPart = 0.125
+	// flowMemory is the part of a node's memory that flows may take, and flowBytes what
+	// one takes. A node whose memory is full is ended, and all its flows are with it.
+	flowMemory = 0.35
+	flowBytes  = 256
 )
 
+// mostFlows returns how many flows a node with so many bytes of memory follows; 0 says that
+// the memory isn't known.
+func mostFlows(memory int64) int {
+	if memory <= 0 {
+		return maxFlows
+	}
+	return int(min(flowMemory*float64(memory)/flowBytes, maxFlows))
+}
+
 // account is what the flows of one endpoint use of the node.
 type account struct {
 	service bronzeconf.Service
--- a/bronzesteer/steer.go
+++ b/bronzesteer/steer.go
@@ -25,6 +25,8 @@
 	// Name is this node's, and Node stands for it in reports, which other nodes pass on.
 	Name string
 	Node uint32
+	// Memory is how many bytes the node may use in all, 0 if that isn't known.
+	Memory int64
 	// OnEvent is called with what changes this node's belief of a server. It
 	// must not call the Steerer.
 	OnEvent func(Event)
@@ -132,7 +134,8 @@
 		s.suspects = make(suspects)
 		s.blamed = make(map[uint32]blame)
 		s.accounts = make(map[netip.AddrPort]*account)
-		s.admission.Open, s.admission.HalfOpen = maxFlows, maxHalfOpen
+		s.admission.Open = mostFlows(s.Memory)
+		s.admission.HalfOpen = int(halfOpenPart * float64(s.admission.Open))
 		s.free = make(map[netip.AddrPort]*rate.Limiter)
 		s.own = s.zone(s.AvailabilityZone)
 		for i := range s.shards {
--- a/bronzesteer/steer_test.go
+++ b/bronzesteer/steer_test.go
@@ -234,11 +234,35 @@
 	require.Equal(t, before+1, s.node.Flows())
 }
 
+// A node has 64 MB. It follows as many flows as leave room for the rest of it: beyond, its
+// process would be ended and all its callers' packets lost; forwarded they are all the same.
+func TestFlowsAreBoundedByTheNodesMemory(t *testing.T) {
+	const small = 1 << 20
+	require.Equal(t, maxFlows, mostFlows(0), "the memory isn't told")
+	require.Equal(t, maxFlows, mostFlows(1<<40))
+	require.Less(t, mostFlows(64<<20)*flowBytes, 64<<20/2)
+
+	s := newSite(t, 2)
+	s.node = &Steerer{AvailabilityZone: "a", Region: "r", Regions: map[string]string{"a": "r"}, Memory: small}
+	s.node.SetView(s.directory.View())
+	most := mostFlows(small)
+	for range 2 * most {
+		c, d := s.open(outline)
+		require.Equal(t, Forward, d.Kind)
+		c.accept()
+	}
+	_, d := s.open(outline)
+	require.Equal(t, Forward, d.Kind)
+	require.NotEqual(t, bronzepool.Admitted, d.NotFollowed)
+	require.LessOrEqual(t, s.node.Flows(), most)
+	require.Positive(t, s.node.Flows())
+}
+
 // Half-open flows are what a flood uses up; they are bounded by themselves, and
 // given back when their callers don't go on.
 func TestHalfOpenFlowsAreBounded(t *testing.T) {
 	s := newSite(t, 2)
-	for range maxHalfOpen {
+	for range int(halfOpenPart * maxFlows) {
 		s.open(live)
 	}
 	_, d := s.open(live)
