--- a/bronzeedge/config.go
+++ b/bronzeedge/config.go
@@ -53,7 +53,7 @@
 	// Store is where the store of records listens.
 	Store string
 	// MemoryMB is how much memory the node may use, 0 if that isn't told.
-	MemoryMB int
+	MemoryMB float64
 	// GraceSeconds is how long the node may take to leave, and QuietSeconds for
 	// how long no packet may have come before it ends; 0 means the defaults.
 	GraceSeconds float64
--- a/bronzeedge/edge.go
+++ b/bronzeedge/edge.go
@@ -80,7 +80,7 @@
 	e.steerer.AvailabilityZone = cfg.AvailabilityZone
 	e.steerer.Region = cfg.Region
 	e.steerer.Regions = cfg.Regions
-	e.steerer.Memory = int64(cfg.MemoryMB) << 20
+	e.steerer.Memory = int64(cfg.MemoryMB * (1 << 20))
 	e.steerer.OnEvent = e.onServerEvent
 	e.records.OnChange = e.onRecords
 	if err = e.listen(); err != nil {
