--- a/bronzesteer/warmup_test.go
+++ b/bronzesteer/warmup_test.go
@@ -138,7 +138,7 @@
 		name:    name, zone: zone, knows: make(map[string]bool),
 	}
 	n.SetView(f.directory.View())
-	n.Steerer.start = f.now
+	n.start = f.now
 	f.nodes = append(f.nodes, n)
 	return n
 }
--- a/bronzesteer/zones_test.go
+++ b/bronzesteer/zones_test.go
@@ -46,7 +46,7 @@
 // caller's copy, and a second opening of ours, go to another zone and not there again.
 func TestCopiesLeaveADrainedZone(t *testing.T) {
 	s := newSite(t, 1, 1)
-	c, d := s.open(live)
+	_, d := s.open(live)
 	require.Equal(t, "a", d.Server.AvailabilityZone)
 	s.drain("a")
 	s.pass(hedgeUnknown)
@@ -55,7 +55,7 @@
 	require.Equal(t, "b", hedges[0].Decision.Server.AvailabilityZone)
 
 	s = newSite(t, 1, 1)
-	c, _ = s.open(live)
+	c, _ := s.open(live)
 	s.drain("a")
 	s.pass(200 * time.Millisecond)
 	require.Equal(t, "b", c.repeat().Server.AvailabilityZone)
