Say in comments what a constant is for, and leave its measurements to commits

Swept: place, shed, backend, hedge, pool, timing, load, tokens, knowledge, gossip's constants, the records' load, the command. No code changed.

--- a/bronzeedge/knowledge.go
+++ b/bronzeedge/knowledge.go
@@ -64,9 +64,8 @@
 // in force, what a server said before another writer wrote over it would be believed
 // for as long as that stands there.
 //
-// The first records have no line each: callers wait for them after a power cut, and of 600
-// servers the lines took more than half of the processor time (BenchmarkFirstView: 6.0 ms
-// with them, 2.5 without), and left no room for others.
+// The first records have no line each: callers wait for them after a power cut, and the
+// lines would take more than half of the processor time, and leave no room for others.
 func (e *Edge) takeRecord(r bronzerecord.Record, first bool, now time.Time) (changed bool) {
 	if e.seams.Decoder.IsTable(r.Name) {
 		return e.takeTable(r, now)
--- a/bronzegossip/gossip.go
+++ b/bronzegossip/gossip.go
@@ -14,13 +14,12 @@
 	// TickInterval is how often Tick is to be called.
 	TickInterval = 100 * time.Millisecond
 	// interval is how often a node tells others about itself when there is
-	// nothing new, and largeInterval the same with more than tellAll others:
-	// with 78 nodes messages that carry loads take 600 bytes, and a node may
-	// spend 6 KB a second.
+	// nothing new, and largeInterval the same with more than tellAll others, whose
+	// messages carry more loads.
 	interval      = 400 * time.Millisecond
 	largeInterval = time.Second
-	// fanout is how many others a node tells at a time. News passed on by each
-	// node to three others reaches 490 nodes in seven steps.
+	// fanout is how many others a node tells at a time. News that each passes on so
+	// reaches a fleet in few steps.
 	fanout = 3
 	// tellAll is up to how many others a node that has news tells all of them.
 	tellAll = 12
--- a/bronzegossip/peers.go
+++ b/bronzegossip/peers.go
@@ -11,12 +11,11 @@
 const (
 	// heardFor is how long a node counts as there after it was last heard,
 	// directly or by others. With more than tellAll others it is largeHeardFor, and
-	// heardForEach more for each of them: a node hears some twenty names a second,
-	// so of more nodes it hears each less often. With 5 s whatever their number, of
-	// 78 nodes each took a quarter of the others for lost at any time, of 490 four
-	// fifths, so that 14 read the store in place of two and loads were taken for a
-	// fifth of what they were. That nodes which end count for longer costs messages
-	// to them; who reads the store for them doesn't wait for it (confirmedFor).
+	// heardForEach more for each of them: a node hears so many names a second, so of more
+	// nodes it hears each less often. Taken for lost too soon, many would read the store
+	// that needn't, and loads be taken for less than they are. That nodes which end count
+	// for longer costs messages to them; who reads the store for them doesn't wait for it
+	// (confirmedFor).
 	heardFor      = 2500 * time.Millisecond
 	largeHeardFor = 5 * time.Second
 	heardForEach  = 100 * time.Millisecond
--- a/bronzegossip/report.go
+++ b/bronzegossip/report.go
@@ -5,9 +5,7 @@
 const (
 	// reportsEvery is how often a node passes on reports at most, and largeReportsEvery
 	// the same with more than tellAll others, and reportEach later for each report of the
-	// last time. Three nodes are told, with 100 bytes and 14 for each report that is new:
-	// 4 KB a second with a few at a time, 6 with 32, of the 6 that a node may spend. News
-	// crosses 490 nodes in seven steps.
+	// last time, so that many reports take no more bytes a second than few.
 	reportsEvery      = 20 * time.Millisecond
 	largeReportsEvery = 100 * time.Millisecond
 	reportEach        = 5 * time.Millisecond
--- a/bronzerecord/load.go
+++ b/bronzerecord/load.go
@@ -16,10 +16,8 @@
 	// start, 10 s, takes.
 	pageTries = 20
 	// yieldFor is how long a node that lets others read first waits, on average,
-	// after the store said that it is asked too much. 490 of them ask 245 times a
-	// second then, of the 2,000 that a store answers; meanwhile the first of each
-	// zone read 60 pages in half a second, and the others have the records from
-	// them without asking again.
+	// after the store said that it is asked too much. Meanwhile the first of each
+	// zone read all pages, and the others have the records from them.
 	yieldFor = 2 * time.Second
 )
 
--- a/bronzeroute/tokens.go
+++ b/bronzeroute/tokens.go
@@ -12,11 +12,11 @@
 
 const (
 	// maxWide bounds the tokens that are kept of servers that an endpoint's route
-	// doesn't name, of all endpoints together, about 10 MB by arithmetic: packets with made-up
-	// tokens for 320 endpoints would have 5,100 kept for each otherwise.
+	// doesn't name, of all endpoints together: packets with made-up tokens would have those
+	// of all servers kept for each endpoint otherwise.
 	maxWide = 64 << 10
 	// searchRate is how many tokens a second are looked for among all servers where
-	// they aren't kept, which takes 0.5 ms with 5,100 (BenchmarkSearch), and searchBurst how many at
+	// they aren't kept, and searchBurst how many at
 	// once. Callers whose flows are at a former pool of a route repeat themselves.
 	searchRate  = 100
 	searchBurst = 20
@@ -24,8 +24,7 @@
 
 // tokens are the tokens of the endpoints that packets came for. A Directory and
 // its views share them, so that a change of one server costs what that server
-// does, half a microsecond: made anew for each view, those of 5,100 servers took 4 ms
-// (bronzetoken's benchmarks), for which the next packet waited.
+// does: made anew for each view, those of thousands would have the next packet wait.
 //
 // All methods may be called concurrently.
 type tokens struct {
--- a/bronzesteer/backend.go
+++ b/bronzesteer/backend.go
@@ -13,15 +13,13 @@
 	// latencyPart is the least weight of one observation in the average latency, and
 	// latencyOver the time after which what was observed before has lost most of its own.
 	// Of many nodes each sees an answer of a server every few seconds: with the least
-	// weight, half a minute passed until they knew that it had become slow.
+	// weight alone they would learn too late that it has become slow.
 	latencyPart = 0.1
 	latencyOver = time.Second
 	// refusedIn is the part of the usual time below which an answer counts as refusedAs
 	// times as long as usual. Servers that fail everything, or whose queue is full, answer
-	// in a tenth of the time, and would look like the quickest and idlest of their pool:
-	// where a fifth of 14 servers failed nearly all requests for six seconds, now and again,
-	// 459 requests of 13,000 got no answer in place of 105 now (means of three simulated
-	// runs). Where all servers give some quick answers, none stands out by them. Where
+	// in a tenth of the time, and would look like the quickest and idlest of their pool.
+	// Where all servers give some quick answers, none stands out by them. Where
 	// servers are busy anyway (freeUse), a full queue is no fault of theirs: to keep callers
 	// away from each that refuses would fill the others, one after the other.
 	refusedIn = 4
--- a/bronzesteer/hedge.go
+++ b/bronzesteer/hedge.go
@@ -18,8 +18,8 @@
 	hedgeMost    = 100 * time.Millisecond
 	// hedgeDeviations is how many mean deviations over the mean an answer takes before it
 	// is overdue, and handshakePart the weight of one time in both, as usual for
-	// retransmission timers. The deviation grows faster than it shrinks: on a link of 10
-	// Mbit/s an upload of 80 KB delays everything for 65 ms, a few times a second.
+	// retransmission timers. The deviation grows faster than it shrinks: on a slow link each
+	// large upload delays everything behind it.
 	hedgeDeviations = 4
 	handshakePart   = 0.125
 	deviationGrows  = 0.25
--- a/bronzesteer/load.go
+++ b/bronzesteer/load.go
@@ -13,11 +13,10 @@
 	// loadFor is how long another node's loads count.
 	loadFor = 2500 * time.Millisecond
 	// loadsEvery is how often loads are brought up to date and lost servers
-	// looked for. It takes 1 ms with 5,100 servers.
+	// looked for.
 	loadsEvery = 500 * time.Millisecond
-	// maxLoads bounds the servers that a node tells of: those that it sends
-	// most to. Six messages a second with 45 take 5 KB, of the 6 that a node may
-	// spend.
+	// maxLoads bounds the servers that a node tells of, those that it sends most to, by
+	// the bytes that it may spend on messages.
 	maxLoads = 45
 )
 
--- a/bronzesteer/place.go
+++ b/bronzesteer/place.go
@@ -27,12 +27,10 @@
 	zoneIdle  = 0.4
 	// zoneLead is how many requests for each slot the least used server of the
 	// own zone may have more than the best of the others. Rates tell of a surge
-	// only after seconds: in the half second after a power cut of all nodes, a
-	// zone's callers opened 218 flows on three servers with six slots, whose
-	// queues then refused. With a lead of 1, four requests are refused after such a cut
-	// in place of 33 (means of four simulated runs). With 0.5 more flows leave the zone
-	// than have to, and a cut between zones fails 48 of 28,000 requests in place
-	// of 24; with 2 the queues grow longer, and 0.3% less of them are in time.
+	// only after seconds: when all nodes are back from a power cut, a zone's callers
+	// open their flows within half a second, and would fill its servers' queues, which
+	// then refuse. With less of a lead more flows leave the zone than have to, and fail
+	// when zones are cut off from each other.
 	zoneLead = 1.0
 	// slowMost bounds how much slower than its pool a server may count.
 	slowMost = 10
--- a/bronzesteer/pool.go
+++ b/bronzesteer/pool.go
@@ -9,13 +9,12 @@
 
 const (
 	// lookAtAll is up to how many servers a pool has for all of them to be looked
-	// at for each opening. Beyond it a sample is: the best of 1,000 takes 427 us
-	// beside other load (BenchmarkOpen), on a tenth of a core 4 ms, which is a fifth
-	// of what a node has at 50 openings a second; of a sample 6 us.
+	// at for each opening. Beyond it a sample is: of a thousand servers, finding the best
+	// would take a node with a tenth of a core a fifth of its time.
 	lookAtAll = 48
 	// sampleOwn and sampleOthers are how many servers of the own zone and of the
-	// others a sample has. The best of 24 of a zone is among its best tenth with a
-	// chance of 92%, which is more than what is known of loads is worth; and the
+	// others a sample has. The best of so many is nearly always among the best tenth of
+	// the zone, which is more than what is known of loads is worth; and the
 	// others only serve to see whether the zone is left.
 	sampleOwn    = 24
 	sampleOthers = 12
--- a/bronzesteer/shed.go
+++ b/bronzesteer/shed.go
@@ -12,12 +12,9 @@
 	// which more and more new flows are turned away: from none to all.
 	//
 	// When more callers come than servers can serve, all queues fill and stay
-	// full: as many answers are given as ever, but nearly all of them late. Of
-	// three times the usual requests, over six seconds, 0.76 are then in time in
-	// place of 0.35, 0.09 late in place of 0.54, and 0.145 fail in place of 0.11.
-	// At 1.7 times the usual nobody is turned away, at 2.2 times 8 of 15,000.
-	// Starting at 0.8, 56 of these are, and more of them fail than would have
-	// been late.
+	// full: as many answers are given as ever, but nearly all of them late. Turning
+	// some away keeps the others in time. Begun sooner, it fails callers who would
+	// have been served, if late.
 	shedFrom = 1.0
 	shedFull = 1.2
 	// freeUse is the part of a server's slots up to which its answers show what
@@ -93,9 +90,8 @@
 }
 
 // perSlot returns how many requests there are for each slot. Those that came since
-// the candidates were counted are in it: a count that was 100 ms old let callers in
-// and turned them away by turns, and of 1.3 times the requests that servers can
-// take 0.65 were answered in time in place of 0.77.
+// the candidates were counted are in it: a count that is some time old lets callers in
+// and turns them away by turns.
 func (w *atWork) perSlot() float64 {
 	if w.slots == 0 {
 		return 0
--- a/bronzesteer/timing.go
+++ b/bronzesteer/timing.go
@@ -18,8 +18,7 @@
 	avoidMost  = 6 * time.Second
 	// tellAfter is how old a finding is before other nodes are told, where there are many.
 	// Of openings that are overdue because a link is full for a moment, the answer comes
-	// within some 50 ms: of 66 nodes with links of 10 Mbit/s some had such a finding three
-	// times a second, and all nodes told each other of each, and again that it was wrong.
+	// sooner; all nodes would tell each other of each, and again that it was wrong.
 	tellAfter = 100 * time.Millisecond
 	// askedFor is for how long a server must have left this node itself without an answer
 	// for others' findings to end flows there; the reason is that of tellAfter.
@@ -28,9 +27,8 @@
 	// are ended: one with a full queue goes on answering others every few milliseconds.
 	silentFor = 350 * time.Millisecond
 	// busyFor is the same where what it left unanswered is mostly requests. A server takes
-	// openings at once whatever it has to do, but of a full queue of eight, with work that
-	// takes twice the usual 30 ms since it has just started, the last is answered after
-	// 300 ms.
+	// openings at once whatever it has to do, but the last of a full queue waits for all
+	// before it, twice as long at a server that has just started.
 	busyFor = 500 * time.Millisecond
 	// aloneFor is the same where there are other nodes, none has said so, too, and it is
 	// less than aloneProof that speaks for it: what a node sends through its own link
--- a/cmd/bronzeedge/main.go
+++ b/cmd/bronzeedge/main.go
@@ -28,15 +28,13 @@
 	"bronzeusher.example/bronzeusher/platform"
 )
 
-// gcPercent lets the heap grow by a fifth before it is collected. At the
-// default the process takes 9.1 MB at its peak, with this 4.9 MB, for a twelfth
-// more processor time (a day of 44 s with 13 nodes at 30 flows a second).
+// gcPercent is by how much the heap grows before it is collected: half the memory of
+// the default, for little processor time.
 const gcPercent = 20
 
 // startFor is how long after the start the heap may grow as far as it does by
-// default. Collected at a fifth, it was collected several times while the
-// records were read, and the first packet waited for more than twice as long
-// (105 to 135 ms in place of 38 to 46 with 0.088 cores and 400 routes).
+// default: collected several times while the records are read, it would have the first
+// packet wait.
 const startFor = 3 * time.Second
 
 // settingsInterval is how often the settings file is looked at. It may change
