Look for what requests that aren't answered tell of their server

Cause: a request that a server has taken and doesn't answer is never repeated, so that it counted for 250 ms at most and then for nothing: a server that hangs looked idle. So a request that stays without is overdue, and says that its server takes at least so long; it is observed at the age at which it ceases to count as work, and each time that has doubled, up to 1 s. A pool whose answers mostly show only with the next request isn't judged by it.

Ruled out: ending such flows. A caller whose packets go by another node since one joined looks the same, and its flow is well.

--- a/bronzesteer/backend.go
+++ b/bronzesteer/backend.go
@@ -159,9 +159,9 @@
 }
 
 // workFor returns how long a request counts as being worked on without a sign
-// of its answer. The acknowledgement of an answer of one packet comes only with
-// the next request, so that much more than the usual latency says that the
-// answer was short; a caller without an answer repeats itself after 200 ms.
+// of its answer. Some callers acknowledge an answer of one packet only with their
+// next request, so that much more than the usual latency may say that the answer was
+// short; a caller without an answer repeats itself after 200 ms.
 func (b *backend) workFor() time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -214,6 +214,21 @@
 	if usual := time.Duration(b.service.usual.Load()); took < usual/refusedIn && b.use(usual) < freeUse {
 		took = refusedAs * usual
 	}
+	b.average(took, at)
+}
+
+// observeOverdue takes in that a request has been without an answer for so long. It says
+// nothing of what the work itself takes.
+func (b *backend) observeOverdue(age, at time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if age > b.latency {
+		b.average(age, at)
+	}
+}
+
+// average brings the latency up to date by one time; the caller holds the lock.
+func (b *backend) average(took, at time.Duration) {
 	part := max(latencyPart, 1-math.Exp(-float64(at-b.observedAt)/float64(latencyOver)))
 	b.latency += time.Duration(part * float64(took-b.latency))
 	b.observedAt = at
--- a/bronzesteer/flow.go
+++ b/bronzesteer/flow.go
@@ -24,6 +24,10 @@
 	// on without a sign of its answer.
 	workLeast = 60 * time.Millisecond
 	workMost  = 250 * time.Millisecond
+	// overdueMost is the age up to which a request without an answer says something of its
+	// server. Beyond it the server counts as slow as any does, and longer than that when it is
+	// well again.
+	overdueMost = time.Second
 )
 
 type flowKey = bronzeflow.Key
@@ -53,6 +57,8 @@
 	// there is none, and working whether the server counts as working on it.
 	askedAt time.Duration
 	working bool
+	// overdue is at what age the request was last found overdue.
+	overdue time.Duration
 	// sequence is the end of the data seen, acknowledged that of the answer.
 	sequence     uint32
 	acknowledged uint32
@@ -120,7 +126,7 @@
 	if end := p.Sequence + uint32(p.Length); int32(end-f.sequence) > 0 {
 		f.sequence = end
 		if f.askedAt == 0 {
-			f.askedAt, f.working = at, true
+			f.askedAt, f.working, f.overdue = at, true, 0
 			f.backend.begin()
 		}
 		return
@@ -150,6 +156,7 @@
 	if f.askedAt == 0 {
 		return
 	}
+	f.backend.service.noteShown(p.Length == 0)
 	if p.Length == 0 {
 		// With new data the acknowledgement says only that the answer came
 		// some time before.
@@ -248,13 +255,30 @@
 			sh.end(key)
 			continue
 		}
-		if f.working && !f.struck && at-f.askedAt > f.backend.workFor() {
-			f.finish()
-		}
+		f.waitOn(at)
 	}
 	return endings
 }
 
+// waitOn takes in for how long the flow's request has been without an answer, now and each
+// time that its age has doubled: so long the server takes at least. Otherwise one that
+// accepts openings and hangs with a part of its requests is forgotten with each of them,
+// looks idle, and draws more.
+func (f *flow) waitOn(at time.Duration) {
+	if f.askedAt == 0 || f.struck {
+		return
+	}
+	age := at - f.askedAt
+	if age <= f.backend.workFor() {
+		return
+	}
+	f.finish()
+	if age >= 2*f.overdue && age < overdueMost && f.backend.service.showsAnswers() {
+		f.overdue = age
+		f.backend.observeOverdue(age, at)
+	}
+}
+
 // mayEnd reports whether the flow may be ended for what has become of its server. One with
 // a request at a silent server may if that may be repeated: its caller would ask again
 // only 400 or 800 ms after the last time, and have no time left to be served elsewhere.
--- a/bronzesteer/shed.go
+++ b/bronzesteer/shed.go
@@ -21,6 +21,10 @@
 	// the work itself takes, and servicePart the weight of one of them.
 	freeUse     = 0.7
 	servicePart = 0.02
+	// shownLeast is the part of a service's answers that must show by themselves for one
+	// that doesn't to be missing, and shownPart the weight of one of them.
+	shownLeast = 0.8
+	shownPart  = 0.05
 )
 
 // service is what is known of a pool's servers together: how long they work on
@@ -34,6 +38,28 @@
 
 	mu   sync.Mutex
 	mean time.Duration
+	// shown is the part of the answers of late that callers acknowledged by themselves, and
+	// not with their next request.
+	shown float64
+}
+
+// showsAnswers reports whether callers acknowledge answers when they have them, so that a
+// request without an acknowledgement has no answer.
+func (t *service) showsAnswers() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.shown >= shownLeast
+}
+
+// noteShown takes in whether an answer was acknowledged by itself.
+func (t *service) noteShown(alone bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	to := 0.0
+	if alone {
+		to = 1
+	}
+	t.shown += shownPart * (to - t.shown)
 }
 
 // observe takes in what an answer took at a server with free slots.
