Give what is known of a server a type a subject, and observe overdue requests up to 3 s

backend held five subjects in one list of fields: load, response time, own evidence, hearsay, warm-up. Each is a type now, beside the functions that use it, under the same lock; no behaviour in that.

--- a/bronzesteer/evidence.go
+++ b/bronzesteer/evidence.go
@@ -2,6 +2,41 @@
 
 import "time"
 
+// ownEvidence is what this node has found of a server itself.
+type ownEvidence struct {
+	// goodAt is when it was last seen to answer.
+	goodAt time.Duration
+	// silent is the weight of what it left unanswered since.
+	silent int
+	// unanswered is how many flows it left unanswered since, openings how many of them
+	// weren't open.
+	unanswered int
+	openings   int
+	// silentSince is when the first of that was sent, silentAt when the last
+	// was found unanswered.
+	silentSince time.Duration
+	silentAt    time.Duration
+	// avoidUntil is until when new flows keep away from it, and avoidFor for how long they
+	// were last to.
+	avoidUntil time.Duration
+	avoidFor   time.Duration
+}
+
+// hearsay is what other nodes tell of a server.
+type hearsay struct {
+	// found is what they have found of it, by node, and othersGoodAt when it last
+	// answered one of them as far as they tell. suspectedAt is since when this node knows
+	// that anybody found it silent, refutedAt when that was last contradicted.
+	found        map[uint32]finding
+	othersGoodAt time.Duration
+	suspectedAt  time.Duration
+	// told says that nodes have told each other lately that it doesn't answer, and
+	// disputedAt is when an answer last contradicted one of them.
+	told       bool
+	refutedAt  time.Duration
+	disputedAt time.Duration
+}
+
 // finding is what another node has found of a server, in this node's time.
 type finding struct {
 	near        bool
@@ -121,10 +156,9 @@
 	}, true, true
 }
 
-// clearUnanswered forgets what this node's flows left unanswered; the caller holds the
-// lock.
-func (b *backend) clearUnanswered() {
-	b.silent, b.unanswered, b.openings, b.silentSince = 0, 0, 0, 0
+// clearUnanswered forgets what this node's flows left unanswered.
+func (e *ownEvidence) clearUnanswered() {
+	e.silent, e.unanswered, e.openings, e.silentSince = 0, 0, 0, 0
 }
 
 // beSuspected notes that something is found at at, unless something was before; the
--- a/bronzesteer/flow.go
+++ b/bronzesteer/flow.go
@@ -27,7 +27,7 @@
 	// overdueMost is the age up to which a request without an answer says something of its
 	// server. Beyond it the server counts as slow as any does, and longer than that when it is
 	// well again.
-	overdueMost = time.Second
+	overdueMost = 3 * time.Second
 )
 
 type flowKey = bronzeflow.Key
--- a/bronzesteer/load.go
+++ b/bronzesteer/load.go
@@ -15,11 +15,26 @@
 	// loadsEvery is how often loads are brought up to date and lost servers
 	// looked for.
 	loadsEvery = 500 * time.Millisecond
+	// rateOver is the time that a request rate is averaged over.
+	rateOver = 2 * time.Second
 	// maxLoads bounds the servers that a node tells of, those that it sends most to, by
 	// the bytes that it may spend on messages.
 	maxLoads = 45
 )
 
+// serverLoad is what a server has to do.
+type serverLoad struct {
+	// opening, flows and work count this node's openings without an answer,
+	// open flows, and requests that are worked on.
+	opening int
+	flows   int
+	work    int
+	// rate is the average of the requests that this node sends to it, and
+	// others that of the other nodes as far as they tell, in requests a second.
+	rate   float64
+	others float64
+}
+
 // Load is what a node sends to one server.
 type Load struct {
 	// Server is half of the server's identifier, which is enough to tell
@@ -157,3 +172,39 @@
 	}
 	return sums, heard
 }
+
+// use returns what part of the server's slots is in use if its requests take so long; the
+// caller holds the lock.
+func (b *backend) use(latency time.Duration) float64 {
+	return (b.rate + b.others) * latency.Seconds() / float64(max(b.slots, 1))
+}
+
+func (b *backend) addOpening(n int) {
+	b.service.work.Add(int64(n))
+	b.mu.Lock()
+	b.opening += n
+	b.mu.Unlock()
+}
+
+func (b *backend) addFlows(n int) {
+	b.mu.Lock()
+	b.flows += n
+	b.mu.Unlock()
+}
+
+// begin notes that a request is sent to the server.
+func (b *backend) begin() {
+	b.service.work.Add(1)
+	b.mu.Lock()
+	b.work++
+	b.rate += float64(time.Second) / float64(rateOver)
+	b.mu.Unlock()
+}
+
+// finish notes that a request needs the server no longer.
+func (b *backend) finish() {
+	b.service.work.Add(-1)
+	b.mu.Lock()
+	b.work--
+	b.mu.Unlock()
+}
