--- a/bronzesteer/flow.go
+++ b/bronzesteer/flow.go
@@ -25,8 +25,7 @@
 	workLeast = 60 * time.Millisecond
 	workMost  = 250 * time.Millisecond
 	// overdueMost is the age up to which a request without an answer says something of its
-	// server. Beyond it the server counts as slow as any does, and longer than that when it is
-	// well again.
+	// server. Most callers have given up by then.
 	overdueMost = 3 * time.Second
 )
 
