--- a/bronzeroute/directory.go
+++ b/bronzeroute/directory.go
@@ -63,9 +63,9 @@
 		for i := range d.table.Routes {
 			d.withdrawn[d.table.Routes[i].Service] = now
 		}
-	}
-	if d.table != nil && !maps.Equal(d.table.Warmups, t.Warmups) {
-		d.touchAll()
+		if !maps.Equal(d.table.Warmups, t.Warmups) {
+			d.touchAll()
+		}
 	}
 	for i := range t.Routes {
 		delete(d.withdrawn, t.Routes[i].Service)
--- a/bronzesteer/flow.go
+++ b/bronzesteer/flow.go
@@ -268,11 +268,12 @@
 		return
 	}
 	age := at - f.askedAt
-	if age <= f.backend.workFor() {
+	due := age >= 2*f.overdue && age < overdueMost
+	if !f.working && !due || age <= f.backend.workFor() {
 		return
 	}
 	f.finish()
-	if age >= 2*f.overdue && age < overdueMost && f.backend.service.showsAnswers() {
+	if due && f.backend.service.showsAnswers() {
 		f.overdue = age
 		f.backend.observeOverdue(age, at)
 	}
