Log what the store answered, its epoch, and whether it was taken in

Three hypotheses stood against each other for a server that got callers after it had said that it leaves. The log of the store's answers had this node's own revision alone: an answer that was dropped, and one of which nothing was taken in, looked alike, and a store that fell back like a replica that lags. The lines have the answer's epoch and revision now, and Applied. Nothing goes by the epoch yet.

--- a/bronzeedge/knowledge.go
+++ b/bronzeedge/knowledge.go
@@ -205,6 +205,8 @@
 	}
 	if ev.Err != nil {
 		fields["Error"] = ev.Err.Error()
+	} else {
+		fields["AnsweredEpoch"], fields["AnsweredRevision"], fields["Applied"] = ev.Delta.Epoch, ev.Delta.To, ev.Applied
 	}
 	e.log.Line("Store", fields)
 }
--- a/bronzeedge/knowledge_test.go
+++ b/bronzeedge/knowledge_test.go
@@ -48,3 +48,15 @@
 		require.Contains(t, out.String(), `"AwayMS":1500,"FailedCalls":2`)
 	})
 }
+
+// Who reads the log must see what an answer held that was dropped, and that one with changes
+// was not taken in.
+func TestLogSaysWhatTheStoreAnswered(t *testing.T) {
+	var out bytes.Buffer
+	l := NewLog(&out)
+	e := &Edge{counts: newCounters(), log: l}
+	e.gossip.Records = &e.records
+	e.onStoreEvent(bronzerecord.Event{Kind: bronzerecord.Regressed, Delta: bronzerecord.Delta{Epoch: 2, To: 5}})
+	l.Close()
+	require.Contains(t, out.String(), `"AnsweredEpoch":2,"AnsweredRevision":5,"Applied":false`)
+}
--- a/bronzerecord/follower.go
+++ b/bronzerecord/follower.go
@@ -37,8 +37,10 @@
 	Kind string
 	// Revision is that of the Set then.
 	Revision uint64
-	// Delta is what the store answered, if it did.
-	Delta Delta
+	// Delta is what the store answered, if it did, and Applied says that the Set
+	// took it in: one without news has nothing to take in.
+	Delta   Delta
+	Applied bool
 	// Stale says that the contents may be those of some seconds ago.
 	Stale bool
 	Took  time.Duration
@@ -151,7 +153,7 @@
 	}
 	if d.To < f.Set.Revision() {
 		// A replica that lags: what it shows was in force before.
-		f.event(Event{Kind: Regressed, Took: took})
+		f.event(Event{Kind: Regressed, Delta: d, Took: took})
 		return f.backoff.Next()
 	}
 	f.reload = false
@@ -160,8 +162,8 @@
 		// changes. The next one starts from where this one did, and is told.
 		d.To = d.From
 	}
-	f.Set.Apply(d)
-	f.event(Event{Kind: kind, Delta: d, Stale: stale, Took: took})
+	applied := f.Set.Apply(d)
+	f.event(Event{Kind: kind, Delta: d, Applied: applied, Stale: stale, Took: took})
 	if f.Set.Revision() == 0 {
 		// An empty store has nothing to watch from.
 		return emptyInterval
--- a/bronzerecord/load.go
+++ b/bronzerecord/load.go
@@ -27,7 +27,8 @@
 // Page is a part of a store's contents, in the order of names.
 type Page struct {
 	Records []Record
-	// Revision is the store's when the page was read.
+	// Epoch and Revision are the store's when the page was read.
+	Epoch    uint64
 	Revision uint64
 	// More says that there are records after the last one.
 	More bool
@@ -66,7 +67,7 @@
 		fails = 0
 		backoff.Reset()
 		if after == "" || p.Revision < d.To {
-			d.To = p.Revision
+			d.Epoch, d.To = p.Epoch, p.Revision
 		}
 		d.Changed = append(d.Changed, p.Records...)
 		if !p.More || len(p.Records) == 0 {
--- a/bronzerecord/set.go
+++ b/bronzerecord/set.go
@@ -17,6 +17,8 @@
 
 // Delta leads from one revision of the contents to another.
 type Delta struct {
+	// Epoch is that of the history that both revisions are of.
+	Epoch uint64
 	// Whole says that Changed is all there is; From has no meaning then.
 	Whole bool
 	From  uint64
