Compare the store's epoch before its revisions

Callers' new flows reached a server up to 3.5 s after it had said that it leaves; 3 s are allowed. The store had come back from a copy some seconds old. Its revisions fell, and it gave them out again. Nodes compared revisions alone:

- answers that ended below the known revision were dropped as those of a replica that lags, 954 times on nine nodes, by 25 calls a second of each (logged as Regressed, for four seconds);
- the first answer that ended at the known revision was logged as Loaded, with 19 records at revision 26, and nothing of it was taken in, since a set at revision 26 needs nothing up to 26.
It held the server's word, and a table;
- the next watch began after 26, so that both stayed unknown.
Between 26 and 27 the operator's log has two writes that were acknowledged: the numbers were given out twice, which a replica that lags never shows.

Ruled out: news that was slow (no node logged the registration) and a choice that passes over a drain (all openings there were placed as on any server).

The store tells its epoch with each answer, one higher each time. A position is the epoch and the revision, and goes before both in the set of records, the follower, the messages between nodes, the fetches, status and logs. Contents of a later epoch replace all, and what they have in common with what is known is no change; nodes that know an earlier one fetch them whole from each other, a few at a time. So no revision is compared with one of another history, whichever of two nodes or the store tells it. What the copy itself brings back until it is written again is not handled yet.

--- a/bronzeedge/knowledge.go
+++ b/bronzeedge/knowledge.go
@@ -25,10 +25,10 @@
 		changed = e.takeRecord(r, first, now) || changed
 	}
 	if first {
-		e.log.Line("RegisteredAll", F{"Records": len(c.Changed), "Revision": c.Revision})
+		e.log.Line("RegisteredAll", F{"Records": len(c.Changed), "Epoch": c.Position.Epoch, "Revision": c.Position.Revision})
 	}
 	for _, name := range c.Removed {
-		changed = e.removeRecord(name, c.Revision, now) || changed
+		changed = e.removeRecord(name, c.Position.Revision, now) || changed
 	}
 	if changed {
 		e.publish()
@@ -166,13 +166,13 @@
 	switch st := &e.store; {
 	case failed && !st.lost:
 		*st = storeState{lost: true, since: now, calls: 1}
-		e.log.Line("StoreLost", F{"Revision": ev.Revision, "Error": ev.Err.Error()})
+		e.log.Line("StoreLost", F{"Epoch": ev.Position.Epoch, "Revision": ev.Position.Revision, "Error": ev.Err.Error()})
 	case failed:
 		st.calls++
 	case st.lost:
 		st.lost = false
 		e.log.Line("StoreRegained", F{
-			"Revision": ev.Revision, "Kind": ev.Kind, "FailedCalls": st.calls, "AwayMS": now.Sub(st.since).Milliseconds(),
+			"Epoch": ev.Position.Epoch, "Revision": ev.Position.Revision, "Kind": ev.Kind, "FailedCalls": st.calls, "AwayMS": now.Sub(st.since).Milliseconds(),
 		})
 	}
 }
@@ -200,7 +200,7 @@
 		return
 	}
 	fields := F{
-		"Kind": ev.Kind, "Revision": ev.Revision, "Changed": changed, "Removed": removed,
+		"Kind": ev.Kind, "Epoch": ev.Position.Epoch, "Revision": ev.Position.Revision, "Changed": changed, "Removed": removed,
 		"TookMS": ev.Took.Milliseconds(),
 	}
 	if ev.Err != nil {
--- a/bronzeedge/knowledge_test.go
+++ b/bronzeedge/knowledge_test.go
@@ -45,7 +45,7 @@
 		e.onStoreEvent(watched)
 		l.Close()
 		require.Equal(t, []string{"StoreLost", "Store", "Store", "StoreRegained"}, lines(t, out.String()))
-		require.Contains(t, out.String(), `"AwayMS":1500,"FailedCalls":2`)
+		require.Contains(t, out.String(), `"AwayMS":1500,"Epoch":0,"FailedCalls":2`)
 	})
 }
 
--- a/bronzeedge/metrics.go
+++ b/bronzeedge/metrics.go
@@ -26,7 +26,9 @@
 
 func (e *Edge) answerMetrics(w http.ResponseWriter, _ *http.Request) {
 	now := time.Now()
-	e.counts.gauge("Revision", float64(e.records.Revision()))
+	p := e.records.Position()
+	e.counts.gauge("Epoch", float64(p.Epoch))
+	e.counts.gauge("Revision", float64(p.Revision))
 	e.counts.gauge("ConfirmedSeconds", e.gossip.Confirmed(now).Seconds())
 	e.counts.gauge("Peers", float64(e.gossip.Others(now)))
 	e.counts.gauge("Flows", float64(e.steerer.Flows()))
@@ -46,8 +48,9 @@
 	AvailabilityZone string
 	Ready            bool
 	Leaving          bool
-	// Revision is that of the records in force, Version that of the routes,
+	// Epoch and Revision are those of the records in force, Version that of the routes,
 	// and ConfirmedSeconds how long ago the store said there is none newer.
+	Epoch            uint64
 	Revision         uint64
 	Version          uint64
 	Routes           int
@@ -63,10 +66,11 @@
 // Status returns the node's state.
 func (e *Edge) Status() (s Status) {
 	now := time.Now()
+	p := e.records.Position()
 	s = Status{
 		Name: e.cfg.Name, AvailabilityZone: e.cfg.AvailabilityZone,
 		Ready: e.readyStatus() == http.StatusOK, Leaving: e.isLeaving(),
-		Revision: e.records.Revision(), ConfirmedSeconds: e.gossip.Confirmed(now).Seconds(), ReadsStore: e.reads(),
+		Epoch: p.Epoch, Revision: p.Revision, ConfirmedSeconds: e.gossip.Confirmed(now).Seconds(), ReadsStore: e.reads(),
 		Peers: e.gossip.Peers(now), Servers: e.steerer.Servers(now),
 	}
 	if v := e.steerer.View(); v != nil {
--- a/bronzeedge/peers.go
+++ b/bronzeedge/peers.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"strconv"
 	"sync"
 	"time"
@@ -23,10 +24,11 @@
 )
 
 const (
-	// recordsPath answers what leads from the revision in the query to this
+	// recordsPath answers what leads from the epoch and revision in the query to this
 	// node's, as a bronzerecord.Delta in CBOR, compressed by gzip, or nothing
 	// if this node doesn't know.
 	recordsPath = "/records"
+	epochQuery  = "Epoch"
 	sinceQuery  = "Since"
 	// fetchTimeout bounds a fetch; all records of 5,100 servers are 1.5 MB.
 	fetchTimeout = 1500 * time.Millisecond
@@ -147,8 +149,9 @@
 	now := time.Now()
 	reads := e.gossip.Reads(now)
 	if e.reading.Swap(reads) != reads {
+		p := e.records.Position()
 		e.log.Line("ReadsStore", F{
-			"Reads": reads, "Revision": e.records.Revision(), "ConfirmedMS": e.gossip.Confirmed(now).Milliseconds(),
+			"Reads": reads, "Epoch": p.Epoch, "Revision": p.Revision, "ConfirmedMS": e.gossip.Confirmed(now).Milliseconds(),
 			"Peers": e.gossip.Others(now),
 		})
 	}
@@ -219,17 +222,17 @@
 	}
 }
 
-// fetch brings this node's records to a peer's revision, one fetch at a time.
-func (e *Edge) fetch(peer bronzegossip.Peer, revision uint64) {
+// fetch brings this node's records to where a peer's are, one fetch at a time.
+func (e *Edge) fetch(peer bronzegossip.Peer, since bronzerecord.Position) {
 	if !e.fetching.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
 		defer e.fetching.Store(false)
 		begun := time.Now()
-		d, err := e.fetchRecords(peer.Records, revision)
+		d, err := e.fetchRecords(peer.Records, since)
 		fields := F{
-			"Peer": peer.Name, "From": revision, "To": d.To, "Changed": len(d.Changed), "Removed": len(d.Removed),
+			"Peer": peer.Name, "FromEpoch": since.Epoch, "From": since.Revision, "Epoch": d.Epoch, "To": d.To, "Changed": len(d.Changed), "Removed": len(d.Removed),
 			"TookMS": time.Since(begun).Milliseconds(),
 		}
 		if err != nil {
@@ -242,12 +245,16 @@
 	}()
 }
 
-func (e *Edge) fetchRecords(from netip.AddrPort, since uint64) (d bronzerecord.Delta, err error) {
+func (e *Edge) fetchRecords(from netip.AddrPort, since bronzerecord.Position) (d bronzerecord.Delta, err error) {
 	defer func() { err = errors.Wrapf(err, "fetch records from %s", from) }()
-	url := "http://" + from.String() + recordsPath + "?" + sinceQuery + "=" + strconv.FormatUint(since, 10)
+	query := url.Values{
+		epochQuery: {strconv.FormatUint(since.Epoch, 10)},
+		sinceQuery: {strconv.FormatUint(since.Revision, 10)},
+	}
+	address := url.URL{Scheme: "http", Host: from.String(), Path: recordsPath, RawQuery: query.Encode()}
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address.String(), http.NoBody)
 	if err != nil {
 		return d, err
 	}
@@ -278,12 +285,12 @@
 
 // answerRecords answers a peer's fetch.
 func (e *Edge) answerRecords(w http.ResponseWriter, r *http.Request) {
-	since, err := strconv.ParseUint(r.URL.Query().Get(sinceQuery), 10, 64)
+	since, err := positionOf(r.URL.Query())
 	if err != nil {
-		http.Error(w, sinceQuery+": is not a revision", http.StatusBadRequest)
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if since == 0 {
+	if since.IsZero() || since.Epoch != e.records.Position().Epoch {
 		if e.copies.Add(1) > maxCopies {
 			e.copies.Add(-1)
 			e.count("CopyRefused")
@@ -307,11 +314,22 @@
 	}
 }
 
+// positionOf returns where the records of the node that asks are.
+func positionOf(query url.Values) (p bronzerecord.Position, err error) {
+	if p.Epoch, err = strconv.ParseUint(query.Get(epochQuery), 10, 64); err != nil {
+		return p, errors.Errorf("%s: %q is not an epoch", epochQuery, query.Get(epochQuery))
+	}
+	if p.Revision, err = strconv.ParseUint(query.Get(sinceQuery), 10, 64); err != nil {
+		return p, errors.Errorf("%s: %q is not a revision", sinceQuery, query.Get(sinceQuery))
+	}
+	return p, nil
+}
+
 // zipped keeps the last delta that was sent, compressed: when the routes
 // change several peers ask for the same one at once.
 type zipped struct {
 	mu       sync.Mutex
-	from, to uint64
+	from, to bronzerecord.Position
 	body     []byte
 }
 
@@ -321,7 +339,9 @@
 func (z *zipped) delta(d bronzerecord.Delta) (b []byte, err error) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	if z.body != nil && z.from == d.From && z.to == d.To {
+	from := bronzerecord.Position{Epoch: d.Epoch, Revision: d.From}
+	to := bronzerecord.Position{Epoch: d.Epoch, Revision: d.To}
+	if z.body != nil && z.from == from && z.to == to {
 		return z.body, nil
 	}
 	plain, err := cbor.Marshal(d)
@@ -339,6 +359,6 @@
 	if err = w.Close(); err != nil {
 		return nil, err
 	}
-	z.from, z.to, z.body = d.From, d.To, out.Bytes()
+	z.from, z.to, z.body = from, to, out.Bytes()
 	return z.body, nil
 }
--- a/bronzeedge/peers_test.go
+++ b/bronzeedge/peers_test.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
+	"net/url"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -17,11 +19,13 @@
 	e := &Edge{counts: newCounters()}
 	e.records.Apply(bronzerecord.Delta{Whole: true, To: 7, Changed: []bronzerecord.Record{{Name: "routes", Revision: 7}}})
 	e.records.Apply(bronzerecord.Delta{From: 7, To: 8, Changed: []bronzerecord.Record{{Name: "routes", Revision: 8}}})
-	ask := func(since string) int {
+	askIn := func(epoch, since string) int {
 		w := httptest.NewRecorder()
-		e.answerRecords(w, httptest.NewRequest(http.MethodGet, recordsPath+"?"+sinceQuery+"="+since, http.NoBody))
+		query := url.Values{epochQuery: {epoch}, sinceQuery: {since}}
+		e.answerRecords(w, httptest.NewRequest(http.MethodGet, recordsPath+"?"+query.Encode(), http.NoBody))
 		return w.Code
 	}
+	ask := func(since string) int { return askIn("0", since) }
 	require.Equal(t, http.StatusOK, ask("0"))
 	e.copies.Store(maxCopies)
 	require.Equal(t, http.StatusServiceUnavailable, ask("0"))
@@ -30,4 +34,24 @@
 	require.Equal(t, http.StatusOK, ask("0"))
 	require.EqualValues(t, maxCopies-1, e.copies.Load())
 	require.Equal(t, http.StatusBadRequest, ask("soon"))
+	require.Equal(t, http.StatusBadRequest, askIn("", "0"))
+	require.Equal(t, http.StatusNoContent, ask("8"))
+}
+
+// The store came back from a copy, and nodes that don't know yet ask for what is new. They get
+// all records, which are bounded like those of a start.
+func TestNodesOfAnEarlierEpochGetAllRecords(t *testing.T) {
+	e := &Edge{counts: newCounters()}
+	e.records.Apply(bronzerecord.Delta{Epoch: 2, Whole: true, To: 7, Changed: []bronzerecord.Record{{Name: "routes", Revision: 7}}})
+	server := httptest.NewServer(http.HandlerFunc(e.answerRecords))
+	defer server.Close()
+	asker := &Edge{fetches: server.Client()}
+	address := netip.MustParseAddrPort(server.Listener.Addr().String())
+	d, err := asker.fetchRecords(address, bronzerecord.Position{Epoch: 1, Revision: 90})
+	require.NoError(t, err)
+	require.True(t, d.Whole)
+	require.EqualValues(t, 2, d.Epoch)
+	e.copies.Store(maxCopies)
+	_, err = asker.fetchRecords(address, bronzerecord.Position{Epoch: 1, Revision: 90})
+	require.ErrorContains(t, err, "503")
 }
--- a/bronzegossip/confirm.go
+++ b/bronzegossip/confirm.go
@@ -1,6 +1,10 @@
 package bronzegossip
 
-import "time"
+import (
+	"time"
+
+	"bronzeusher.example/bronzeusher/bronzerecord"
+)
 
 // Contact notes that the store has just told this node that it has the newest
 // records, and spreads that.
@@ -14,37 +18,43 @@
 	})
 }
 
-// noteBehind keeps track of whether a higher revision is known.
-func (g *Gossip) noteBehind(revision uint64, now time.Time) {
-	g.highest = max(g.highest, revision)
+// noteBehind keeps track of whether newer records are known.
+func (g *Gossip) noteBehind(p bronzerecord.Position, now time.Time) {
+	if g.highest.Before(p) {
+		g.highest = p
+	}
 	g.catchUp(now)
 }
 
-// catchUp begins to wait for the highest revision that is known when the one that was
+// catchUp begins to wait for the newest records that are known when the one that was
 // waited for is there. While servers are replaced there is a newer one several times a
 // second: a node that has each a moment later is never without one that it misses, and
 // isn't behind for that.
 func (g *Gossip) catchUp(now time.Time) {
-	mine := g.Records.Revision()
+	mine := g.Records.Position()
 	switch {
-	case mine >= g.highest:
-		g.behind, g.missed = time.Time{}, 0
-	case g.behind.IsZero(), mine >= g.missed:
+	case !mine.Before(g.highest):
+		g.behind, g.missed = time.Time{}, bronzerecord.Position{}
+	case g.behind.IsZero(), !mine.Before(g.missed):
 		g.behind, g.missed = now, g.highest
 	}
 }
 
-// isBehind reports whether a higher revision has been known for long.
+// isBehind reports whether newer records have been known for long.
 func (g *Gossip) isBehind(now time.Time) bool {
 	g.catchUp(now)
-	return !g.behind.IsZero() && now.Sub(g.behind) >= behindFor
+	limit := behindFor
+	if g.Records.Position().Epoch < g.missed.Epoch {
+		limit = behindEpochFor
+	}
+	return !g.behind.IsZero() && now.Sub(g.behind) >= limit
 }
 
-// learn takes in when the store last said that there was no higher revision
-// than the sender's. It counts only if this node has that revision or a higher
-// one: what it has is not confirmed otherwise.
-func (g *Gossip) learn(revision uint64, contact, now time.Time) (news bool) {
-	if g.Records.Revision() < revision || !contact.After(g.contact) {
+// learn takes in when the store last said that there was nothing newer than the
+// sender's records. It counts only if this node has them, or newer ones: what it
+// has is not confirmed otherwise.
+func (g *Gossip) learn(p bronzerecord.Position, contact, now time.Time) (news bool) {
+	if g.Records.Position().Before(p) || !contact.After(g.contact) {
 		return false
 	}
 	news = contact.Sub(g.contact) >= fresher
--- a/bronzegossip/gossip.go
+++ b/bronzegossip/gossip.go
@@ -29,9 +29,12 @@
 	// loadWait is how long a node that has started waits for the store's
 	// records, unless the store fails, before it asks a peer for them.
 	loadWait = 500 * time.Millisecond
-	// behindFor is how long a node may know of a higher revision before it
-	// reads the store itself. A fetch takes some tens of milliseconds.
-	behindFor = 300 * time.Millisecond
+	// behindFor is how long a node may know of newer records before it
+	// reads the store itself. A fetch takes some tens of milliseconds. behindEpochFor
+	// is the same for records of a later epoch, which all nodes fetch whole, a few from
+	// each that has them.
+	behindFor      = 300 * time.Millisecond
+	behindEpochFor = 1500 * time.Millisecond
 	// peersTold is how many other nodes a message names.
 	peersTold = 3
 	// maxDelta bounds the records that come with the news, in bytes.
@@ -49,10 +52,10 @@
 	Records *bronzerecord.Set
 	// Send sends a datagram. It must not wait.
 	Send func(to netip.AddrPort, b []byte)
-	// Fetch is called when peer has a higher revision than this node, with
+	// Fetch is called when peer has newer records than this node, with the position of
 	// this node's. It must not wait; calls while one is under way are to be
 	// ignored.
-	Fetch func(peer Peer, revision uint64)
+	Fetch func(peer Peer, since bronzerecord.Position)
 	// Random returns a number in [0, n); rand.IntN if nil.
 	Random func(n int) int
 	// Loads returns this node's loads on servers, nil for none, and the latencies of the
@@ -78,8 +81,8 @@
 	peers  map[string]*peer
 	byName []*peer
 	chosen []*peer
-	// contact is when the store last said to some node that there is no higher
-	// revision than this node's.
+	// contact is when the store last said to some node that there is nothing newer
+	// than this node's records.
 	contact time.Time
 	next    time.Time
 	// nextReports is when reports may be passed on next, and reportsDue says that there
@@ -87,12 +90,12 @@
 	nextReports time.Time
 	reportsDue  bool
 	started     time.Time
-	// behind is since when this node knows of the revision missed, which it doesn't have;
-	// the zero time if it has all that it knows of. highest is the highest that it knows of.
+	// behind is since when this node knows of the position missed, which it doesn't have;
+	// the zero time if it has all that it knows of. highest is the latest that it knows of.
 	behind  time.Time
-	missed  uint64
-	highest uint64
-	// ahead is the node that last told of a higher revision than this one's, and
+	missed  bronzerecord.Position
+	highest bronzerecord.Position
+	// ahead is the node that last told of newer records than this one's, and
 	// storeFailed says that the store has failed this node.
 	ahead       Peer
 	storeFailed bool
@@ -251,7 +254,7 @@
 	if g.OnReports != nil && len(m.Reports) > 0 {
 		g.OnReports(m.Reports, now)
 	}
-	if mine := g.Records.Revision(); m.Revision > mine && g.fetches(mine, &m, now) {
+	if mine := g.Records.Position(); mine.Before(m.position()) && g.fetches(mine, &m, now) {
 		g.Fetch(m.From, mine)
 	}
 }
@@ -263,8 +266,8 @@
 	g.storeFailed = true
 	ahead := g.ahead
 	g.mu.Unlock()
-	if g.Fetch != nil && ahead.Name != "" && g.Records.Revision() == 0 {
-		g.Fetch(ahead, 0)
+	if g.Fetch != nil && ahead.Name != "" && g.Records.Position().IsZero() {
+		g.Fetch(ahead, bronzerecord.Position{})
 	}
 }
 
@@ -273,14 +276,14 @@
 // whose records the store has confirmed of late, which is there sooner than a dozen pages.
 // Where all start at once nobody's are, and hundreds that asked each other for all records
 // would only be slower.
-func (g *Gossip) fetches(mine uint64, m *Message, now time.Time) bool {
+func (g *Gossip) fetches(mine bronzerecord.Position, m *Message, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.Fetch == nil {
 		return false
 	}
 	confirmed := time.Duration(m.ContactMS)*time.Millisecond < confirmedFor
-	return mine > 0 || confirmed || g.storeFailed || now.Sub(g.started) >= loadWait
+	return !mine.IsZero() || confirmed || g.storeFailed || now.Sub(g.started) >= loadWait
 }
 
 // take takes a message in, and passes on what is new in it.
@@ -289,11 +292,11 @@
 	for _, p := range m.Peers {
 		g.hearOf(p, now)
 	}
-	if m.Revision > g.Records.Revision() {
+	if g.Records.Position().Before(m.position()) {
 		g.ahead = m.From
 	}
-	g.noteBehind(m.Revision, now)
-	news := g.learn(m.Revision, now.Add(-time.Duration(m.ContactMS)*time.Millisecond), now)
+	g.noteBehind(m.position(), now)
+	news := g.learn(m.position(), now.Add(-time.Duration(m.ContactMS)*time.Millisecond), now)
 	switch {
 	case applied:
 		g.spread(now, m.Delta)
@@ -341,7 +344,8 @@
 func (g *Gossip) queue(to netip.AddrPort, now time.Time, m Message, whole bool) {
 	m.From = g.Self
 	m.From.Leaving = g.leaving
-	m.Revision = g.Records.Revision()
+	mine := g.Records.Position()
+	m.Epoch, m.Revision = mine.Epoch, mine.Revision
 	m.ContactMS = g.contactAge(now)
 	if whole {
 		m.Peers = g.some(now)
--- a/bronzegossip/gossip_test.go
+++ b/bronzegossip/gossip_test.go
@@ -45,8 +45,12 @@
 	d.gossip = Gossip{Self: self, Seeds: before.Seeds, Records: &d.records, Random: before.Random, Send: before.Send}
 }
 
-// store is the store's revision in a test; each one has one record.
-type store struct{ revision uint64 }
+// store is where the store is in a test; each revision has one record.
+type store struct{ epoch, revision uint64 }
+
+func (s *store) position() bronzerecord.Position {
+	return bronzerecord.Position{Epoch: s.epoch, Revision: s.revision}
+}
 
 const zones = 3
 
@@ -61,7 +65,7 @@
 		}
 		d.gossip.Random = rand.New(rand.NewPCG(1, uint64(i))).IntN
 		d.gossip.Send = func(to netip.AddrPort, b []byte) { net.send(d, to, b) }
-		d.gossip.Fetch = func(peer Peer, revision uint64) { net.fetch(d, peer, revision) }
+		d.gossip.Fetch = func(peer Peer, since bronzerecord.Position) { net.fetch(d, peer, since) }
 		nodes = append(nodes, d)
 		net.nodes[address] = d
 	}
@@ -93,13 +97,13 @@
 	}
 }
 
-func (net *network) fetch(d *node, peer Peer, revision uint64) {
+func (net *network) fetch(d *node, peer Peer, since bronzerecord.Position) {
 	target := net.nodes[peer.Address]
 	if target.stopped || net.cut(d, target) {
 		return
 	}
 	net.queue = append(net.queue, func() {
-		if delta, ok := target.records.Since(revision); ok && d.records.Apply(delta) {
+		if delta, ok := target.records.Since(since); ok && d.records.Apply(delta) {
 			d.gossip.Spread(delta, net.now)
 		}
 	})
@@ -126,16 +130,16 @@
 }
 
 func (s *store) read(n *node, now time.Time, due bool) {
-	mine := n.records.Revision()
-	if !n.gossip.Reads(now) || mine == s.revision && !due {
+	mine := n.records.Position()
+	if !n.gossip.Reads(now) || mine == s.position() && !due {
 		return
 	}
 	n.calls++
 	if !n.reaches {
 		return
 	}
-	if mine < s.revision {
-		delta := bronzerecord.Delta{Whole: mine == 0, From: mine, To: s.revision}
+	if mine.Before(s.position()) {
+		delta := bronzerecord.Delta{Epoch: s.epoch, Whole: mine.IsZero() || mine.Epoch != s.epoch, From: mine.Revision, To: s.revision}
 		delta.Changed = []bronzerecord.Record{{Name: "routes", Revision: s.revision}}
 		n.records.Apply(delta)
 		n.gossip.Spread(delta, now)
@@ -146,7 +150,7 @@
 // behind counts the nodes that don't have what the store has.
 func (s *store) behind(nodes []*node) (n int) {
 	for _, d := range nodes {
-		if !d.stopped && d.records.Revision() < s.revision {
+		if !d.stopped && d.records.Position().Before(s.position()) {
 			n++
 		}
 	}
@@ -187,7 +191,7 @@
 				started.gossip.StoreFailed()
 			}
 		})
-		require.EqualValues(t, 5, started.records.Revision())
+		require.EqualValues(t, 5, started.records.Position().Revision)
 	}
 }
 
@@ -201,10 +205,10 @@
 			d.gossip.contact = time.Time{}
 		}
 	})
-	require.Zero(t, started.records.Revision())
+	require.Zero(t, started.records.Position().Revision)
 	started.gossip.StoreFailed()
 	net.deliver()
-	require.EqualValues(t, 5, started.records.Revision())
+	require.EqualValues(t, 5, started.records.Position().Revision)
 }
 
 // A node has its records and knows of nobody yet. It isn't the only one for that: it asks
@@ -376,10 +380,10 @@
 	s.run(nodes, 5*time.Second)
 	late.stopped, late.reaches = false, false
 	s.run(nodes, 2*time.Second)
-	require.EqualValues(t, 1, late.records.Revision())
+	require.EqualValues(t, 1, late.records.Position().Revision)
 	s.revision = 2
 	s.run(nodes, 1500*time.Millisecond)
-	require.EqualValues(t, 2, late.records.Revision())
+	require.EqualValues(t, 2, late.records.Position().Revision)
 }
 
 func TestNodeThatLeavesReadsNoMore(t *testing.T) {
@@ -465,3 +469,49 @@
 		require.Zero(t, woken.gossip.Others(woken.net.now), "those that are gone since are lost as ever")
 	}
 }
+
+// A zone is cut off when the store comes back from a copy, thirty revisions lower, and goes on
+// to tell of its own records, whose revisions are higher. Nobody takes them for newer ones, and
+// when the cut ends all have what the store has.
+func TestNodesOfTwoEpochsAgreeOnTheLater(t *testing.T) {
+	net, nodes := newNetwork(9)
+	s := &store{epoch: 1, revision: 50}
+	s.run(nodes, 3*time.Second)
+	inZone := func(d *node) bool { return d.gossip.Self.AvailabilityZone == "a" }
+	net.cut = func(from, to *node) bool { return inZone(from) != inZone(to) }
+	for _, d := range nodes {
+		d.reaches = !inZone(d)
+	}
+	s.epoch, s.revision = 2, 20
+	s.run(nodes, 3*time.Second)
+	for _, d := range nodes {
+		require.Equal(t, inZone(d), d.records.Position() == bronzerecord.Position{Epoch: 1, Revision: 50})
+	}
+	net.cut = func(_, _ *node) bool { return false }
+	s.run(nodes, 500*time.Millisecond)
+	require.Zero(t, s.behind(nodes))
+	s.revision = 21
+	s.run(nodes, 500*time.Millisecond)
+	require.Zero(t, s.behind(nodes))
+}
+
+// The store comes back from a copy, and its two readers find it. The nodes of a large fleet
+// have the new epoch's records from each other: if all asked the store for all of its records,
+// none would have them in time.
+func TestFewReadTheStoreAfterItCameBackFromACopy(t *testing.T) {
+	_, nodes := newNetwork(300)
+	s := &store{epoch: 1, revision: 50}
+	s.run(nodes, 10*time.Second)
+	require.Zero(t, s.behind(nodes))
+	calls := func() (n int) {
+		for _, d := range nodes {
+			n += d.calls
+		}
+		return n
+	}
+	before := calls()
+	s.epoch, s.revision = 2, 20
+	s.run(nodes, time.Second)
+	require.Zero(t, s.behind(nodes))
+	require.LessOrEqual(t, calls()-before, 10)
+}
--- a/bronzegossip/message.go
+++ b/bronzegossip/message.go
@@ -55,6 +55,13 @@
 	Latencies []uint32 `cbor:"10,keyasint,omitempty"`
 	// Reports are what nodes have found of servers that don't answer.
 	Reports []Report `cbor:"9,keyasint,omitempty"`
+	// Epoch is that of Revision.
+	Epoch uint64 `cbor:"11,keyasint,omitempty"`
+}
+
+// position returns how far the sender's records are.
+func (m *Message) position() bronzerecord.Position {
+	return bronzerecord.Position{Epoch: m.Epoch, Revision: m.Revision}
 }
 
 // Report is what one node has found of one server; it is passed on from node to node.
--- a/bronzegossip/reader.go
+++ b/bronzegossip/reader.go
@@ -39,7 +39,7 @@
 func (g *Gossip) Reads(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.Records.Revision() == 0 {
+	if g.Records.Position().IsZero() {
 		return true
 	}
 	if g.leaving || now.Sub(g.started) < meetFor {
--- a/bronzegossip/reader_test.go
+++ b/bronzegossip/reader_test.go
@@ -90,13 +90,13 @@
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	g := Gossip{Self: Peer{Name: "z"}, Records: &records}
 	has := func(revision uint64) {
-		records.Apply(bronzerecord.Delta{From: records.Revision(), To: revision})
+		records.Apply(bronzerecord.Delta{From: records.Position().Revision, To: revision})
 	}
 	g.Tick(now)
 	for revision := uint64(1); revision < 50; revision++ {
-		g.noteBehind(revision, now)
+		g.noteBehind(bronzerecord.Position{Revision: revision}, now)
 		now = now.Add(step)
-		g.noteBehind(revision+1, now)
+		g.noteBehind(bronzerecord.Position{Revision: revision + 1}, now)
 		require.False(t, g.isBehind(now))
 		has(revision)
 		require.False(t, g.isBehind(now))
--- a/bronzerecord/follower.go
+++ b/bronzerecord/follower.go
@@ -27,7 +27,8 @@
 	// a tenth.
 	Read func(ctx context.Context, after string, stale bool) (Page, error)
 	// Watch returns what changed after a revision, as soon as something has,
-	// or an empty Delta after a wait of its own choice.
+	// or an empty Delta after a wait of its own choice. The Delta tells the epoch that
+	// the store is in now.
 	Watch func(ctx context.Context, after uint64) (Delta, error)
 }
 
@@ -35,8 +36,8 @@
 type Event struct {
 	// Kind is one of the Event constants.
 	Kind string
-	// Revision is that of the Set then.
-	Revision uint64
+	// Position is that of the Set then.
+	Position Position
 	// Delta is what the store answered, if it did, and Applied says that the Set
 	// took it in: one without news has nothing to take in.
 	Delta   Delta
@@ -57,7 +58,9 @@
 	Compacted = "Compacted"
 	// Failed: a call failed.
 	Failed = "Failed"
-	// Regressed: the store showed an older revision than is known.
+	// Restored: the store came back from a copy, so the contents are read again.
+	Restored = "Restored"
+	// Regressed: the store showed an older state than is known.
 	Regressed = "Regressed"
 )
 
@@ -112,12 +115,12 @@
 	if f.Active != nil && !f.Active() {
 		return standbyInterval
 	}
-	revision := f.Set.Revision()
-	whole := revision == 0 || f.reload
+	known := f.Set.Position()
+	whole := known.IsZero() || f.reload
 	// A watch brings what changed since, if the store still has it.
 	stale := whole && !f.reload
 	begun := time.Now()
-	d, err := f.call(ctx, whole, stale, revision)
+	d, err := f.call(ctx, whole, stale, known.Revision)
 	took := time.Since(begun)
 	if ctx.Err() != nil {
 		return 0
@@ -130,6 +133,12 @@
 	if errors.Is(err, errOvertaken) {
 		return 0
 	}
+	if errors.Is(err, errRestored) || err == nil && !whole && known.Epoch < d.Epoch {
+		// Events of another history than that of the known revision lead nowhere.
+		f.reload = true
+		f.event(Event{Kind: Restored, Delta: d, Took: took})
+		return 0
+	}
 	if err != nil {
 		f.event(Event{Kind: Failed, Took: took, Err: err})
 		return f.pause(&f.backoff, err)
@@ -151,7 +160,7 @@
 	if whole {
 		kind = Loaded
 	}
-	if d.To < f.Set.Revision() {
+	if d.end().Before(f.Set.Position()) {
 		// A replica that lags: what it shows was in force before.
 		f.event(Event{Kind: Regressed, Delta: d, Took: took})
 		return f.backoff.Next()
@@ -164,7 +173,7 @@
 	}
 	applied := f.Set.Apply(d)
 	f.event(Event{Kind: kind, Delta: d, Applied: applied, Stale: stale, Took: took})
-	if f.Set.Revision() == 0 {
+	if f.Set.Position().IsZero() {
 		// An empty store has nothing to watch from.
 		return emptyInterval
 	}
@@ -179,7 +188,7 @@
 
 func (f *Follower) event(e Event) {
 	if f.OnEvent != nil {
-		e.Revision = f.Set.Revision()
+		e.Position = f.Set.Position()
 		f.OnEvent(e)
 	}
 }
--- a/bronzerecord/follower_test.go
+++ b/bronzerecord/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -12,6 +13,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"bronzeusher.example/bronzeusher/bronzeretry"
 )
@@ -55,7 +57,7 @@
 	case f.throttles != nil && f.throttles():
 		return p, ErrThrottled
 	}
-	p.Revision = f.h.revision
+	p.Epoch, p.Revision = f.h.epoch, f.h.revision
 	if stale {
 		f.stale++
 		if f.behind != nil {
@@ -93,12 +95,12 @@
 	switch {
 	case f.down:
 		return Delta{}, ErrUnavailable
-	case after < f.compacted && !f.deaf:
+	case (after < f.compacted || after > f.h.revision) && !f.deaf:
 		return Delta{}, ErrCompacted
 	case !f.deaf && f.h.revision > after:
 		return f.h.delta(after, f.h.revision), nil
 	default:
-		return Delta{From: after, To: f.h.revision}, nil
+		return Delta{Epoch: f.h.epoch, From: after, To: f.h.revision}, nil
 	}
 }
 
@@ -114,7 +116,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { _ = follower.Run(ctx) }()
 		time.Sleep(50 * time.Millisecond)
-		require.EqualValues(t, 1, s.Revision())
+		require.EqualValues(t, 1, s.Position().Revision)
 
 		f.do(func() {
 			f.deaf = true
@@ -126,7 +128,7 @@
 			f.deaf = false
 		})
 		time.Sleep(1500 * time.Millisecond)
-		require.EqualValues(t, 2, s.Revision())
+		require.EqualValues(t, 2, s.Position().Revision)
 		require.EqualValues(t, 2, contents(&s)["a"].Revision)
 		cancel()
 		synctest.Wait()
@@ -148,7 +150,7 @@
 			f.do(func() { f.h.change("a", false) })
 		}
 		time.Sleep(2 * time.Second)
-		require.EqualValues(t, f.h.revision, s.Revision())
+		require.EqualValues(t, f.h.revision, s.Position().Revision)
 		f.do(func() { require.LessOrEqual(t, f.watches, 13) })
 		cancel()
 		synctest.Wait()
@@ -185,7 +187,7 @@
 			f.down = false
 		})
 		time.Sleep(maxBackoff)
-		require.EqualValues(t, 2, s.Revision())
+		require.EqualValues(t, 2, s.Position().Revision)
 		require.Greater(t, answeredAt.Load(), before)
 		cancel()
 		synctest.Wait()
@@ -209,3 +211,38 @@
 		synctest.Wait()
 	})
 }
+
+// The store comes back from copies, again and again, while records change, a node loads its
+// pages, and its history is dropped. In the end the node has just what the store holds: not
+// what the store lost, and not what another write had under the same revision before.
+func TestFollowerHoldsWhatTheStoreHoldsAfterCopies(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newPagedStore(rapid.IntRange(0, 25).Draw(r, "Records"))
+			f.latency = 4 * time.Millisecond
+			var s Set
+			stop := follow(t, &Follower{Source: f.source(), Set: &s, Gather: time.Millisecond})
+			for range rapid.IntRange(1, 40).Draw(r, "Steps") {
+				time.Sleep(time.Duration(rapid.IntRange(0, 40).Draw(r, "Milliseconds")) * time.Millisecond)
+				f.do(func() {
+					switch rapid.IntRange(0, 4).Draw(r, "Step") {
+					case 0:
+						f.h = f.h.restored(rapid.Uint64Range(0, f.h.revision).Draw(r, "Copy"))
+						f.compacted = min(f.compacted, f.h.revision)
+					case 1:
+						f.compacted = f.h.revision
+					default:
+						name := fmt.Sprintf("r-%04d", rapid.IntRange(0, 30).Draw(r, "Record"))
+						f.h.change(name, rapid.Bool().Draw(r, "Remove"))
+					}
+				})
+			}
+			time.Sleep(5 * time.Second)
+			f.do(func() {
+				require.Equal(r, Position{Epoch: f.h.epoch, Revision: f.h.revision}, s.Position())
+				require.Equal(r, f.h.states[f.h.revision], contents(&s))
+			})
+			stop()
+		})
+	})
+}
--- a/bronzerecord/load.go
+++ b/bronzerecord/load.go
@@ -24,6 +24,9 @@
 // errOvertaken says that the records came from elsewhere while they were loaded.
 var errOvertaken = errors.New("overtaken")
 
+// errRestored says that the store came back from a copy while its records were loaded.
+var errRestored = errors.New("restored")
+
 // Page is a part of a store's contents, in the order of names.
 type Page struct {
 	Records []Record
@@ -48,11 +51,11 @@
 // them got to the end in 30 s.
 func (f *Follower) load(ctx context.Context, stale bool) (d Delta, err error) {
 	d.Whole = true
-	empty, after, fails := f.Set.Revision() == 0, "", 0
+	empty, after, fails := f.Set.Position().IsZero(), "", 0
 	var backoff bronzeretry.Backoff
 	for {
 		p, err := f.Source.Read(ctx, after, stale)
-		if empty && f.Set.Revision() > 0 {
+		if empty && !f.Set.Position().IsZero() {
 			return d, errOvertaken
 		}
 		if err != nil {
@@ -64,6 +67,9 @@
 			bronzeretry.Pause(ctx, f.pause(&backoff, err))
 			continue
 		}
+		if after != "" && p.Epoch != d.Epoch {
+			return d, errRestored
+		}
 		fails = 0
 		backoff.Reset()
 		if after == "" || p.Revision < d.To {
--- a/bronzerecord/load_test.go
+++ b/bronzerecord/load_test.go
@@ -40,7 +40,7 @@
 		var s Set
 		stop := follow(t, &Follower{Source: f.source(), Set: &s})
 		time.Sleep(20 * maxBackoff)
-		require.EqualValues(t, 200, s.Revision())
+		require.EqualValues(t, 200, s.Position().Revision)
 		require.Len(t, contents(&s), 200)
 		f.do(func() { require.LessOrEqual(t, f.loads, 40) })
 		stop()
@@ -56,7 +56,7 @@
 		var s Set
 		stop := follow(t, &Follower{Source: f.source(), Set: &s})
 		time.Sleep(3 * time.Second)
-		require.Zero(t, s.Revision())
+		require.Zero(t, s.Position().Revision)
 		var before int
 		f.do(func() {
 			before = f.loads
@@ -95,7 +95,7 @@
 			}))
 		}
 		begun := time.Now()
-		for sets[0].Revision() == 0 && sets[1].Revision() == 0 && sets[2].Revision() == 0 && sets[3].Revision() == 0 {
+		for sets[0].Position().Revision == 0 && sets[1].Position().Revision == 0 && sets[2].Position().Revision == 0 && sets[3].Position().Revision == 0 {
 			time.Sleep(100 * time.Millisecond)
 		}
 		require.Less(t, time.Since(begun), 5*time.Second)
@@ -127,7 +127,7 @@
 			}
 			time.Sleep(5 * time.Second)
 			f.do(func() {
-				require.Equal(r, f.h.revision, s.Revision())
+				require.Equal(r, f.h.revision, s.Position().Revision)
 				require.Equal(r, f.h.states[f.h.revision], contents(&s))
 			})
 			stop()
@@ -146,7 +146,7 @@
 		var s Set
 		stop := follow(t, &Follower{Source: f.source(), Set: &s})
 		time.Sleep(time.Second)
-		require.EqualValues(t, 25, s.Revision())
+		require.EqualValues(t, 25, s.Position().Revision)
 		f.do(func() {
 			require.Equal(t, 2, f.stale)
 			require.Equal(t, 5, f.loads)
--- a/bronzerecord/set.go
+++ b/bronzerecord/set.go
@@ -1,6 +1,7 @@
 package bronzerecord
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 	"sync"
@@ -28,6 +29,9 @@
 	Removed []Removal
 }
 
+// end returns where the delta leads to.
+func (d *Delta) end() Position { return Position{Epoch: d.Epoch, Revision: d.To} }
+
 // Removal is a record that was removed at a revision.
 type Removal struct {
 	Name     string
@@ -36,7 +40,8 @@
 
 // Change is what a Delta changed in a Set.
 type Change struct {
-	Revision uint64
+	// Position is the Set's since.
+	Position Position
 	Changed  []Record
 	Removed  []string
 }
@@ -52,7 +57,7 @@
 	apply sync.Mutex
 
 	mu       sync.Mutex
-	revision uint64
+	position Position
 	records  map[string]Record
 	// removed are the latest removals, oldest first, for Since; forgotten is
 	// the revision of the newest one that was dropped from it.
@@ -64,18 +69,18 @@
 // behind gets the whole contents.
 const maxRemoved = 4096
 
-// Revision returns the revision up to which the copy is complete, 0 if it has
-// none yet.
-func (s *Set) Revision() uint64 {
+// Position returns up to where the copy is complete, the zero Position if it has
+// nothing yet.
+func (s *Set) Position() Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.revision
+	return s.position
 }
 
-// Apply takes a delta in. It is refused, with applied false, if it starts
-// after this copy's revision, since something between them would be missing.
-// One that ends before this copy's revision brings nothing. Within a delta
-// each record is compared by its own revision, so a delta may overlap what is
+// Apply takes a delta in. It is refused, with applied false, if it ends before this
+// copy's position, and unless it is whole if it starts after it or is of another
+// epoch, since something between them would be missing. Within a delta of the same
+// epoch each record is compared by its own revision, so a delta may overlap what is
 // known.
 func (s *Set) Apply(d Delta) (applied bool) {
 	s.apply.Lock()
@@ -90,14 +95,18 @@
 func (s *Set) update(d Delta) (c Change, applied bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if d.To < s.revision || !d.Whole && d.From > s.revision || d.To == s.revision && s.revision > 0 {
+	if !s.follows(&d) {
 		return c, false
 	}
 	if s.records == nil {
 		s.records = make(map[string]Record)
 	}
+	if d.Epoch != s.position.Epoch {
+		// What was removed in the history before says nothing of this one.
+		s.removed = nil
+	}
 	for _, r := range d.Changed {
-		if old, ok := s.records[r.Name]; ok && old.Revision >= r.Revision {
+		if old, ok := s.records[r.Name]; ok && !s.replaces(&d, &r, &old) {
 			continue
 		}
 		s.records[r.Name] = r
@@ -107,22 +116,45 @@
 		d.Removed = append(d.Removed, s.absent(d)...)
 	}
 	for _, r := range d.Removed {
-		if old, ok := s.records[r.Name]; !ok || old.Revision > r.Revision {
+		if old, ok := s.records[r.Name]; !ok || d.Epoch == s.position.Epoch && old.Revision > r.Revision {
 			continue
 		}
 		delete(s.records, r.Name)
 		s.noteRemoved(r)
 		c.Removed = append(c.Removed, r.Name)
 	}
-	if d.Whole {
+	switch {
+	case d.Epoch != s.position.Epoch:
+		s.forgotten = d.To
+	case d.Whole:
 		// Records may have come and gone between the last delta and this one.
 		s.forgotten = max(s.forgotten, d.To)
 	}
-	s.revision = d.To
-	c.Revision = d.To
+	s.position = d.end()
+	c.Position = s.position
 	return c, true
 }
 
+// follows reports whether d leads on from what the copy has.
+func (s *Set) follows(d *Delta) bool {
+	if s.position.IsZero() {
+		return s.position.Epoch <= d.Epoch && (d.Whole || d.From == 0)
+	}
+	if !s.position.Before(d.end()) {
+		return false
+	}
+	return d.Whole || d.Epoch == s.position.Epoch && d.From <= s.position.Revision
+}
+
+// replaces reports whether r is another state of a record than old. Revisions of two
+// epochs can't be compared: the same one may stand for two writes.
+func (s *Set) replaces(d *Delta, r, old *Record) bool {
+	if d.Epoch == s.position.Epoch {
+		return r.Revision > old.Revision
+	}
+	return r.Revision != old.Revision || !bytes.Equal(r.Body, old.Body)
+}
+
 // absent returns the removals that a whole delta implies.
 func (s *Set) absent(d Delta) (removed []Removal) {
 	present := make(map[string]struct{}, len(d.Changed))
@@ -147,21 +179,24 @@
 	}
 }
 
-// Since returns what leads a copy of the given revision to this one's: all
-// records for a copy that has none. ok is false if this copy isn't newer, or
-// doesn't know what was removed in between. It doesn't answer with all records
+// Since returns what leads a copy at the given position to this one's: all records
+// for a copy that has none, or those of another epoch. ok is false if this copy isn't
+// newer, or doesn't know what was removed in between. It doesn't answer with all records
 // then: a node that has just started knows no removals, and would fill its link
 // with whole copies for nodes that are one record behind.
-func (s *Set) Since(revision uint64) (d Delta, ok bool) {
+func (s *Set) Since(p Position) (d Delta, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	whole := revision == 0
-	if revision >= s.revision || !whole && revision < s.forgotten {
+	whole := p.IsZero() || p.Epoch != s.position.Epoch
+	if !p.Before(s.position) || !whole && p.Revision < s.forgotten {
 		return d, false
 	}
-	d = Delta{From: revision, To: s.revision, Whole: whole}
+	d = Delta{Epoch: s.position.Epoch, To: s.position.Revision, Whole: whole}
+	if !whole {
+		d.From = p.Revision
+	}
 	for _, r := range s.records {
-		if r.Revision > revision {
+		if r.Revision > d.From {
 			d.Changed = append(d.Changed, r)
 		}
 	}
@@ -170,7 +205,7 @@
 		return d, true
 	}
 	for _, r := range s.removed {
-		if r.Revision > revision {
+		if r.Revision > d.From {
 			d.Removed = append(d.Removed, r)
 		}
 	}
--- a/bronzerecord/set_test.go
+++ b/bronzerecord/set_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -11,6 +12,7 @@
 
 // history is a naive store: it keeps every revision.
 type history struct {
+	epoch    uint64
 	revision uint64
 	states   []map[string]Record // by revision
 	removals []Removal
@@ -30,8 +32,19 @@
 	h.states = append(h.states, next)
 }
 
+// restored returns the history of the store after it came back from a copy of a revision.
+func (h *history) restored(at uint64) *history {
+	next := &history{epoch: h.epoch + 1, revision: at, states: slices.Clone(h.states[:at+1])}
+	for _, r := range h.removals {
+		if r.Revision <= at {
+			next.removals = append(next.removals, r)
+		}
+	}
+	return next
+}
+
 func (h *history) whole(at uint64) (d Delta) {
-	d = Delta{Whole: true, To: at}
+	d = Delta{Epoch: h.epoch, Whole: true, To: at}
 	for _, r := range h.states[at] {
 		d.Changed = append(d.Changed, r)
 	}
@@ -39,7 +52,7 @@
 }
 
 func (h *history) delta(from, to uint64) (d Delta) {
-	d = Delta{From: from, To: to}
+	d = Delta{Epoch: h.epoch, From: from, To: to}
 	for _, r := range h.states[to] {
 		if r.Revision > from {
 			d.Changed = append(d.Changed, r)
@@ -59,40 +72,67 @@
 	return maps.Clone(s.records)
 }
 
-// Whatever copies and deltas of whatever age reach two sets, from the store
-// or from each other, each holds exactly what the store held at the revision
+// Whatever copies and deltas of whatever age and epoch reach two sets, from the store
+// or from each other, each holds exactly what the store held at the position
 // that the set says it has, and never goes back.
 func TestSetsHoldWhatTheStoreHeld(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		h := newHistory()
+		epochs := []*history{h}
 		sets := [2]*Set{{}, {}}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			i := rapid.IntRange(0, 1).Draw(t, "set")
 			s, peer := sets[i], sets[1-i]
-			before := s.Revision()
-			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			before := s.Position()
+			told := epochs[rapid.IntRange(0, len(epochs)-1).Draw(t, "epoch")]
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
 			case 0:
 				h.change(fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "name")), rapid.Bool().Draw(t, "remove"))
 			case 1:
-				s.Apply(h.whole(rapid.Uint64Range(0, h.revision).Draw(t, "whole")))
+				s.Apply(told.whole(rapid.Uint64Range(0, told.revision).Draw(t, "whole")))
 			case 2:
-				from := rapid.Uint64Range(0, h.revision).Draw(t, "from")
-				s.Apply(h.delta(from, rapid.Uint64Range(from, h.revision).Draw(t, "to")))
+				from := rapid.Uint64Range(0, told.revision).Draw(t, "from")
+				s.Apply(told.delta(from, rapid.Uint64Range(from, told.revision).Draw(t, "to")))
 			case 3:
-				if d, ok := peer.Since(s.Revision()); ok {
+				if d, ok := peer.Since(s.Position()); ok {
 					require.True(t, s.Apply(d))
 				}
+			case 4:
+				h = h.restored(rapid.Uint64Range(0, h.revision).Draw(t, "copy"))
+				epochs = append(epochs, h)
 			}
-			require.GreaterOrEqual(t, s.Revision(), before)
+			require.False(t, s.Position().Before(before))
 			for _, s := range sets {
-				if s.Revision() > 0 {
-					require.Equal(t, h.states[s.Revision()], contents(s), "revision %d", s.Revision())
+				if p := s.Position(); !p.IsZero() {
+					require.Equal(t, epochs[p.Epoch].states[p.Revision], contents(s), "position %v", p)
 				}
 			}
 		}
 	})
 }
 
+// The store fell back, and two of its records have again the revisions that they had, one of
+// them with another body. Only that one is a change: with 5,100 servers, all others would be
+// read again at every node.
+func TestRecordsThatTheCopyHasAreNoChange(t *testing.T) {
+	var s Set
+	var changes []Change
+	s.OnChange = func(c Change) { changes = append(changes, c) }
+	require.True(t, s.Apply(Delta{Epoch: 1, Whole: true, To: 9, Changed: []Record{
+		{Name: "a", Revision: 3, Body: []byte("as it was")},
+		{Name: "b", Revision: 5, Body: []byte("as it was")},
+		{Name: "c", Revision: 9},
+	}}))
+	require.True(t, s.Apply(Delta{Epoch: 2, Whole: true, To: 5, Changed: []Record{
+		{Name: "a", Revision: 3, Body: []byte("as it was")},
+		{Name: "b", Revision: 5, Body: []byte("another")},
+	}}))
+	require.Len(t, changes, 2)
+	require.Equal(t, []Record{{Name: "b", Revision: 5, Body: []byte("another")}}, changes[1].Changed)
+	require.Equal(t, []string{"c"}, changes[1].Removed)
+	require.Equal(t, Position{Epoch: 2, Revision: 5}, changes[1].Position)
+}
+
 // A node that has just started is asked by one that is a record behind. It
 // can't know what was removed in between; sending everything to each that asks
 // filled a slow link for a second, and callers' packets waited.
@@ -102,15 +142,15 @@
 	h.change("b", false)
 	var s Set
 	require.True(t, s.Apply(h.whole(2)))
-	_, ok := s.Since(1)
+	_, ok := s.Since(Position{Revision: 1})
 	require.False(t, ok)
-	d, ok := s.Since(0)
+	d, ok := s.Since(Position{})
 	require.True(t, ok)
 	require.True(t, d.Whole)
 
 	h.change("a", true)
 	require.True(t, s.Apply(h.delta(2, 3)))
-	d, ok = s.Since(2)
+	d, ok = s.Since(Position{Revision: 2})
 	require.True(t, ok)
 	require.Equal(t, []Removal{{Name: "a", Revision: 3}}, d.Removed)
 	require.Empty(t, d.Changed)
@@ -126,8 +166,8 @@
 		s.Apply(Delta{From: 2 + 2*i, To: 3 + 2*i, Removed: []Removal{{Name: "x", Revision: 3 + 2*i}}})
 	}
 	require.Len(t, s.removed, maxRemoved)
-	_, ok := s.Since(2)
+	_, ok := s.Since(Position{Revision: 2})
 	require.False(t, ok)
-	_, ok = s.Since(s.Revision() - 3)
+	_, ok = s.Since(Position{Revision: s.Position().Revision - 3})
 	require.True(t, ok)
 }
