Pass on the removal of a record that was not known

A server that registered and went between two readings of one node stayed registered for ever at a node that had its registration: the first noted removals of records that it knew alone, and told the other of none. Callers would have been sent to a server that is gone until its openings went unanswered, again and again.

--- a/bronzerecord/set.go
+++ b/bronzerecord/set.go
@@ -115,13 +115,11 @@
 	if d.Whole {
 		d.Removed = append(d.Removed, s.absent(d)...)
 	}
+	restored := d.Epoch != s.position.Epoch
 	for _, r := range d.Removed {
-		if old, ok := s.records[r.Name]; !ok || d.Epoch == s.position.Epoch && old.Revision > r.Revision {
-			continue
+		if s.remove(r, restored) {
+			c.Removed = append(c.Removed, r.Name)
 		}
-		delete(s.records, r.Name)
-		s.noteRemoved(r)
-		c.Removed = append(c.Removed, r.Name)
 	}
 	switch {
 	case d.Epoch != s.position.Epoch:
@@ -135,6 +133,18 @@
 	return c, true
 }
 
+// remove takes a removal in; changed is false if there was no such record. That of a record
+// which came and went between two deltas is noted all the same, as peers may have it.
+func (s *Set) remove(r Removal, restored bool) (changed bool) {
+	old, ok := s.records[r.Name]
+	if ok && !restored && old.Revision > r.Revision || !ok && r.Revision <= s.position.Revision {
+		return false
+	}
+	delete(s.records, r.Name)
+	s.noteRemoved(r)
+	return ok
+}
+
 // follows reports whether d leads on from what the copy has.
 func (s *Set) follows(d *Delta) bool {
 	if s.position.IsZero() {
--- a/bronzerecord/set_test.go
+++ b/bronzerecord/set_test.go
@@ -156,6 +156,23 @@
 	require.Empty(t, d.Changed)
 }
 
+// A server registers and goes between two readings of one node, while another node has its
+// registration. The removal reaches the other by the first, which never knew the server.
+func TestRemovalOfARecordThatWasNotKnownIsPassedOn(t *testing.T) {
+	h := newHistory()
+	h.change("a", false)
+	var s, peer Set
+	require.True(t, s.Apply(h.whole(1)))
+	h.change("b", false)
+	require.True(t, peer.Apply(h.whole(2)))
+	h.change("b", true)
+	require.True(t, s.Apply(h.delta(1, 3)))
+	d, ok := s.Since(peer.Position())
+	require.True(t, ok)
+	require.True(t, peer.Apply(d))
+	require.Equal(t, h.states[3], contents(&peer))
+}
+
 func TestSetRemembersABoundedNumberOfRemovals(t *testing.T) {
 	h := newHistory()
 	h.change("first", false)
