Hold on to what was over when the store comes back from a copy

A copy is some seconds old. A server that had said it leaves was ready in it, and callers' new flows went there again; a zone's drain was missing in it, and the zone was used again; a node that started loaded an older table. That lasted until the writers had written again, a heartbeat or more.

A set that enters a later epoch remembers the last that it knew of each record that the copy has otherwise or not at all, also that it had been removed, for ten seconds. The directory goes by it: such servers take no new flows, such zones stay drained, until a later revision of the epoch has the record, or the time is over: what nobody writes again ends. Whole contents that a peer fetches carry what is remembered; nodes that loaded the copy from the store ask a peer whose messages say that it remembers further back.

--- a/bronzeedge/knowledge.go
+++ b/bronzeedge/knowledge.go
@@ -27,8 +27,14 @@
 	if first {
 		e.log.Line("RegisteredAll", F{"Records": len(c.Changed), "Epoch": c.Position.Epoch, "Revision": c.Position.Revision})
 	}
+	lost := lostNames(c.Lost)
 	for _, name := range c.Removed {
-		changed = e.removeRecord(name, c.Position.Revision, now) || changed
+		if !lost[name] {
+			changed = e.removeRecord(name, c.Position.Revision, now) || changed
+		}
+	}
+	for i := range c.Lost {
+		changed = e.recall(&c.Lost[i], now) || changed
 	}
 	if changed {
 		e.publish()
--- a/bronzeedge/peers.go
+++ b/bronzeedge/peers.go
@@ -28,8 +28,11 @@
 	// node's, as a bronzerecord.Delta in CBOR, compressed by gzip, or nothing
 	// if this node doesn't know.
 	recordsPath = "/records"
-	epochQuery  = "Epoch"
-	sinceQuery  = "Since"
+	// formerPath answers what this node remembers of earlier epochs of the store, as a
+	// bronzerecord.Recollection in the same form, or nothing.
+	formerPath = "/former"
+	epochQuery = "Epoch"
+	sinceQuery = "Since"
 	// fetchTimeout bounds a fetch; all records of 5,100 servers are 1.5 MB.
 	fetchTimeout = 1500 * time.Millisecond
 	// maxCopies bounds the peers that get all records at a time. After a power
@@ -60,6 +63,7 @@
 	g.Records = &e.records
 	g.Send = e.sendPeer
 	g.Fetch = e.fetch
+	g.FetchFormer = e.fetchFormer
 	g.OnPeer = e.onPeer
 	g.Count = e.count
 	g.Loads = e.loads
@@ -245,41 +249,67 @@
 	}()
 }
 
+// fetchFormer has a peer tell what it remembers of earlier epochs of the store.
+func (e *Edge) fetchFormer(peer bronzegossip.Peer) {
+	if !e.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer e.fetching.Store(false)
+		var r bronzerecord.Recollection
+		err := e.get(peer.Records, formerPath, nil, &r)
+		fields := F{"Peer": peer.Name, "Epoch": r.Epoch, "FormerEpoch": r.Former.Epoch, "FormerRevision": r.Former.Revision, "Lost": len(r.Lost)}
+		if err != nil {
+			fields["Error"] = err.Error()
+		}
+		e.log.Line("FetchedFormer", fields)
+		if err == nil {
+			e.records.Recall(r)
+		}
+	}()
+}
+
 func (e *Edge) fetchRecords(from netip.AddrPort, since bronzerecord.Position) (d bronzerecord.Delta, err error) {
-	defer func() { err = errors.Wrapf(err, "fetch records from %s", from) }()
 	query := url.Values{
 		epochQuery: {strconv.FormatUint(since.Epoch, 10)},
 		sinceQuery: {strconv.FormatUint(since.Revision, 10)},
 	}
-	address := url.URL{Scheme: "http", Host: from.String(), Path: recordsPath, RawQuery: query.Encode()}
+	return d, e.get(from, recordsPath, query, &d)
+}
+
+// get asks a peer for something in compressed CBOR.
+func (e *Edge) get(from netip.AddrPort, path string, query url.Values, v any) (err error) {
+	defer func() { err = errors.Wrapf(err, "fetch %s from %s", path, from) }()
+	address := url.URL{Scheme: "http", Host: from.String(), Path: path, RawQuery: query.Encode()}
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address.String(), http.NoBody)
 	if err != nil {
-		return d, err
+		return err
 	}
 	res, err := e.fetches.Do(req)
 	if err != nil {
-		return d, err
+		return err
 	}
 	defer func() { _ = res.Body.Close() }()
 	if res.StatusCode != http.StatusOK {
-		return d, errors.Errorf("status %d", res.StatusCode)
+		return errors.Errorf("status %d", res.StatusCode)
 	}
 	unzip, err := gzip.NewReader(res.Body)
 	if err != nil {
-		return d, err
+		return err
 	}
 	b, err := io.ReadAll(io.LimitReader(unzip, maxRecords))
 	if err != nil {
-		return d, err
+		return err
 	}
-	return d, cbor.Unmarshal(b, &d)
+	return cbor.Unmarshal(b, v)
 }
 
 func (e *Edge) controlHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+recordsPath, e.answerRecords)
+	mux.HandleFunc("GET "+formerPath, e.answerFormer)
 	return mux
 }
 
@@ -309,7 +339,26 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	if _, err = w.Write(b); err != nil {
+	e.sendRecords(w, b)
+}
+
+// answerFormer answers a peer that knows less of earlier epochs than this node.
+func (e *Edge) answerFormer(w http.ResponseWriter, _ *http.Request) {
+	r, ok := e.records.Recollection()
+	if !ok {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	b, err := zip(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	e.sendRecords(w, b)
+}
+
+func (e *Edge) sendRecords(w http.ResponseWriter, b []byte) {
+	if _, err := w.Write(b); err != nil {
 		e.count("RecordsNotSent")
 	}
 }
@@ -333,10 +382,12 @@
 	body     []byte
 }
 
-// delta returns d as compressed CBOR. Routes are alike, so 1,200 of them take a
-// tenth of their 170 KB, which would fill a link of 10 Mbit/s for a seventh of
-// a second.
+// delta returns d, compressed. What an earlier epoch of the store had changes with time, so that
+// a delta with it isn't kept.
 func (z *zipped) delta(d bronzerecord.Delta) (b []byte, err error) {
+	if d.Recollection != nil {
+		return zip(d)
+	}
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	from := bronzerecord.Position{Epoch: d.Epoch, Revision: d.From}
@@ -344,7 +395,18 @@
 	if z.body != nil && z.from == from && z.to == to {
 		return z.body, nil
 	}
-	plain, err := cbor.Marshal(d)
+	if b, err = zip(d); err != nil {
+		return nil, err
+	}
+	z.from, z.to, z.body = from, to, b
+	return b, nil
+}
+
+// zip returns v as compressed CBOR. Routes are alike, so 1,200 of them take a
+// tenth of their 170 KB, which would fill a link of 10 Mbit/s for a seventh of
+// a second.
+func zip(v any) (b []byte, err error) {
+	plain, err := cbor.Marshal(v)
 	if err != nil {
 		return nil, err
 	}
@@ -359,6 +421,5 @@
 	if err = w.Close(); err != nil {
 		return nil, err
 	}
-	z.from, z.to, z.body = from, to, out.Bytes()
-	return z.body, nil
+	return out.Bytes(), nil
 }
--- a/bronzeedge/peers_test.go
+++ b/bronzeedge/peers_test.go
@@ -55,3 +55,21 @@
 	_, err = asker.fetchRecords(address, bronzerecord.Position{Epoch: 1, Revision: 90})
 	require.ErrorContains(t, err, "503")
 }
+
+// A peer tells what the store lost, and nothing where that is none.
+func TestPeersTellWhatTheStoreLost(t *testing.T) {
+	e := &Edge{counts: newCounters()}
+	server := httptest.NewServer(http.HandlerFunc(e.answerFormer))
+	defer server.Close()
+	asker := &Edge{fetches: server.Client()}
+	address := netip.MustParseAddrPort(server.Listener.Addr().String())
+	var r bronzerecord.Recollection
+	require.ErrorContains(t, asker.get(address, formerPath, nil, &r), "204")
+
+	e.records.Apply(bronzerecord.Delta{Epoch: 1, Whole: true, To: 7, Changed: []bronzerecord.Record{{Name: "routes", Revision: 7, Body: []byte("lost")}}})
+	e.records.Apply(bronzerecord.Delta{Epoch: 2, Whole: true, To: 3})
+	require.NoError(t, asker.get(address, formerPath, nil, &r))
+	require.Equal(t, bronzerecord.Position{Epoch: 1, Revision: 7}, r.Former)
+	require.Len(t, r.Lost, 1)
+	require.Equal(t, "lost", string(r.Lost[0].Record.Body))
+}
--- a/bronzegossip/gossip.go
+++ b/bronzegossip/gossip.go
@@ -56,6 +56,9 @@
 	// this node's. It must not wait; calls while one is under way are to be
 	// ignored.
 	Fetch func(peer Peer, since bronzerecord.Position)
+	// FetchFormer is called when peer remembers more than this node of what the store lost
+	// by coming back from a copy. It is called like Fetch; nil if nothing is remembered.
+	FetchFormer func(peer Peer)
 	// Random returns a number in [0, n); rand.IntN if nil.
 	Random func(n int) int
 	// Loads returns this node's loads on servers, nil for none, and the latencies of the
@@ -257,6 +260,19 @@
 	if mine := g.Records.Position(); mine.Before(m.position()) && g.fetches(mine, &m, now) {
 		g.Fetch(m.From, mine)
 	}
+	if g.FetchFormer != nil && g.recalls(&m) {
+		g.FetchFormer(m.From)
+	}
+}
+
+// recalls reports whether the sender of a message remembers earlier epochs further than this
+// node, which may have started since.
+func (g *Gossip) recalls(m *Message) bool {
+	if m.former().IsZero() || m.Epoch != g.Records.Position().Epoch {
+		return false
+	}
+	former, _ := g.Records.Former()
+	return former.Before(m.former())
 }
 
 // StoreFailed notes that the store didn't answer this node. A node that has no
@@ -346,6 +362,9 @@
 	m.From.Leaving = g.leaving
 	mine := g.Records.Position()
 	m.Epoch, m.Revision = mine.Epoch, mine.Revision
+	if former, lost := g.Records.Former(); lost > 0 {
+		m.FormerEpoch, m.FormerRevision = former.Epoch, former.Revision
+	}
 	m.ContactMS = g.contactAge(now)
 	if whole {
 		m.Peers = g.some(now)
--- a/bronzegossip/gossip_test.go
+++ b/bronzegossip/gossip_test.go
@@ -515,3 +515,36 @@
 	require.Zero(t, s.behind(nodes))
 	require.LessOrEqual(t, calls()-before, 10)
 }
+
+// A node starts after the store came back from a copy, and loads what that has. It asks a peer
+// for what was lost, once, and others that know as much ask nobody.
+func TestNodeThatStartsAsksForWhatTheStoreLost(t *testing.T) {
+	net, nodes := newNetwork(9)
+	asked := make(map[*node]int)
+	for _, d := range nodes {
+		d.gossip.FetchFormer = func(peer Peer) {
+			asked[d]++
+			net.queue = append(net.queue, func() {
+				if r, ok := net.nodes[peer.Address].records.Recollection(); ok {
+					d.records.Recall(r)
+				}
+			})
+		}
+	}
+	s := &store{epoch: 1, revision: 50}
+	s.run(nodes, 3*time.Second)
+	s.epoch, s.revision = 2, 20
+	s.run(nodes, time.Second)
+	require.Zero(t, s.behind(nodes))
+	require.Empty(t, asked)
+
+	started := nodes[0]
+	started.records = bronzerecord.Set{}
+	require.True(t, started.records.Apply(bronzerecord.Delta{Epoch: 2, Whole: true, To: 20}))
+	s.run(nodes, 2*time.Second)
+	former, lost := started.records.Former()
+	require.Equal(t, bronzerecord.Position{Epoch: 1, Revision: 50}, former)
+	require.Positive(t, lost)
+	require.Equal(t, 1, asked[started])
+	require.Len(t, asked, 1)
+}
--- a/bronzegossip/message.go
+++ b/bronzegossip/message.go
@@ -57,6 +57,10 @@
 	Reports []Report `cbor:"9,keyasint,omitempty"`
 	// Epoch is that of Revision.
 	Epoch uint64 `cbor:"11,keyasint,omitempty"`
+	// FormerEpoch and FormerRevision are up to where the sender knows earlier epochs, if
+	// it remembers any of what the store has lost.
+	FormerEpoch    uint64 `cbor:"12,keyasint,omitempty"`
+	FormerRevision uint64 `cbor:"13,keyasint,omitempty"`
 }
 
 // position returns how far the sender's records are.
@@ -64,6 +68,11 @@
 	return bronzerecord.Position{Epoch: m.Epoch, Revision: m.Revision}
 }
 
+// former returns up to where the sender remembers earlier epochs.
+func (m *Message) former() bronzerecord.Position {
+	return bronzerecord.Position{Epoch: m.FormerEpoch, Revision: m.FormerRevision}
+}
+
 // Report is what one node has found of one server; it is passed on from node to node.
 type Report struct {
 	_ struct{} `cbor:",toarray"`
--- a/bronzerecord/follower.go
+++ b/bronzerecord/follower.go
@@ -126,7 +126,8 @@
 		return 0
 	}
 	if errors.Is(err, ErrCompacted) {
-		f.reload = true
+		// Records that came from a peer meanwhile may be those of a later epoch.
+		f.reload = whole || f.Set.Position() == known
 		f.event(Event{Kind: Compacted, Took: took, Err: err})
 		return 0
 	}
--- a/bronzerecord/position.go
+++ b/bronzerecord/position.go
@@ -1,5 +1,7 @@
 package bronzerecord
 
+import "cmp"
+
 // Position is a place in the history of a store. A store that comes back from a
 // copy has lost what it acknowledged after the copy was made, and gives those
 // revisions out again: its history is another one from there on, and its epoch one
@@ -11,11 +13,10 @@
 
 // Before reports whether p comes before q: in an earlier epoch, or in the same one
 // at a lower revision.
-func (p Position) Before(q Position) bool {
-	if p.Epoch != q.Epoch {
-		return p.Epoch < q.Epoch
-	}
-	return p.Revision < q.Revision
+func (p Position) Before(q Position) bool { return p.compare(q) < 0 }
+
+func (p Position) compare(q Position) int {
+	return cmp.Or(cmp.Compare(p.Epoch, q.Epoch), cmp.Compare(p.Revision, q.Revision))
 }
 
 // IsZero reports whether p is that of a copy that has nothing yet.
--- /dev/null
+++ b/bronzerecord/recollection_test.go
@@ -0,0 +1,111 @@
+package bronzerecord
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// names returns the names of lost records.
+func names(lost []Lost) (list []string) {
+	for _, l := range lost {
+		list = append(list, l.Record.Name)
+	}
+	return list
+}
+
+// fallBack returns a set that knew records which its store lost, and the changes that it told.
+func fallBack(t *testing.T) (s *Set, changes *[]Change) {
+	s, changes = &Set{}, &[]Change{}
+	s.OnChange = func(c Change) { *changes = append(*changes, c) }
+	h := newHistory()
+	h.change("kept", false)
+	h.change("removed", false)
+	copied := h.revision
+	h.change("written", false)
+	h.change("drained", false)
+	h.change("removed", true)
+	require.True(t, s.Apply(h.whole(h.revision-1)))
+	require.True(t, s.Apply(h.delta(h.revision-1, h.revision)))
+	require.True(t, s.Apply(h.restored(copied).whole(copied)))
+	return s, changes
+}
+
+// What the store lost is told, also that a record was removed; what is written again isn't
+// remembered any longer, nor is what nobody writes again.
+func TestLostRecordsAreRememberedUntilTheyAreWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, changes := fallBack(t)
+		lost := (*changes)[len(*changes)-1].Lost
+		require.Equal(t, []string{"drained", "removed", "written"}, names(lost))
+		require.Equal(t, []bool{false, true, false}, []bool{lost[0].Removed, lost[1].Removed, lost[2].Removed})
+		require.Equal(t, []bool{true, false, true}, []bool{lost[0].Absent, lost[1].Absent, lost[2].Absent})
+
+		require.True(t, s.Apply(Delta{Epoch: 1, From: 2, To: 3, Changed: []Record{{Name: "written", Revision: 3}}}))
+		_, n := s.Former()
+		require.Equal(t, 2, n)
+		require.True(t, s.Apply(Delta{Epoch: 1, From: 3, To: 4, Removed: []Removal{{Name: "drained", Revision: 4}}}))
+		require.Equal(t, []string{"drained"}, (*changes)[len(*changes)-1].Removed, "its removal is news, though the copy never had it")
+		time.Sleep(RecallFor - 1)
+		_, n = s.Former()
+		require.Equal(t, 1, n)
+		time.Sleep(1)
+		former, n := s.Former()
+		require.Zero(t, n)
+		require.Equal(t, Position{Revision: 5}, former)
+		_, ok := s.Recollection()
+		require.False(t, ok)
+	})
+}
+
+// A node starts after the store fell back. A peer tells it what was lost, alone or with all
+// records, but for what has been written again since and what is over.
+func TestNodeThatStartsIsToldWhatWasLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := fallBack(t)
+		time.Sleep(RecallFor / 2)
+		var whole Set
+		d, ok := s.Since(Position{})
+		require.True(t, ok)
+		var told []Lost
+		whole.OnChange = func(c Change) { told = c.Lost }
+		require.True(t, whole.Apply(d))
+		require.Equal(t, []string{"drained", "removed", "written"}, names(told))
+
+		var started Set
+		require.True(t, started.Apply(Delta{Epoch: 1, Whole: true, To: 3, Changed: []Record{{Name: "written", Revision: 3}}}))
+		r, ok := s.Recollection()
+		require.True(t, ok)
+		require.True(t, started.Recall(r))
+		require.False(t, started.Recall(r), "it knows")
+		former, n := started.Former()
+		require.Equal(t, 2, n)
+		require.Equal(t, Position{Revision: 5}, former)
+
+		later := Set{}
+		require.True(t, later.Apply(Delta{Epoch: 2, Whole: true, To: 3}))
+		require.False(t, later.Recall(r), "it is of another epoch")
+
+		time.Sleep(RecallFor / 2)
+		_, n = started.Former()
+		require.Zero(t, n, "what is told later isn't remembered longer")
+	})
+}
+
+// Drill follows drill. What the first one lost is remembered through the second, and no list
+// grows with their number.
+func TestLostRecordsOutlastAnotherDrill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := fallBack(t)
+		for epoch := uint64(2); epoch < 40; epoch++ {
+			time.Sleep(RecallFor - 1)
+			require.True(t, s.Apply(Delta{Epoch: epoch, Whole: true, To: 9, Changed: []Record{{Name: "written", Revision: 9, Body: []byte{byte(epoch)}}}}))
+		}
+		r, ok := s.Recollection()
+		require.True(t, ok)
+		require.Subset(t, names(r.Lost), []string{"drained", "removed"})
+		require.LessOrEqual(t, len(r.Lost), 4*maxStates)
+	})
+}
--- a/bronzerecord/set.go
+++ b/bronzerecord/set.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"slices"
 	"sync"
+	"time"
 )
 
 // Record is one record as the store holds it. Nobody may change its Body.
@@ -27,6 +28,9 @@
 	To      uint64
 	Changed []Record
 	Removed []Removal
+	// Recollection is what a peer adds to whole contents: what it knows of earlier
+	// epochs and the store lost.
+	Recollection *Recollection `cbor:",omitempty"`
 }
 
 // end returns where the delta leads to.
@@ -38,12 +42,21 @@
 	Revision uint64
 }
 
+// removal is a Removal in an epoch.
+type removal struct {
+	Removal
+	epoch uint64
+}
+
 // Change is what a Delta changed in a Set.
 type Change struct {
 	// Position is the Set's since.
 	Position Position
 	Changed  []Record
 	Removed  []string
+	// Lost is what the store has lost by coming back from a copy. It is to count for
+	// more than Changed and Removed until it is written again, or for RecallFor.
+	Lost []Lost
 }
 
 // Set is a copy of the store's records. The zero Set is empty and ready. All
@@ -59,9 +72,11 @@
 	mu       sync.Mutex
 	position Position
 	records  map[string]Record
-	// removed are the latest removals, oldest first, for Since; forgotten is
-	// the revision of the newest one that was dropped from it.
-	removed   []Removal
+	memory   memory
+	// removed are the latest removals, oldest first, for Since, and those of earlier
+	// epochs before them; forgotten is the revision of the newest one of the present
+	// epoch that was dropped from it.
+	removed   []removal
 	forgotten uint64
 }
 
@@ -101,68 +116,98 @@
 	if s.records == nil {
 		s.records = make(map[string]Record)
 	}
-	if d.Epoch != s.position.Epoch {
-		// What was removed in the history before says nothing of this one.
-		s.removed = nil
+	now, restored := time.Now(), s.restoredBy(&d)
+	if restored {
+		s.lose(&d, now)
 	}
 	for _, r := range d.Changed {
-		if old, ok := s.records[r.Name]; ok && !s.replaces(&d, &r, &old) {
+		s.forget(r.Name, r.Revision)
+		if old, ok := s.records[r.Name]; ok && !r.replaces(&old, restored) {
 			continue
 		}
 		s.records[r.Name] = r
 		c.Changed = append(c.Changed, r)
 	}
-	if d.Whole {
+	switch {
+	case restored:
+		c.Removed = s.drop(d)
+	case d.Whole:
 		d.Removed = append(d.Removed, s.absent(d)...)
 	}
-	restored := d.Epoch != s.position.Epoch
 	for _, r := range d.Removed {
-		if s.remove(r, restored) {
+		if s.remove(removal{Removal: r, epoch: d.Epoch}) {
 			c.Removed = append(c.Removed, r.Name)
 		}
 	}
 	switch {
-	case d.Epoch != s.position.Epoch:
+	case restored:
 		s.forgotten = d.To
 	case d.Whole:
 		// Records may have come and gone between the last delta and this one.
 		s.forgotten = max(s.forgotten, d.To)
 	}
 	s.position = d.end()
+	if d.Recollection != nil {
+		c.Lost = s.recall(d.Recollection, now)
+	}
+	if restored {
+		c.Lost = s.remembered(now)
+	}
 	c.Position = s.position
 	return c, true
 }
 
 // remove takes a removal in; changed is false if there was no such record. That of a record
 // which came and went between two deltas is noted all the same, as peers may have it.
-func (s *Set) remove(r Removal, restored bool) (changed bool) {
+func (s *Set) remove(r removal) (changed bool) {
 	old, ok := s.records[r.Name]
-	if ok && !restored && old.Revision > r.Revision || !ok && r.Revision <= s.position.Revision {
+	if ok && old.Revision > r.Revision || !ok && r.Revision <= s.position.Revision {
 		return false
 	}
+	forgotten := s.forget(r.Name, r.Revision)
 	delete(s.records, r.Name)
 	s.noteRemoved(r)
-	return ok
+	return ok || forgotten
+}
+
+// drop drops what the contents of a later epoch don't have. Nobody removed it: the store lost it.
+func (s *Set) drop(d Delta) (names []string) {
+	for _, r := range s.absent(d) {
+		delete(s.records, r.Name)
+		names = append(names, r.Name)
+	}
+	return names
 }
 
 // follows reports whether d leads on from what the copy has.
 func (s *Set) follows(d *Delta) bool {
-	if s.position.IsZero() {
-		return s.position.Epoch <= d.Epoch && (d.Whole || d.From == 0)
-	}
-	if !s.position.Before(d.end()) {
-		return false
+	switch {
+	case s.restoredBy(d):
+		return d.Whole
+	case s.position.IsZero():
+		return d.Epoch >= s.position.Epoch && (d.Whole || d.From == 0)
+	default:
+		return s.position.Before(d.end()) && (d.Whole || d.From <= s.position.Revision)
 	}
-	return d.Whole || d.Epoch == s.position.Epoch && d.From <= s.position.Revision
+}
+
+// restoredBy reports whether d is of a later epoch than what the copy has.
+func (s *Set) restoredBy(d *Delta) bool {
+	return s.position != Position{} && s.position.Epoch < d.Epoch
 }
 
 // replaces reports whether r is another state of a record than old. Revisions of two
 // epochs can't be compared: the same one may stand for two writes.
-func (s *Set) replaces(d *Delta, r, old *Record) bool {
-	if d.Epoch == s.position.Epoch {
-		return r.Revision > old.Revision
+func (r *Record) replaces(old *Record, restored bool) bool {
+	if restored {
+		return !r.same(old)
 	}
-	return r.Revision != old.Revision || !bytes.Equal(r.Body, old.Body)
+	return r.Revision > old.Revision
+}
+
+// same reports whether two epochs have a record in common.
+func (r *Record) same(other *Record) bool {
+	return r.Revision == other.Revision && bytes.Equal(r.Body, other.Body)
 }
 
 // absent returns the removals that a whole delta implies.
@@ -180,11 +225,13 @@
 	return removed
 }
 
-func (s *Set) noteRemoved(r Removal) {
+func (s *Set) noteRemoved(r removal) {
 	s.removed = append(s.removed, r)
 	if len(s.removed) > maxRemoved {
 		drop := len(s.removed) - maxRemoved
-		s.forgotten = max(s.forgotten, s.removed[drop-1].Revision)
+		if last := s.removed[drop-1]; last.epoch == r.epoch {
+			s.forgotten = max(s.forgotten, last.Revision)
+		}
 		s.removed = slices.Delete(s.removed, 0, drop)
 	}
 }
@@ -212,11 +259,14 @@
 	}
 	slices.SortFunc(d.Changed, func(a, b Record) int { return cmp.Compare(a.Name, b.Name) })
 	if whole {
+		if r, ok := s.recollection(time.Now()); ok {
+			d.Recollection = &r
+		}
 		return d, true
 	}
 	for _, r := range s.removed {
-		if r.Revision > d.From {
-			d.Removed = append(d.Removed, r)
+		if r.epoch == d.Epoch && r.Revision > d.From {
+			d.Removed = append(d.Removed, r.Removal)
 		}
 	}
 	return d, true
--- a/bronzeroute/directory.go
+++ b/bronzeroute/directory.go
@@ -31,7 +31,10 @@
 	byName []*entry
 	// absent are those of servers that are missing or gone. Time changes nothing
 	// for the others, which are thousands, and it is looked at ten times a second.
-	absent    map[string]*entry
+	absent map[string]*entry
+	// recalled are the servers that are kept from new flows until what they said is
+	// written again.
+	recalled  map[string]*entry
 	withdrawn map[netip.AddrPort]time.Time
 	zones     zones
 	tokens    *tokens
@@ -47,6 +50,8 @@
 	server  Server
 	missing time.Time
 	gone    time.Time
+	// recalled is until when it takes no new flows, the zero time if it does.
+	recalled time.Time
 	// shown is the server as views have it, nil after a change.
 	shown *Server
 }
@@ -96,6 +101,7 @@
 	delete(d.absent, s.Instance)
 	d.touch(e)
 	e.missing, e.gone = time.Time{}, time.Time{}
+	d.release(e)
 	e.server = s
 	d.touch(e)
 	return true
@@ -126,7 +132,7 @@
 	}
 	d.absent[instance] = e
 	d.touch(e)
-	if e.server.Draining {
+	if e.server.Draining || !e.recalled.IsZero() {
 		e.gone = now
 		return
 	}
@@ -152,6 +158,8 @@
 			changed = true
 		}
 	}
+	changed = d.releaseServers(now) || changed
+	changed = d.releaseZones(now) || changed
 	d.zones.forget(now)
 	for service, at := range d.withdrawn {
 		if now.Sub(at) > RememberRoutesFor {
@@ -248,18 +256,16 @@
 	return e.shown
 }
 
-// status returns the server's status. A missing one of a drained zone is draining: missing
-// servers take new flows where no other can, those of a drained zone never.
+// status returns the server's status. A missing one of a drained zone, or one that leaves, is
+// draining: missing servers take new flows where no other can, those never.
 func (e *entry) status(zoneDrained bool) Status {
 	switch {
 	case !e.gone.IsZero():
 		return Gone
-	case zoneDrained:
+	case zoneDrained, e.server.Draining, !e.recalled.IsZero():
 		return Draining
 	case !e.missing.IsZero():
 		return Missing
-	case e.server.Draining:
-		return Draining
 	default:
 		return Serving
 	}
--- /dev/null
+++ b/bronzeroute/recall_test.go
@@ -0,0 +1,93 @@
+package bronzeroute
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// recalled returns a directory with a server that registered with what the copy has of it.
+func recalled(s Server) (d *Directory) {
+	d = &Directory{}
+	d.SetTable(table(1, route(live, "a")), begin)
+	d.Register(s)
+	return d
+}
+
+// said returns the server s-1 as it registered with a sequence.
+func said(draining bool, sequence uint64) Server {
+	s := server("s-1", "a")
+	s.Draining, s.Sequence = draining, sequence
+	return s
+}
+
+// The copy has a server as ready that had said it leaves. It takes no new flows until it has
+// registered again, or its time is over.
+func TestServerThatLeavesIsNotBroughtBackByACopy(t *testing.T) {
+	d := recalled(said(false, 1))
+	until := begin.Add(time.Second)
+	require.True(t, d.Recall(said(true, 2), false, begin, until))
+	require.Equal(t, Draining, d.View().ByName("s-1").Status)
+	require.False(t, d.Advance(until.Add(-1)))
+	require.True(t, d.Advance(until))
+	require.Equal(t, Serving, d.View().ByName("s-1").Status)
+
+	require.True(t, d.Recall(said(true, 2), false, begin, until))
+	d.Register(said(false, 3))
+	require.Equal(t, Serving, d.View().ByName("s-1").Status)
+	require.False(t, d.Recall(said(true, 2), false, begin, until), "it wrote later than what is recalled")
+
+	d.Register(said(false, 1))
+	require.True(t, d.Recall(said(true, 2), false, begin, until))
+	d.Unregister("s-1", begin)
+	require.Equal(t, Gone, d.View().ByName("s-1").Status, "it had said that it leaves")
+}
+
+// The copy is from before a server registered. It is missing, with its flows, until it registers
+// again; one that leaves takes no new flows meanwhile.
+func TestServerThatTheCopyLacksIsMissing(t *testing.T) {
+	for _, draining := range []bool{false, true} {
+		d := recalled(server("other", "a"))
+		require.True(t, d.Recall(said(draining, 2), true, begin, begin.Add(time.Second)))
+		want := Missing
+		if draining {
+			want = Draining
+		}
+		require.Equal(t, want, d.View().ByName("s-1").Status)
+		require.True(t, d.Advance(begin.Add(MissingFor+1)))
+		require.Equal(t, Gone, d.View().ByName("s-1").Status)
+		require.False(t, d.Recall(said(draining, 2), true, begin.Add(MissingFor+2), begin.Add(time.Hour)), "it is gone since before")
+	}
+}
+
+// The copy brings back a registration that had been removed.
+func TestServerThatEndedIsNotBroughtBackByACopy(t *testing.T) {
+	d := recalled(said(false, 1))
+	require.True(t, d.RecallGone("s-1", begin.Add(time.Second)))
+	require.Equal(t, Draining, d.View().ByName("s-1").Status)
+	d.Unregister("s-1", begin)
+	require.Equal(t, Gone, d.View().ByName("s-1").Status)
+	require.False(t, d.RecallGone("s-1", begin.Add(time.Second)))
+	require.False(t, d.RecallGone("unknown", begin.Add(time.Second)))
+}
+
+// The store has lost that a zone is drained. It stays so until the operator says so again, has
+// it back, or doesn't say anything in time.
+func TestDrainIsNotEndedByACopy(t *testing.T) {
+	until := begin.Add(time.Second)
+	d := recalled(serverIn("x", "x-1"))
+	require.True(t, d.RecallZone("x", until))
+	require.False(t, d.RecallZone("x", until))
+	require.Equal(t, Draining, d.View().ByName("x-1").Status)
+	require.True(t, d.Advance(until))
+	require.Equal(t, Serving, d.View().ByName("x-1").Status)
+
+	require.True(t, d.RecallZone("x", until))
+	require.False(t, d.DrainZone("x"), "it is drained already")
+	d.Advance(until)
+	require.Equal(t, []string{"x"}, d.View().DrainedZones, "the operator has said so again")
+	require.True(t, d.RecallZone("x", until.Add(time.Second)))
+	require.True(t, d.ReturnZone("x", begin))
+	require.Empty(t, d.View().DrainedZones)
+}
--- a/bronzeroute/server.go
+++ b/bronzeroute/server.go
@@ -52,6 +52,8 @@
 	Heard time.Time
 	// Draining says that it announced to leave.
 	Draining bool
+	// Sequence counts what the server wrote since its start.
+	Sequence uint64
 
 	// The Directory sets what follows.
 
--- a/bronzeroute/zones.go
+++ b/bronzeroute/zones.go
@@ -13,22 +13,28 @@
 // zones are the AvailabilityZones that are drained, and when others were returned. The zero
 // zones has none of either.
 type zones struct {
-	drained  map[string]struct{}
+	// drained tells until when, the zero time if until its return.
+	drained  map[string]time.Time
 	returned map[string]time.Time
 }
 
 // DrainZone keeps new flows away from the servers of an AvailabilityZone until ReturnZone.
 // Open flows stay.
 func (d *Directory) DrainZone(zone string) (changed bool) {
-	if _, known := d.zones.drained[zone]; known {
-		return false
-	}
+	_, known := d.zones.drained[zone]
+	d.drain(zone, time.Time{})
+	return !known
+}
+
+// drain has a zone drained until a time, or its return for the zero time.
+func (d *Directory) drain(zone string, until time.Time) {
 	if d.zones.drained == nil {
-		d.zones.drained = make(map[string]struct{})
+		d.zones.drained = make(map[string]time.Time)
 	}
-	d.zones.drained[zone] = struct{}{}
-	d.touchZone(zone)
-	return true
+	if _, known := d.zones.drained[zone]; !known {
+		d.touchZone(zone)
+	}
+	d.zones.drained[zone] = until
 }
 
 // ReturnZone ends the drain of an AvailabilityZone at now.
