Pause before asking a store again that shows an older state

Nodes asked a store that had fallen back 25 times a second each, and all of them did, since none was told that its records were the newest: 230 calls a second of nine nodes where two are usual. The pause after such an answer had no bounds set and was none.

--- a/bronzerecord/follower.go
+++ b/bronzerecord/follower.go
@@ -144,7 +144,6 @@
 		f.event(Event{Kind: Failed, Took: took, Err: err})
 		return f.pause(&f.backoff, err)
 	}
-	f.backoff.Reset()
 	return f.take(d, whole, stale, took)
 }
 
@@ -162,10 +161,13 @@
 		kind = Loaded
 	}
 	if d.end().Before(f.Set.Position()) {
-		// A replica that lags: what it shows was in force before.
+		// What it shows was in force before, or records came from a peer meanwhile: a
+		// watch tells which.
+		f.reload = false
 		f.event(Event{Kind: Regressed, Delta: d, Took: took})
-		return f.backoff.Next()
+		return f.pause(&f.backoff, nil)
 	}
+	f.backoff.Reset()
 	f.reload = false
 	if !whole && len(d.Changed)+len(d.Removed) == 0 {
 		// A watch that waited while the store lost its history may have missed
--- a/bronzerecord/follower_test.go
+++ b/bronzerecord/follower_test.go
@@ -194,6 +194,33 @@
 	})
 }
 
+// The store shows an older state than it has shown before, and tells no later epoch. Nodes that
+// asked again at once would all press it, as often as it answers.
+func TestFollowerBacksOffFromAStoreThatFellBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPagedStore(30)
+		f.latency = 4 * time.Millisecond
+		var s Set
+		stop := follow(t, &Follower{Source: f.source(), Set: &s})
+		time.Sleep(3 * time.Second)
+		var before int
+		f.do(func() {
+			f.h = f.h.restored(10)
+			f.h.epoch = 0
+			before = f.loads + f.watches
+		})
+		time.Sleep(10 * time.Second)
+		require.EqualValues(t, 30, s.Position().Revision)
+		f.do(func() {
+			require.LessOrEqual(t, f.loads+f.watches-before, int(2*10*time.Second/(maxBackoff/2)))
+			f.h = newPagedStore(40).h
+		})
+		time.Sleep(2 * maxBackoff)
+		require.EqualValues(t, 40, s.Position().Revision)
+		stop()
+	})
+}
+
 func TestStandbyDoesNotCall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeStore{h: newHistory()}
