Put the epoch into all lines that have a revision, and drills into the soak

A drill copies the store, lets it be away, and has it come back from the copy; its operator and servers write again what it lost 0.6 and 1.2 s later.

--- a/bronzeedge/knowledge.go
+++ b/bronzeedge/knowledge.go
@@ -22,7 +22,7 @@
 	defer e.book.mu.Unlock()
 	first, changed := !e.hasView(), false
 	for _, r := range c.Changed {
-		changed = e.takeRecord(r, first, now) || changed
+		changed = e.takeRecord(r, c.Position.Epoch, first, now) || changed
 	}
 	if first {
 		e.log.Line("RegisteredAll", F{"Records": len(c.Changed), "Epoch": c.Position.Epoch, "Revision": c.Position.Revision})
@@ -30,7 +30,7 @@
 	lost := lostNames(c.Lost)
 	for _, name := range c.Removed {
 		if !lost[name] {
-			changed = e.removeRecord(name, c.Position.Revision, now) || changed
+			changed = e.removeRecord(name, c.Position, now) || changed
 		}
 	}
 	for i := range c.Lost {
@@ -42,16 +42,16 @@
 }
 
 // removeRecord takes in that a record is no more.
-func (e *Edge) removeRecord(name string, revision uint64, now time.Time) (changed bool) {
+func (e *Edge) removeRecord(name string, at bronzerecord.Position, now time.Time) (changed bool) {
 	if zone, ok := e.seams.Decoder.DrainedZone(name); ok {
-		return e.returnZone(zone, revision, now)
+		return e.returnZone(zone, at, now)
 	}
 	instance, ok := e.seams.Decoder.ServerName(name)
 	if !ok {
 		return false
 	}
 	e.book.directory.Unregister(instance, now)
-	e.log.Line("Unregistered", F{"Instance": instance, "Revision": revision})
+	e.log.Line("Unregistered", F{"Instance": instance, "Epoch": at.Epoch, "Revision": at.Revision})
 	return true
 }
 
@@ -72,12 +72,12 @@
 //
 // The first records have no line each: callers wait for them after a power cut, and the
 // lines would take more than half of the processor time, and leave no room for others.
-func (e *Edge) takeRecord(r bronzerecord.Record, first bool, now time.Time) (changed bool) {
+func (e *Edge) takeRecord(r bronzerecord.Record, epoch uint64, first bool, now time.Time) (changed bool) {
 	if e.seams.Decoder.IsTable(r.Name) {
-		return e.takeTable(r, now)
+		return e.takeTable(r, epoch, now)
 	}
 	if zone, ok := e.seams.Decoder.DrainedZone(r.Name); ok {
-		return e.drainZone(zone, r)
+		return e.drainZone(zone, r, epoch)
 	}
 	instance, ok := e.seams.Decoder.ServerName(r.Name)
 	if !ok {
@@ -85,7 +85,7 @@
 	}
 	s, err := e.seams.Decoder.Server(r, now)
 	if err != nil {
-		e.refuse(r, err)
+		e.refuse(r, epoch, err)
 		e.book.directory.Unregister(instance, now)
 		return true
 	}
@@ -95,7 +95,7 @@
 	}
 	fields := F{
 		"Instance": s.Instance, "Pool": s.Pool, "Address": s.Address.String(), "AvailabilityZone": s.AvailabilityZone,
-		"Draining": s.Draining, "ColdMS": s.Cold.Milliseconds(), "Revision": r.Revision,
+		"Draining": s.Draining, "ColdMS": s.Cold.Milliseconds(), "Epoch": epoch, "Revision": r.Revision,
 	}
 	if !s.Born.IsZero() {
 		fields["Born"] = s.Born.UTC()
@@ -108,22 +108,24 @@
 	return true
 }
 
-func (e *Edge) takeTable(r bronzerecord.Record, now time.Time) (changed bool) {
+func (e *Edge) takeTable(r bronzerecord.Record, epoch uint64, now time.Time) (changed bool) {
 	t, err := e.seams.Decoder.Table(r)
 	if err != nil {
-		e.refuse(r, err)
+		e.refuse(r, epoch, err)
 		return false
 	}
 	if !e.book.directory.SetTable(t, now) {
 		return false
 	}
-	e.log.Line("TableInForce", F{"Version": t.Version, "Routes": len(t.Routes), "Refused": t.Refusals, "Revision": r.Revision})
+	e.log.Line("TableInForce", F{
+		"Version": t.Version, "Routes": len(t.Routes), "Refused": t.Refusals, "Epoch": epoch, "Revision": r.Revision,
+	})
 	return true
 }
 
 // refuse logs a record with faults.
-func (e *Edge) refuse(r bronzerecord.Record, err error) {
-	e.log.Line("RecordRefused", F{"Record": r.Name, "Revision": r.Revision, "Error": err.Error()})
+func (e *Edge) refuse(r bronzerecord.Record, epoch uint64, err error) {
+	e.log.Line("RecordRefused", F{"Record": r.Name, "Epoch": epoch, "Revision": r.Revision, "Error": err.Error()})
 }
 
 // advance lets time pass in the directory.
--- a/bronzeedge/peers.go
+++ b/bronzeedge/peers.go
@@ -236,8 +236,8 @@
 		begun := time.Now()
 		d, err := e.fetchRecords(peer.Records, since)
 		fields := F{
-			"Peer": peer.Name, "FromEpoch": since.Epoch, "From": since.Revision, "Epoch": d.Epoch, "To": d.To, "Changed": len(d.Changed), "Removed": len(d.Removed),
-			"TookMS": time.Since(begun).Milliseconds(),
+			"Peer": peer.Name, "FromEpoch": since.Epoch, "From": since.Revision, "Epoch": d.Epoch, "To": d.To,
+			"Changed": len(d.Changed), "Removed": len(d.Removed), "TookMS": time.Since(begun).Milliseconds(),
 		}
 		if err != nil {
 			fields["Error"] = err.Error()
@@ -258,7 +258,10 @@
 		defer e.fetching.Store(false)
 		var r bronzerecord.Recollection
 		err := e.get(peer.Records, formerPath, nil, &r)
-		fields := F{"Peer": peer.Name, "Epoch": r.Epoch, "FormerEpoch": r.Former.Epoch, "FormerRevision": r.Former.Revision, "Lost": len(r.Lost)}
+		fields := F{
+			"Peer": peer.Name, "Epoch": r.Epoch, "FormerEpoch": r.Former.Epoch, "FormerRevision": r.Former.Revision,
+			"Lost": len(r.Lost),
+		}
 		if err != nil {
 			fields["Error"] = err.Error()
 		}
@@ -274,7 +277,8 @@
 		epochQuery: {strconv.FormatUint(since.Epoch, 10)},
 		sinceQuery: {strconv.FormatUint(since.Revision, 10)},
 	}
-	return d, e.get(from, recordsPath, query, &d)
+	err = e.get(from, recordsPath, query, &d)
+	return d, err
 }
 
 // get asks a peer for something in compressed CBOR.
--- a/bronzeedge/recall.go
+++ b/bronzeedge/recall.go
@@ -23,7 +23,7 @@
 func (e *Edge) recall(l *bronzerecord.Lost, now time.Time) (changed bool) {
 	until := now.Add(bronzerecord.RecallFor - l.Age)
 	if e.seams.Decoder.IsTable(l.Record.Name) {
-		return !l.Removed && e.takeTable(l.Record, now)
+		return !l.Removed && e.takeTable(l.Record, l.Epoch, now)
 	}
 	if zone, ok := e.seams.Decoder.DrainedZone(l.Record.Name); ok {
 		return !l.Removed && e.recallZone(zone, l, until)
--- a/bronzerecord/recollection_test.go
+++ b/bronzerecord/recollection_test.go
@@ -48,10 +48,10 @@
 		require.Equal(t, 2, n)
 		require.True(t, s.Apply(Delta{Epoch: 1, From: 3, To: 4, Removed: []Removal{{Name: "drained", Revision: 4}}}))
 		require.Equal(t, []string{"drained"}, (*changes)[len(*changes)-1].Removed, "its removal is news, though the copy never had it")
-		time.Sleep(RecallFor - 1)
+		time.Sleep(RecallFor - time.Nanosecond)
 		_, n = s.Former()
 		require.Equal(t, 1, n)
-		time.Sleep(1)
+		time.Sleep(time.Nanosecond)
 		former, n := s.Former()
 		require.Zero(t, n)
 		require.Equal(t, Position{Revision: 5}, former)
@@ -100,7 +100,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s, _ := fallBack(t)
 		for epoch := uint64(2); epoch < 40; epoch++ {
-			time.Sleep(RecallFor - 1)
+			time.Sleep(RecallFor - time.Nanosecond)
 			require.True(t, s.Apply(Delta{Epoch: epoch, Whole: true, To: 9, Changed: []Record{{Name: "written", Revision: 9, Body: []byte{byte(epoch)}}}}))
 		}
 		r, ok := s.Recollection()
--- a/bronzerecord/set.go
+++ b/bronzerecord/set.go
@@ -120,25 +120,8 @@
 	if restored {
 		s.lose(&d, now)
 	}
-	for _, r := range d.Changed {
-		s.forget(r.Name, r.Revision)
-		if old, ok := s.records[r.Name]; ok && !r.replaces(&old, restored) {
-			continue
-		}
-		s.records[r.Name] = r
-		c.Changed = append(c.Changed, r)
-	}
-	switch {
-	case restored:
-		c.Removed = s.drop(d)
-	case d.Whole:
-		d.Removed = append(d.Removed, s.absent(d)...)
-	}
-	for _, r := range d.Removed {
-		if s.remove(removal{Removal: r, epoch: d.Epoch}) {
-			c.Removed = append(c.Removed, r.Name)
-		}
-	}
+	c.Changed = s.takeChanged(&d, restored)
+	c.Removed = s.takeRemoved(&d, restored)
 	switch {
 	case restored:
 		s.forgotten = d.To
@@ -157,6 +140,36 @@
 	return c, true
 }
 
+// takeChanged returns what of d's records is new.
+func (s *Set) takeChanged(d *Delta, restored bool) (changed []Record) {
+	for _, r := range d.Changed {
+		s.forget(r.Name, r.Revision)
+		if old, ok := s.records[r.Name]; ok && !r.replaces(&old, restored) {
+			continue
+		}
+		s.records[r.Name] = r
+		changed = append(changed, r)
+	}
+	return changed
+}
+
+// takeRemoved returns the names of the records that are no more.
+func (s *Set) takeRemoved(d *Delta, restored bool) (names []string) {
+	removed := d.Removed
+	switch {
+	case restored:
+		names = s.drop(d)
+	case d.Whole:
+		removed = append(slices.Clone(removed), s.absent(d)...)
+	}
+	for _, r := range removed {
+		if s.remove(removal{Removal: r, epoch: d.Epoch}) {
+			names = append(names, r.Name)
+		}
+	}
+	return names
+}
+
 // remove takes a removal in; changed is false if there was no such record. That of a record
 // which came and went between two deltas is noted all the same, as peers may have it.
 func (s *Set) remove(r removal) (changed bool) {
@@ -171,7 +184,7 @@
 }
 
 // drop drops what the contents of a later epoch don't have. Nobody removed it: the store lost it.
-func (s *Set) drop(d Delta) (names []string) {
+func (s *Set) drop(d *Delta) (names []string) {
 	for _, r := range s.absent(d) {
 		delete(s.records, r.Name)
 		names = append(names, r.Name)
@@ -211,7 +224,7 @@
 }
 
 // absent returns the removals that a whole delta implies.
-func (s *Set) absent(d Delta) (removed []Removal) {
+func (s *Set) absent(d *Delta) (removed []Removal) {
 	present := make(map[string]struct{}, len(d.Changed))
 	for _, r := range d.Changed {
 		present[r.Name] = struct{}{}
--- a/bronzesoak/event.go
+++ b/bronzesoak/event.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
+	"sync"
 	"time"
 
 	"bronzeusher.example/bronzeusher/bronzeretry"
@@ -41,6 +44,8 @@
 		s.storeDown(ctx, e)
 	case StoreForgets:
 		s.storeForgets(ctx, e.lasts())
+	case RestoreStore:
+		s.restoreStore(ctx, e.lasts())
 	default:
 		s.applyToServers(ctx, e)
 	}
@@ -52,7 +57,7 @@
 	case CrashServer:
 		old := s.takeServer(e.Target)
 		old.crash()
-		s.store.RemoveServer(old.name)
+		s.unregister(old)
 		bronzeretry.Pause(ctx, e.lasts())
 		s.addServer(ctx, old.pool, old.zone, netip.AddrPort{})
 	case ReplaceServer:
@@ -162,13 +167,91 @@
 	return server
 }
 
-// register writes a server's registration.
-func (s *soak) register(server *server) {
+// registry is which servers are registered; writes to the store are ordered by its lock.
+type registry struct {
+	mu sync.Mutex
+	// servers has each server that ever was, nil once it isn't any more.
+	servers map[string]*server
+}
+
+// register writes a server's registration; the caller holds its lock, or knows it alone.
+func (s *soak) register(added *server) {
+	s.registry.mu.Lock()
+	defer s.registry.mu.Unlock()
+	if s.registry.servers == nil {
+		s.registry.servers = make(map[string]*server)
+	}
+	s.registry.servers[added.name] = added
+	s.putServer(added)
+}
+
+func (s *soak) putServer(server *server) {
 	if err := s.store.PutServer(server.registration()); err != nil {
 		s.fail(err)
 	}
 }
 
+// unregister removes a server's registration.
+func (s *soak) unregister(server *server) {
+	s.registry.mu.Lock()
+	defer s.registry.mu.Unlock()
+	s.registry.servers[server.name] = nil
+	s.store.RemoveServer(server.name)
+}
+
+const (
+	// restoreFor is how long the store is away before it comes back from a copy.
+	restoreFor = 300 * time.Millisecond
+	// writeAgainAfter is how long after that the operator writes again, and the servers
+	// as long after the operator.
+	writeAgainAfter = 600 * time.Millisecond
+)
+
+// restoreStore has the store come back from a copy that is d old.
+func (s *soak) restoreStore(ctx context.Context, d time.Duration) {
+	copied := s.store.Copy()
+	bronzeretry.Pause(ctx, d)
+	s.storeCalm.disturb(time.Now().Add(restoreFor))
+	s.network.change(func() { s.network.down = append(s.network.down, Reset) })
+	bronzeretry.Pause(ctx, restoreFor)
+	s.store.Restore(copied)
+	s.network.change(func() { s.network.down = s.network.down[1:] })
+	bronzeretry.Pause(ctx, writeAgainAfter)
+	s.events.Lock()
+	s.publish()
+	s.events.Unlock()
+	bronzeretry.Pause(ctx, writeAgainAfter)
+	s.registerAgain()
+	s.storeCalm.disturb(time.Now())
+}
+
+// registerAgain has all servers that are there write what the store may have lost. Registrations
+// of the others lapse.
+func (s *soak) registerAgain() {
+	s.registry.mu.Lock()
+	servers := maps.Clone(s.registry.servers)
+	s.registry.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(servers)) {
+		if server := servers[name]; server != nil {
+			server.mu.Lock()
+			s.writeAgain(server)
+			server.mu.Unlock()
+			continue
+		}
+		s.store.RemoveServer(name)
+	}
+}
+
+// writeAgain writes a server's registration unless it is over; the caller holds the server's
+// lock.
+func (s *soak) writeAgain(server *server) {
+	s.registry.mu.Lock()
+	defer s.registry.mu.Unlock()
+	if s.registry.servers[server.name] == server {
+		s.putServer(server)
+	}
+}
+
 func (s *soak) replaceServer(ctx context.Context, target int) {
 	old := s.takeServer(target)
 	s.addServer(ctx, old.pool, old.zone, netip.AddrPort{})
@@ -178,7 +261,7 @@
 	old.mu.Unlock()
 	bronzeretry.Pause(ctx, drainFor)
 	old.crash()
-	s.store.RemoveServer(old.name)
+	s.unregister(old)
 }
 
 // reuseAddress crashes a server; when its registration has lapsed one of the
@@ -187,7 +270,7 @@
 	old := s.takeServer(e.Target)
 	old.crash()
 	bronzeretry.Pause(ctx, e.lasts())
-	s.store.RemoveServer(old.name)
+	s.unregister(old)
 	address := old.registration().Address
 	_ = old.proxy.conn.Close()
 	pool := pools[0]
--- a/bronzesoak/plan.go
+++ b/bronzesoak/plan.go
@@ -39,6 +39,9 @@
 	StoreDown Kind = "StoreDown"
 	// StoreForgets has watches hear nothing for For, then drops the history.
 	StoreForgets Kind = "StoreForgets"
+	// RestoreStore copies the store, and after For has it come back from the copy. Its
+	// writers write again what it lost.
+	RestoreStore Kind = "RestoreStore"
 	// CrashServer ends a server without a word; another one starts after For.
 	CrashServer Kind = "CrashServer"
 	// ReplaceServer has a server drain and leave when another one has started.
@@ -53,11 +56,15 @@
 	Surge Kind = "Surge"
 )
 
-var kinds = []Kind{
+// drawn are the kinds that a plan is drawn from first; RestoreStore comes on top, so that
+// the seeds of before have their events still.
+var drawn = []Kind{
 	KillNode, KillAll, LeaveNode, RollNodes, PauseNode, ReloadNode, CutStore, CutPeers, CutZone, LoseZone, StoreDown,
 	StoreForgets, CrashServer, ReplaceServer, ReuseAddress, AddRoute, RemoveRoute, Surge,
 }
 
+var kinds = append(slices.Clone(drawn), RestoreStore)
+
 // Mode is how a connection to the store fails.
 type Mode string
 
@@ -128,18 +135,21 @@
 		}
 	}
 	for range 3 + r.IntN(6) {
-		p.Events = append(p.Events, draw(kinds[r.IntN(len(kinds))]))
+		p.Events = append(p.Events, draw(drawn[r.IntN(len(drawn))]))
 	}
-	series := kinds[r.IntN(len(kinds))]
+	series := drawn[r.IntN(len(drawn))]
 	for range r.IntN(4) {
 		p.Events = append(p.Events, draw(series))
 	}
 	at := 500 + r.IntN(span)
 	for range r.IntN(4) {
-		e := draw(kinds[r.IntN(len(kinds))])
+		e := draw(drawn[r.IntN(len(drawn))])
 		e.AtMS = at
 		p.Events = append(p.Events, e)
 	}
+	for range r.IntN(3) {
+		p.Events = append(p.Events, draw(RestoreStore))
+	}
 	p.sort()
 	return p
 }
--- a/bronzesoak/soak.go
+++ b/bronzesoak/soak.go
@@ -48,6 +48,8 @@
 	events  sync.Mutex
 	serverN int
 
+	registry registry
+
 	mu      sync.Mutex
 	servers []*server
 	failure error
