Have drills in the soak write again only what was lost, and fuzz what peers tell

A soak whose servers all registered anew after a drill hid the fault: the store's revision was past what nodes knew at once.

After a store's return a watch from what a peer has brought meanwhile is tried before all is loaded.

--- a/bronzeedge/knowledge.go
+++ b/bronzeedge/knowledge.go
@@ -180,7 +180,8 @@
 	case st.lost:
 		st.lost = false
 		e.log.Line("StoreRegained", F{
-			"Epoch": ev.Position.Epoch, "Revision": ev.Position.Revision, "Kind": ev.Kind, "FailedCalls": st.calls, "AwayMS": now.Sub(st.since).Milliseconds(),
+			"Epoch": ev.Position.Epoch, "Revision": ev.Position.Revision, "Kind": ev.Kind,
+			"FailedCalls": st.calls, "AwayMS": now.Sub(st.since).Milliseconds(),
 		})
 	}
 }
@@ -208,8 +209,8 @@
 		return
 	}
 	fields := F{
-		"Kind": ev.Kind, "Epoch": ev.Position.Epoch, "Revision": ev.Position.Revision, "Changed": changed, "Removed": removed,
-		"TookMS": ev.Took.Milliseconds(),
+		"Kind": ev.Kind, "Epoch": ev.Position.Epoch, "Revision": ev.Position.Revision,
+		"Changed": changed, "Removed": removed, "TookMS": ev.Took.Milliseconds(),
 	}
 	if ev.Err != nil {
 		fields["Error"] = ev.Err.Error()
--- a/bronzeedge/recall.go
+++ b/bronzeedge/recall.go
@@ -16,10 +16,9 @@
 }
 
 // recall goes on by what a record said before the store lost it, until it is written again or
-// its time is over. A table
-// counts for as long as it is the newest, and a drain that had ended and is back is obeyed: it
-// costs distance, and to ignore one that the operator has just asked for would send callers to
-// servers that are about to end.
+// its time is over. A table counts for as long as it is the newest. A drain that had ended and
+// is back is obeyed: that costs distance, and to ignore one that the operator has just asked
+// for would send callers to servers that are about to end.
 func (e *Edge) recall(l *bronzerecord.Lost, now time.Time) (changed bool) {
 	until := now.Add(bronzerecord.RecallFor - l.Age)
 	if e.seams.Decoder.IsTable(l.Record.Name) {
--- a/bronzerecord/follower.go
+++ b/bronzerecord/follower.go
@@ -126,8 +126,7 @@
 		return 0
 	}
 	if errors.Is(err, ErrCompacted) {
-		// Records that came from a peer meanwhile may be those of a later epoch.
-		f.reload = whole || f.Set.Position() == known
+		f.reload = f.lacksNewsSince(known)
 		f.event(Event{Kind: Compacted, Took: took, Err: err})
 		return 0
 	}
@@ -136,7 +135,7 @@
 	}
 	if errors.Is(err, errRestored) || err == nil && !whole && known.Epoch < d.Epoch {
 		// Events of another history than that of the known revision lead nowhere.
-		f.reload = true
+		f.reload = f.lacksNewsSince(known)
 		f.event(Event{Kind: Restored, Delta: d, Took: took})
 		return 0
 	}
@@ -147,6 +146,10 @@
 	return f.take(d, whole, stale, took)
 }
 
+// lacksNewsSince reports whether no peer has brought the Set further than a position. One that
+// has may have brought the records that a load would, so that a watch is tried first.
+func (f *Follower) lacksNewsSince(known Position) bool { return f.Set.Position() == known }
+
 func (f *Follower) call(ctx context.Context, whole, stale bool, revision uint64) (d Delta, err error) {
 	if whole {
 		return f.load(ctx, stale)
--- /dev/null
+++ b/bronzerecord/fuzz_test.go
@@ -0,0 +1,56 @@
+package bronzerecord
+
+import (
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+)
+
+// Deltas and what is remembered come from other nodes. Whatever is in them, a set never goes
+// back, remembers nothing longer than it may, and what it tells others leads them to where it
+// is.
+func FuzzDeltas(f *testing.F) {
+	lost := Recollection{Epoch: 2, Former: Position{Epoch: 1, Revision: 9}, Lost: []Lost{
+		{Record: Record{Name: "a", Revision: 9}, Epoch: 1, Since: 3}, {Record: Record{Name: "b"}, Removed: true, Age: -1},
+	}}
+	deltas := []Delta{
+		{Epoch: 1, Whole: true, To: 7, Changed: []Record{{Name: "a", Revision: 3, Body: []byte("x")}}},
+		{Epoch: 1, From: 7, To: 8, Removed: []Removal{{Name: "a", Revision: 8}}},
+		{Epoch: 2, Whole: true, To: 5, Recollection: &lost},
+	}
+	for _, first := range deltas {
+		for _, second := range deltas {
+			a, err := cbor.Marshal(first)
+			require.NoError(f, err)
+			b, err := cbor.Marshal(second)
+			require.NoError(f, err)
+			f.Add(a, b)
+		}
+	}
+	f.Fuzz(func(t *testing.T, a, b []byte) {
+		var s Set
+		for _, body := range [][]byte{a, b} {
+			var d Delta
+			if cbor.Unmarshal(body, &d) != nil {
+				continue
+			}
+			before := s.Position()
+			s.Apply(d)
+			require.False(t, s.Position().Before(before))
+			if d.Recollection != nil {
+				s.Recall(*d.Recollection)
+			}
+		}
+		r, _ := s.Recollection()
+		for i := range r.Lost {
+			require.GreaterOrEqual(t, r.Lost[i].Age.Nanoseconds(), int64(0))
+			require.Less(t, r.Lost[i].Age, RecallFor)
+		}
+		var peer Set
+		if d, ok := s.Since(peer.Position()); ok {
+			require.True(t, peer.Apply(d))
+			require.Equal(t, s.Position(), peer.Position())
+		}
+	})
+}
--- a/bronzerecord/recollection.go
+++ b/bronzerecord/recollection.go
@@ -113,6 +113,7 @@
 		s.memory.former = r.Former
 	}
 	for _, l := range r.Lost {
+		l.Age = max(l.Age, 0)
 		l.at = now.Add(-l.Age)
 		if l.Age >= RecallFor || s.writtenAgain(&l) || !s.remember(l) {
 			continue
--- a/bronzerecord/set.go
+++ b/bronzerecord/set.go
@@ -54,8 +54,9 @@
 	Position Position
 	Changed  []Record
 	Removed  []string
-	// Lost is what the store has lost by coming back from a copy. It is to count for
-	// more than Changed and Removed until it is written again, or for RecallFor.
+	// Lost is what the store has lost by coming back from a copy, the earliest states
+	// first. It is to count for more than Changed and Removed until it is written
+	// again, or for RecallFor.
 	Lost []Lost
 }
 
--- a/bronzesoak/event.go
+++ b/bronzesoak/event.go
@@ -218,7 +218,7 @@
 	s.network.change(func() { s.network.down = s.network.down[1:] })
 	bronzeretry.Pause(ctx, writeAgainAfter)
 	s.events.Lock()
-	s.publish()
+	s.putTable()
 	s.events.Unlock()
 	bronzeretry.Pause(ctx, writeAgainAfter)
 	s.registerAgain()
--- a/bronzesoak/soak.go
+++ b/bronzesoak/soak.go
@@ -168,6 +168,11 @@
 // publish has the store take the routes in force in, with a new version.
 func (s *soak) publish() {
 	s.version += 3
+	s.putTable()
+}
+
+// putTable writes the table of the present version.
+func (s *soak) putTable() {
 	t := standin.Table{Version: s.version, IdleTimeout: time.Minute}
 	for i, r := range s.ledger.inForce() {
 		t.Routes = append(t.Routes, standin.Route{
