--- a/bronzeedge/export_test.go
+++ b/bronzeedge/export_test.go
@@ -10,8 +10,24 @@
 // TakeAll has a node that has just started take in all records, and its log write what
 // there is.
 func TakeAll(seams Seams, d bronzerecord.Delta, out io.Writer) {
+	e := newTaker(seams, out)
+	e.records.Apply(d)
+	e.log.Close()
+}
+
+func newTaker(seams Seams, out io.Writer) *Edge {
 	e := &Edge{seams: seams, log: NewLog(out), started: time.Now(), known: make(chan struct{}), counts: newCounters()}
 	e.records.OnChange = e.onRecords
+	return e
+}
+
+// TakeRestored has a node that has all records take in those of a store that came back from a
+// copy, and calls timed around that. It returns what a peer would get of it, compressed.
+func TakeRestored(seams Seams, d, restored bronzerecord.Delta, timed func(take func())) (sent []byte, err error) {
+	e := newTaker(seams, io.Discard)
+	defer e.log.Close()
 	e.records.Apply(d)
-	e.log.Close()
+	timed(func() { e.records.Apply(restored) })
+	whole, _ := e.records.Since(bronzerecord.Position{})
+	return e.zipped.delta(whole)
 }
--- a/bronzeedge/view_bench_test.go
+++ b/bronzeedge/view_bench_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 
@@ -52,6 +53,31 @@
 	}
 }
 
+// BenchmarkRestored takes in the records of a store that came back from a copy, of which a
+// hundredth are other ones than before, and tells the bytes that a peer would get.
+func BenchmarkRestored(b *testing.B) {
+	for _, servers := range []int{600, 5100} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			d := allRecords(b, servers)
+			restored := bronzerecord.Delta{Epoch: 1, Whole: true, To: d.To - uint64(servers/100), Changed: slices.Clone(d.Changed)}
+			for i := 0; i < len(restored.Changed); i += 100 {
+				restored.Changed[i].Revision = d.To + 1
+			}
+			for b.Loop() {
+				b.StopTimer()
+				sent, err := bronzeedge.TakeRestored(platform.Seams("127.0.0.1:1"), d, restored, func(take func()) {
+					b.StartTimer()
+					take()
+					b.StopTimer()
+				})
+				require.NoError(b, err)
+				b.ReportMetric(float64(len(sent)), "sent-B")
+				b.StartTimer()
+			}
+		})
+	}
+}
+
 // A node starts before 600 servers. An operator who reads its log sees when it was ready:
 // lines of all servers, of which 512 wait for their writing at most, would leave that out.
 func TestLogTellsWhenANodeOfALargeFleetIsReady(t *testing.T) {
