Load what may be stale from no store that has come back from a copy

A read that may be stale is some seconds old. Just after the store came back from a copy it may show the history before, while the epoch is told with the answer: a node that starts would hold lost records as those of the new epoch, at a revision that the store hasn't given out yet, and tell its peers of it. Once the epoch is above 0 such reads aren't taken. Starts after a first drill cost the full price; the few that the store refuses have the records from peers, as before.

--- a/bronzerecord/load.go
+++ b/bronzerecord/load.go
@@ -24,7 +24,8 @@
 // errOvertaken says that the records came from elsewhere while they were loaded.
 var errOvertaken = errors.New("overtaken")
 
-// errRestored says that the store came back from a copy while its records were loaded.
+// errRestored says that the store came back from a copy while its records were loaded, or may
+// have just before.
 var errRestored = errors.New("restored")
 
 // Page is a part of a store's contents, in the order of names.
@@ -43,7 +44,9 @@
 //
 // The first load takes what may be some seconds old. Hundreds of nodes that start need
 // many times what they need for the rest of the day, and a tenth of that, which isn't
-// counted to the store's limit, gets them started as well.
+// counted to the store's limit, gets them started as well. Once the store has come back from a
+// copy, what is some seconds old may be of the history before, under the epoch of now: a node
+// that took it would tell others of revisions that stand for other writes.
 //
 // A page that isn't answered is asked for again, and what was read is kept.
 // Hundreds of nodes that start at once ask for tens of pages each, many times
@@ -67,7 +70,7 @@
 			bronzeretry.Pause(ctx, f.pause(&backoff, err))
 			continue
 		}
-		if after != "" && p.Epoch != d.Epoch {
+		if after != "" && p.Epoch != d.Epoch || stale && p.Epoch > 0 {
 			return d, errRestored
 		}
 		fails = 0
--- a/bronzerecord/load_test.go
+++ b/bronzerecord/load_test.go
@@ -154,3 +154,35 @@
 		stop()
 	})
 }
+
+// The store has just come back from a copy, and the replica that a starting node loads from still
+// shows the history before, under the epoch of now.
+func TestLoadTakesNothingOfTheHistoryBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		before := newPagedStore(30)
+		f := newPagedStore(30)
+		f.h = before.h.restored(20)
+		f.h.change("r-0001", true)
+		before.h.epoch = f.h.epoch
+		read := func(ctx context.Context, after string, stale bool) (Page, error) {
+			if stale {
+				return before.read(ctx, after, false)
+			}
+			return f.read(ctx, after, false)
+		}
+		var s Set
+		stop := follow(t, &Follower{Source: Source{Read: read, Watch: f.watch}, Set: &s})
+		time.Sleep(time.Second)
+		f.do(func() {
+			for range 9 {
+				f.h.change("r-0002", false)
+			}
+		})
+		time.Sleep(3 * time.Second)
+		f.do(func() {
+			require.Equal(t, f.h.states[f.h.revision], contents(&s))
+			require.LessOrEqual(t, before.loads, 1)
+		})
+		stop()
+	})
+}
