Drain zones in the soak, also through drills

A zone is drained for six to eight seconds, one at a time; a new flow at one of its servers from three seconds on breaks a promise. The operator writes the drain again after a drill, and takes one back that a copy brought back. Drills come on top of that as before.

--- a/bronzesoak/check_test.go
+++ b/bronzesoak/check_test.go
@@ -172,6 +172,23 @@
 	})
 }
 
+// New flows in a drained zone count from three seconds on, and not once it is taken back.
+func TestOpeningsInADrainedZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, n, servers := newChecked(t)
+		require.True(t, s.drained.begin(servers[0].zone))
+		require.False(t, s.drained.begin("another"))
+		servers[0].take(n, opening(liveRoute))
+		require.Empty(t, s.broken())
+		time.Sleep(published + copies + time.Millisecond)
+		servers[0].take(n, opening(liveRoute))
+		require.Equal(t, []Promise{NewInDrainedZone}, s.broken())
+		s.drained.end()
+		servers[0].take(n, opening(liveRoute))
+		require.Len(t, s.broken(), 1)
+	})
+}
+
 func TestTooFewAreServedInTheEnd(t *testing.T) {
 	for _, served := range []int{89, 90} {
 		s, _, _ := newChecked(t)
--- a/bronzesoak/event.go
+++ b/bronzesoak/event.go
@@ -46,6 +46,8 @@
 		s.storeForgets(ctx, e.lasts())
 	case RestoreStore:
 		s.restoreStore(ctx, e.lasts())
+	case DrainZone:
+		s.drainZone(ctx, zone, e.lasts())
 	default:
 		s.applyToServers(ctx, e)
 	}
@@ -219,12 +221,77 @@
 	bronzeretry.Pause(ctx, writeAgainAfter)
 	s.events.Lock()
 	s.putTable()
+	s.writeDrains()
 	s.events.Unlock()
 	bronzeretry.Pause(ctx, writeAgainAfter)
 	s.registerAgain()
 	s.storeCalm.disturb(time.Now())
 }
 
+// drainZone has a zone take no new flows for d.
+func (s *soak) drainZone(ctx context.Context, zone string, d time.Duration) {
+	s.events.Lock()
+	free := s.drained.begin(zone)
+	s.writeDrains()
+	s.events.Unlock()
+	if !free {
+		return
+	}
+	bronzeretry.Pause(ctx, d)
+	s.events.Lock()
+	defer s.events.Unlock()
+	s.drained.end()
+	s.writeDrains()
+}
+
+// writeDrains has the store have the drain that there is; the caller holds events.
+func (s *soak) writeDrains() {
+	for i := range s.plan.Zones {
+		zone := zoneName(i)
+		if s.drained.since(zone).IsZero() {
+			s.store.ReturnZone(zone)
+			continue
+		}
+		if err := s.store.DrainZone(zone); err != nil {
+			s.fail(err)
+		}
+	}
+}
+
+// drain is the zone that is drained, if one is.
+type drain struct {
+	mu   sync.Mutex
+	zone string
+	at   time.Time
+}
+
+// begin drains a zone; free is false if one is drained already.
+func (d *drain) begin(zone string) (free bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.zone != "" {
+		return false
+	}
+	d.zone, d.at = zone, time.Now()
+	return true
+}
+
+func (d *drain) end() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.zone = ""
+}
+
+// since returns when the drain of a zone began, the zero time if it isn't drained.
+func (d *drain) since(zone string) (at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.zone != zone {
+		return time.Time{}
+	}
+	return d.at
+}
+
 // registerAgain has all servers that are there write what the store may have lost. Registrations
 // of the others lapse.
 func (s *soak) registerAgain() {
--- a/bronzesoak/plan.go
+++ b/bronzesoak/plan.go
@@ -42,6 +42,8 @@
 	// RestoreStore copies the store, and after For has it come back from the copy. Its
 	// writers write again what it lost.
 	RestoreStore Kind = "RestoreStore"
+	// DrainZone drains a zone for For, unless another one is.
+	DrainZone Kind = "DrainZone"
 	// CrashServer ends a server without a word; another one starts after For.
 	CrashServer Kind = "CrashServer"
 	// ReplaceServer has a server drain and leave when another one has started.
@@ -56,14 +58,14 @@
 	Surge Kind = "Surge"
 )
 
-// drawn are the kinds that a plan is drawn from first; RestoreStore comes on top, so that
-// the seeds of before have their events still.
+// drawn are the kinds that a plan is drawn from first; RestoreStore and DrainZone come on
+// top, so that the seeds of before have their events still.
 var drawn = []Kind{
 	KillNode, KillAll, LeaveNode, RollNodes, PauseNode, ReloadNode, CutStore, CutPeers, CutZone, LoseZone, StoreDown,
 	StoreForgets, CrashServer, ReplaceServer, ReuseAddress, AddRoute, RemoveRoute, Surge,
 }
 
-var kinds = append(slices.Clone(drawn), RestoreStore)
+var kinds = append(slices.Clone(drawn), RestoreStore, DrainZone)
 
 // Mode is how a connection to the store fails.
 type Mode string
@@ -150,6 +152,12 @@
 	for range r.IntN(3) {
 		p.Events = append(p.Events, draw(RestoreStore))
 	}
+	if r.IntN(2) == 0 {
+		e := draw(DrainZone)
+		e.AtMS = 500 + r.IntN(span)/2
+		e.ForMS = 2*int(settled.Milliseconds()) - r.IntN(2000)
+		p.Events = append(p.Events, e)
+	}
 	p.sort()
 	return p
 }
--- a/bronzesoak/promise.go
+++ b/bronzesoak/promise.go
@@ -27,6 +27,8 @@
 	// NewOnDraining: a server got a new flow three seconds after it said that it
 	// drains.
 	NewOnDraining Promise = "NewOnDraining"
+	// NewInDrainedZone: a server got a new flow three seconds after its zone was drained.
+	NewInDrainedZone Promise = "NewInDrainedZone"
 	// OldTable: a node went by an older table three seconds after a newer one.
 	OldTable Promise = "OldTable"
 	// WentBack: a node went by an older table after it had used a newer one.
--- a/bronzesoak/server.go
+++ b/bronzesoak/server.go
@@ -130,6 +130,9 @@
 	if !s.drainedAt.IsZero() && time.Since(s.drainedAt) > published+copies {
 		s.soak.journal.add(NewOnDraining, "server %s, draining for %v, got a new flow by %s", s.name, time.Since(s.drainedAt), n.name)
 	}
+	if at := s.soak.drained.since(s.zone); !at.IsZero() && time.Since(at) > published+copies {
+		s.soak.journal.add(NewInDrainedZone, "server %s got a new flow by %s, its zone %s drained for %v", s.name, n.name, s.zone, time.Since(at))
+	}
 	if !r.inForce() && time.Since(r.removedAt) > published+copies {
 		s.soak.journal.add(OldTable, "%s forwarded to %s, withdrawn for %v", n.name, r.service, time.Since(r.removedAt))
 	}
--- a/bronzesoak/soak.go
+++ b/bronzesoak/soak.go
@@ -49,6 +49,7 @@
 	serverN int
 
 	registry registry
+	drained  drain
 
 	mu      sync.Mutex
 	servers []*server
