Give a server that a copy brought back the usual time to register again

A registration that had lapsed was back with the copy, and lapsed once more: its server, which may live, counted as one that had said it leaves, and its flows were ended at once. Only a server that said so is gone at once; the other is missing for as long as any whose registration disappears, and takes no new flows meanwhile. No caller has seen it; the test fails without the change.

--- a/bronzeroute/directory.go
+++ b/bronzeroute/directory.go
@@ -50,8 +50,10 @@
 	server  Server
 	missing time.Time
 	gone    time.Time
-	// recalled is until when it takes no new flows, the zero time if it does.
-	recalled time.Time
+	// recalled is until when it takes no new flows, the zero time if it does, and
+	// recalledLeaving says that it had said it leaves.
+	recalled        time.Time
+	recalledLeaving bool
 	// shown is the server as views have it, nil after a change.
 	shown *Server
 }
@@ -132,7 +134,7 @@
 	}
 	d.absent[instance] = e
 	d.touch(e)
-	if e.server.Draining || !e.recalled.IsZero() {
+	if e.server.Draining || e.recalledLeaving {
 		e.gone = now
 		return
 	}
--- a/bronzeroute/recall.go
+++ b/bronzeroute/recall.go
@@ -23,7 +23,7 @@
 	case s.Born.After(e.server.Born):
 		d.Register(s)
 	case s.Draining && !e.server.Draining && !e.server.wroteAfter(&s):
-		d.hold(e, until)
+		d.hold(e, until, true)
 	default:
 		return false
 	}
@@ -37,7 +37,7 @@
 	if e == nil || !e.gone.IsZero() {
 		return false
 	}
-	d.hold(e, until)
+	d.hold(e, until, false)
 	return true
 }
 
@@ -53,12 +53,12 @@
 }
 
 // hold keeps new flows away from a server until a time.
-func (d *Directory) hold(e *entry, until time.Time) {
+func (d *Directory) hold(e *entry, until time.Time, leaving bool) {
 	if d.recalled == nil {
 		d.recalled = make(map[string]*entry)
 	}
 	d.recalled[e.server.Instance] = e
-	e.recalled = until
+	e.recalled, e.recalledLeaving = until, leaving || e.recalledLeaving
 	d.touch(e)
 }
 
@@ -68,7 +68,7 @@
 		return
 	}
 	delete(d.recalled, e.server.Instance)
-	e.recalled = time.Time{}
+	e.recalled, e.recalledLeaving = time.Time{}, false
 	d.touch(e)
 }
 
