--- a/bronzeedge/knowledge_test.go
+++ b/bronzeedge/knowledge_test.go
@@ -49,8 +49,7 @@
 	})
 }
 
-// Who reads the log must see what an answer held that was dropped, and that one with changes
-// was not taken in.
+// Guards against answers that are dropped, or not taken in, without a trace in the log.
 func TestLogSaysWhatTheStoreAnswered(t *testing.T) {
 	var out bytes.Buffer
 	l := NewLog(&out)
--- a/bronzeedge/peers_test.go
+++ b/bronzeedge/peers_test.go
@@ -38,8 +38,7 @@
 	require.Equal(t, http.StatusNoContent, ask("8"))
 }
 
-// The store came back from a copy, and nodes that don't know yet ask for what is new. They get
-// all records, which are bounded like those of a start.
+// Guards against deltas between two epochs, and against unbounded whole copies.
 func TestNodesOfAnEarlierEpochGetAllRecords(t *testing.T) {
 	e := &Edge{counts: newCounters()}
 	e.records.Apply(bronzerecord.Delta{Epoch: 2, Whole: true, To: 7, Changed: []bronzerecord.Record{{Name: "routes", Revision: 7}}})
@@ -56,7 +55,7 @@
 	require.ErrorContains(t, err, "503")
 }
 
-// A peer tells what the store lost, and nothing where that is none.
+// Guards against peers that keep what the store lost to themselves.
 func TestPeersTellWhatTheStoreLost(t *testing.T) {
 	e := &Edge{counts: newCounters()}
 	server := httptest.NewServer(http.HandlerFunc(e.answerFormer))
--- a/bronzeedge/recall_test.go
+++ b/bronzeedge/recall_test.go
@@ -440,8 +440,8 @@
 	writtenWithin = 3 * time.Second
 )
 
-// play does the steps and checks after each.
-func (d *drill) play(t require.TestingT, steps []drillStep) {
+// run does the steps and checks after each.
+func (d *drill) run(t require.TestingT, steps []drillStep) {
 	for _, s := range steps {
 		d.take(s)
 		d.pass(time.Duration(s.Milliseconds) * time.Millisecond)
@@ -461,11 +461,7 @@
 	d.agree(t)
 }
 
-// Servers come, leave and end, zones are drained and taken back, and tables follow each other,
-// while the store comes back from copies again and again, and nodes read it, ask each other and
-// start anew at any moment. No node sends callers to a server that it knew to be leaving, into a
-// drained zone or by an older table before the writers have written again; and in the end all go
-// by what was written last.
+// Guards against a copy that brings back what a node knew to be over, in any order of events.
 func TestCopiesBringNothingBackThatWasOver(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		steps := drawSteps(r)
@@ -474,7 +470,7 @@
 			d := newDrill()
 			defer d.stop()
 			defer failure.catch()
-			d.play(&failure, steps)
+			d.run(&failure, steps)
 		})
 		require.Empty(r, failure.text)
 	})
--- /dev/null
+++ b/bronzegossip/epoch_test.go
@@ -0,0 +1,84 @@
+package bronzegossip
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bronzeusher.example/bronzeusher/bronzerecord"
+)
+
+// Guards against higher revisions of an earlier epoch winning after a cut between zones.
+func TestNodesOfTwoEpochsAgreeOnTheLater(t *testing.T) {
+	net, nodes := newNetwork(9)
+	s := &store{epoch: 1, revision: 50}
+	s.run(nodes, 3*time.Second)
+	inZone := func(d *node) bool { return d.gossip.Self.AvailabilityZone == "a" }
+	net.cut = func(from, to *node) bool { return inZone(from) != inZone(to) }
+	for _, d := range nodes {
+		d.reaches = !inZone(d)
+	}
+	s.epoch, s.revision = 2, 20
+	s.run(nodes, 3*time.Second)
+	for _, d := range nodes {
+		require.Equal(t, inZone(d), d.records.Position() == bronzerecord.Position{Epoch: 1, Revision: 50})
+	}
+	net.cut = func(_, _ *node) bool { return false }
+	s.run(nodes, 500*time.Millisecond)
+	require.Zero(t, s.behind(nodes))
+	s.revision = 21
+	s.run(nodes, 500*time.Millisecond)
+	require.Zero(t, s.behind(nodes))
+}
+
+// Guards against a large fleet that reads all records at once after a drill.
+func TestFewReadTheStoreAfterItCameBackFromACopy(t *testing.T) {
+	_, nodes := newNetwork(300)
+	s := &store{epoch: 1, revision: 50}
+	s.run(nodes, 10*time.Second)
+	require.Zero(t, s.behind(nodes))
+	calls := func() (n int) {
+		for _, d := range nodes {
+			n += d.calls
+		}
+		return n
+	}
+	before := calls()
+	s.epoch, s.revision = 2, 20
+	s.run(nodes, time.Second)
+	require.Zero(t, s.behind(nodes))
+	require.LessOrEqual(t, calls()-before, 10)
+}
+
+// Guards against nodes that start after a drill and go by the copy alone.
+func TestNodeThatStartsAsksForWhatTheStoreLost(t *testing.T) {
+	net, nodes := newNetwork(9)
+	asked := make(map[*node]int)
+	for _, d := range nodes {
+		d.gossip.FetchFormer = func(peer Peer) {
+			asked[d]++
+			net.queue = append(net.queue, func() {
+				if r, ok := net.nodes[peer.Address].records.Recollection(); ok {
+					d.records.Recall(r)
+				}
+			})
+		}
+	}
+	s := &store{epoch: 1, revision: 50}
+	s.run(nodes, 3*time.Second)
+	s.epoch, s.revision = 2, 20
+	s.run(nodes, time.Second)
+	require.Zero(t, s.behind(nodes))
+	require.Empty(t, asked)
+
+	started := nodes[0]
+	started.records = bronzerecord.Set{}
+	require.True(t, started.records.Apply(bronzerecord.Delta{Epoch: 2, Whole: true, To: 20}))
+	s.run(nodes, 2*time.Second)
+	former, lost := started.records.Former()
+	require.Equal(t, bronzerecord.Position{Epoch: 1, Revision: 50}, former)
+	require.Positive(t, lost)
+	require.Equal(t, 1, asked[started])
+	require.Len(t, asked, 1)
+}
--- a/bronzerecord/follower_test.go
+++ b/bronzerecord/follower_test.go
@@ -194,8 +194,7 @@
 	})
 }
 
-// The store shows an older state than it has shown before, and tells no later epoch. Nodes that
-// asked again at once would all press it, as often as it answers.
+// Guards against nodes that press a store which shows an older state.
 func TestFollowerBacksOffFromAStoreThatFellBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newPagedStore(30)
@@ -239,9 +238,7 @@
 	})
 }
 
-// The store comes back from copies, again and again, while records change, a node loads its
-// pages, and its history is dropped. In the end the node has just what the store holds: not
-// what the store lost, and not what another write had under the same revision before.
+// Guards against what the store lost, or wrote under another revision, staying at a node.
 func TestFollowerHoldsWhatTheStoreHoldsAfterCopies(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		synctest.Test(t, func(t *testing.T) {
--- a/bronzerecord/load_test.go
+++ b/bronzerecord/load_test.go
@@ -155,8 +155,7 @@
 	})
 }
 
-// The store has just come back from a copy, and the replica that a starting node loads from still
-// shows the history before, under the epoch of now.
+// Guards against a stale read that shows the history before a copy under the epoch of now.
 func TestLoadTakesNothingOfTheHistoryBefore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		before := newPagedStore(30)
--- a/bronzerecord/recollection_test.go
+++ b/bronzerecord/recollection_test.go
@@ -33,8 +33,7 @@
 	return s, changes
 }
 
-// What the store lost is told, also that a record was removed; what is written again isn't
-// remembered any longer, nor is what nobody writes again.
+// Guards against forgetting what the store lost too soon, and against keeping it for ever.
 func TestLostRecordsAreRememberedUntilTheyAreWrittenAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, changes := fallBack(t)
@@ -60,8 +59,7 @@
 	})
 }
 
-// A node starts after the store fell back. A peer tells it what was lost, alone or with all
-// records, but for what has been written again since and what is over.
+// Guards against a peer that tells too little, or brings back what has been written again.
 func TestNodeThatStartsIsToldWhatWasLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, _ := fallBack(t)
@@ -94,8 +92,7 @@
 	})
 }
 
-// Drill follows drill. What the first one lost is remembered through the second, and no list
-// grows with their number.
+// Guards against drills in series that forget, or remember without bound.
 func TestLostRecordsOutlastAnotherDrill(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, _ := fallBack(t)
--- a/bronzerecord/set_test.go
+++ b/bronzerecord/set_test.go
@@ -111,9 +111,7 @@
 	})
 }
 
-// The store fell back, and two of its records have again the revisions that they had, one of
-// them with another body. Only that one is a change: with 5,100 servers, all others would be
-// read again at every node.
+// Guards against reading all servers again at every node after a drill.
 func TestRecordsThatTheCopyHasAreNoChange(t *testing.T) {
 	var s Set
 	var changes []Change
@@ -156,8 +154,7 @@
 	require.Empty(t, d.Changed)
 }
 
-// A server registers and goes between two readings of one node, while another node has its
-// registration. The removal reaches the other by the first, which never knew the server.
+// Guards against servers that stay registered at a peer of a node which never knew them.
 func TestRemovalOfARecordThatWasNotKnownIsPassedOn(t *testing.T) {
 	h := newHistory()
 	h.change("a", false)
--- a/bronzeroute/recall_test.go
+++ b/bronzeroute/recall_test.go
@@ -22,8 +22,7 @@
 	return s
 }
 
-// The copy has a server as ready that had said it leaves. It takes no new flows until it has
-// registered again, or its time is over.
+// Guards against new flows at a leaving server that the copy has as ready.
 func TestServerThatLeavesIsNotBroughtBackByACopy(t *testing.T) {
 	d := recalled(said(false, 1))
 	until := begin.Add(time.Second)
@@ -44,8 +43,7 @@
 	require.Equal(t, Gone, d.View().ByName("s-1").Status, "it had said that it leaves")
 }
 
-// The copy is from before a server registered. It is missing, with its flows, until it registers
-// again; one that leaves takes no new flows meanwhile.
+// Guards against ending flows of servers that registered after the copy was made.
 func TestServerThatTheCopyLacksIsMissing(t *testing.T) {
 	for _, draining := range []bool{false, true} {
 		d := recalled(server("other", "a"))
@@ -61,8 +59,7 @@
 	}
 }
 
-// The copy brings back a registration that had been removed, and that lapses again. The server
-// may live all the same: its flows aren't ended before it could have registered again.
+// Guards against new flows at a server whose removed registration is back, and against ending its open ones.
 func TestServerThatEndedIsNotBroughtBackByACopy(t *testing.T) {
 	d := recalled(said(false, 1))
 	require.True(t, d.RecallGone("s-1", begin.Add(time.Minute)))
@@ -75,8 +72,7 @@
 	require.False(t, d.RecallGone("unknown", begin.Add(time.Second)))
 }
 
-// The store has lost that a zone is drained. It stays so until the operator says so again, has
-// it back, or doesn't say anything in time.
+// Guards against new flows in a drained zone whose drain the copy lacks.
 func TestDrainIsNotEndedByACopy(t *testing.T) {
 	until := begin.Add(time.Second)
 	d := recalled(serverIn("x", "x-1"))
--- a/bronzesoak/check_test.go
+++ b/bronzesoak/check_test.go
@@ -172,7 +172,7 @@
 	})
 }
 
-// New flows in a drained zone count from three seconds on, and not once it is taken back.
+// Guards against a soak that misses new flows in a drained zone.
 func TestOpeningsInADrainedZone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, n, servers := newChecked(t)
--- a/bronzesoak/run_test.go
+++ b/bronzesoak/run_test.go
@@ -46,7 +46,7 @@
 	}
 }
 
-// The store loses eight tables, falling back by as many revisions, and servers leave just after.
+// Guards against new flows at servers that leave just after the store fell back.
 func TestServersLeaveAfterTheStoreFellBack(t *testing.T) {
 	plan := Plan{
 		Seconds: 13, Zones: 2, NodesPerZone: 2, ServersPerZone: 3, Callers: 40, PauseMS: 250, WorkMS: 15,
