End flows for an unreachable zone only by what was sent since it answered

The zone counted as out of reach once none of its servers had answered the node for 350 ms and two were silent; then every server there that had left anything unanswered lost its flows. A node that sends a zone few requests gets no answer for 350 ms as a rule, two crashed servers are always found, and new flows avoid such a zone, so that nothing refutes it. A slow server's retransmitted request does the rest.

Ruled out: (b) that two reporters and five flows of a cut-off minority end flows, and (c) the address of a replaced server.

Now a zone is unreachable only if five of its servers, or all, have left unanswered what was sent after the zone's last answer and at least 350 ms ago. New flows avoid a zone on the weak evidence, as before. The order in which servers are reported is fixed, so that runs of the model repeat.

--- a/bronzesteer/avoid.go
+++ b/bronzesteer/avoid.go
@@ -4,7 +4,7 @@
 
 // avoids reports whether new flows are kept away from the server.
 func (s *Steerer) avoids(b *backend, at time.Duration) bool {
-	return b.avoided(at) || s.zoneUnreachable(b, at)
+	return b.avoided(at) || s.zoneSuspected(b, at)
 }
 
 func (b *backend) avoided(at time.Duration) bool {
--- a/bronzesteer/evidence.go
+++ b/bronzesteer/evidence.go
@@ -143,6 +143,7 @@
 	if weight == openingWeight {
 		b.unansweredOpenings++
 	}
+	b.zone.addUnanswered(b, sent, at)
 	if b.unansweredWeight < avoidWeight {
 		return e, true, false
 	}
--- a/bronzesteer/failure.go
+++ b/bronzesteer/failure.go
@@ -7,18 +7,16 @@
 
 // unresponsive reports whether the server answers nobody, so that flows which can be
 // retried elsewhere are better ended. Either it has failed, or it has recently left
-// something unanswered and its zone seems unreachable. The latter requires something
-// unanswered by the server itself: to a node that sends little to a zone, two crashed
-// servers look like a partition, and healthy servers there would lose their flows. A node
-// that isn't answered by any server reports false, since other nodes may still serve the
-// flows. The parameter waiting is set for a flow that itself waits for an answer.
+// something unanswered itself and its zone is unreachable. A node that isn't answered by any
+// server reports false, since other nodes may still serve the flows. The parameter waiting
+// is set for a flow that itself waits for an answer.
 func (s *Steerer) unresponsive(b *backend, waiting bool, at time.Duration) bool {
 	return s.canJudge(at) && (s.failed(b, waiting, at) || b.recentlyUnanswered(at) && s.zoneUnreachable(b, at))
 }
 
 // unavailable reports whether a new flow at the server would get no answer.
 func (s *Steerer) unavailable(b *backend, at time.Duration) bool {
-	return s.canJudge(at) && (s.presumedFailed(b, at) || b.recentlyUnanswered(at) && s.zoneUnreachable(b, at))
+	return s.canJudge(at) && (s.presumedFailed(b, at) || b.recentlyUnanswered(at) && s.zoneSuspected(b, at))
 }
 
 // canJudge reports whether this node is in a state to detect failures.
@@ -119,8 +117,14 @@
 	return float64(countRecent(z.silentNow, at)) > max(minSilentLimit, maxSilentFraction*float64(z.servers))
 }
 
-// zoneUnreachable reports whether the server's zone is unreachable. The node's own zone
-// never is.
+// zoneSuspected reports whether the server's zone may be unreachable, so that new flows
+// avoid it. The node's own zone never is.
+func (s *Steerer) zoneSuspected(b *backend, at time.Duration) bool {
+	return b.zoneName != s.AvailabilityZone && b.zone.suspected(at)
+}
+
+// zoneUnreachable reports whether the server's zone is unreachable, so that flows there may
+// be ended. The node's own zone never is.
 func (s *Steerer) zoneUnreachable(b *backend, at time.Duration) bool {
 	return b.zoneName != s.AvailabilityZone && b.zone.unreachable(at)
 }
--- a/bronzesteer/failure_test.go
+++ b/bronzesteer/failure_test.go
@@ -188,6 +188,26 @@
 	}
 }
 
+// Two servers of zone b crash, and a third is slow to answer a request, which its caller
+// retransmits. Guards against a slow server's flow being ended as if the zone were out of
+// reach.
+func TestSlowServerBesideCrashesKeepsFlow(t *testing.T) {
+	s := newSite(t, 4, 4)
+	own := s.serveN(8, live)
+	s.advance(time.Second)
+	flows := s.zoneBFlows(6)
+	slow, crashed := flows[2], append(flows[:2:2], flows[4:]...)
+	s.stopAnswering(append(crashed, slow), own)
+	for range 4 {
+		for _, c := range crashed {
+			c.retransmitRequest()
+		}
+		require.Equal(t, Forward, slow.retransmitRequest().Kind)
+		s.advance(100 * time.Millisecond)
+		s.exchange(own)
+	}
+}
+
 // A server crashes that has idle flows whose requests must not be retried. The next request
 // of each would be lost, so that they are ended. A flow with a request in flight is kept,
 // since only the server knows whether the request ran.
--- a/bronzesteer/pause.go
+++ b/bronzesteer/pause.go
@@ -93,6 +93,7 @@
 	for _, z := range zones {
 		z.mu.Lock()
 		clear(z.silentSinceAnswer)
+		clear(z.unanswered)
 		clear(z.silentNow)
 		z.mu.Unlock()
 	}
--- a/bronzesteer/report.go
+++ b/bronzesteer/report.go
@@ -120,8 +120,8 @@
 	}
 }
 
-// suspectsToReport returns the servers to be reported, and marks them as reported unless
-// all is set.
+// suspectsToReport returns the servers to be reported, in a fixed order, and marks them as
+// reported unless all is set.
 func (s *Steerer) suspectsToReport(all bool) (list []*backend) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -134,9 +134,15 @@
 			s.suspects[b] = false
 		}
 	}
+	slices.SortFunc(list, (*backend).compare)
 	return list
 }
 
+// compare orders servers by their identifiers.
+func (b *backend) compare(other *backend) int {
+	return cmp.Or(cmp.Compare(b.shortID, other.shortID), cmp.Compare(b.instance, other.instance))
+}
+
 func (s *Steerer) removeSuspects(done []*backend) {
 	if len(done) == 0 {
 		return
@@ -199,7 +205,7 @@
 		}
 		return 1
 	}
-	return cmp.Compare(other.Openings+other.Requests, r.Openings+r.Requests)
+	return cmp.Or(cmp.Compare(other.Openings+other.Requests, r.Openings+r.Requests), cmp.Compare(r.Node, other.Node))
 }
 
 func (f finding) report(server, node uint32, at time.Duration) Report {
--- a/bronzesteer/timing.go
+++ b/bronzesteer/timing.go
@@ -97,8 +97,13 @@
 	smallFleetPeers = 12
 	gossipFanout    = 3
 	// minSilentInZone is the number of servers of another zone that must be silent, with
-	// none of it answering, for the zone to count as unreachable.
+	// none of it answering, for new flows to avoid the zone.
 	minSilentInZone = 2
+	// minUnansweredInZone is the number of servers of another zone, or all of them if there
+	// are fewer, that must have left something unanswered, with none of it answering, for
+	// the zone to count as unreachable. While a third of a zone's servers are down or slow,
+	// so many of them chosen at random are that with a probability of 1/240.
+	minUnansweredInZone = 5
 	// maxSilentFraction is the fraction of the own zone's servers that may be silent for
 	// the node to detect failures, minSilentLimit a number that always may. If more are,
 	// the node's own packets are delayed: its link or its processor is overloaded.
--- a/bronzesteer/zone.go
+++ b/bronzesteer/zone.go
@@ -18,6 +18,9 @@
 	// answered themselves since.
 	silentSinceAnswer map[*backend]time.Duration
 	silentNow         map[*backend]time.Duration
+	// unanswered holds the servers that have left unanswered what was sent since any server
+	// of the zone answered.
+	unanswered map[*backend]unansweredServer
 	// servers is the number of servers.
 	servers int
 	// handshakeTime is the mean time that the servers take to answer openings, 0 if
@@ -26,11 +29,18 @@
 	deviation     time.Duration
 }
 
+// unansweredServer says when the first of what a server has left unanswered was sent, and
+// when the last of it was found unanswered.
+type unansweredServer struct{ sent, found time.Duration }
+
 // zone returns the entry of a zone. The caller holds the lock.
 func (s *Steerer) zone(name string) *zone {
 	z := s.zones[name]
 	if z == nil {
-		z = &zone{silentSinceAnswer: make(map[*backend]time.Duration), silentNow: make(map[*backend]time.Duration)}
+		z = &zone{
+			silentSinceAnswer: make(map[*backend]time.Duration), silentNow: make(map[*backend]time.Duration),
+			unanswered: make(map[*backend]unansweredServer),
+		}
 		s.zones[name] = z
 	}
 	return z
@@ -48,6 +58,7 @@
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	delete(z.silentSinceAnswer, b)
+	delete(z.unanswered, b)
 	delete(z.silentNow, b)
 }
 
@@ -56,6 +67,7 @@
 	z.answeredAt.Store(int64(at))
 	z.mu.Lock()
 	clear(z.silentSinceAnswer)
+	clear(z.unanswered)
 	delete(z.silentNow, b)
 	z.mu.Unlock()
 }
@@ -67,6 +79,21 @@
 	z.mu.Unlock()
 }
 
+// addUnanswered records that a server of the zone has left unanswered what was sent at
+// sent. What was sent before the zone's last answer doesn't count: requests to servers that
+// are known to be down go on for seconds, while other servers may get none.
+func (z *zone) addUnanswered(b *backend, sent, at time.Duration) {
+	if sent <= time.Duration(z.answeredAt.Load()) {
+		return
+	}
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if u, known := z.unanswered[b]; known {
+		sent = min(sent, u.sent)
+	}
+	z.unanswered[b] = unansweredServer{sent: sent, found: at}
+}
+
 // countRecent counts the servers whose last finding is recent.
 func countRecent(silent map[*backend]time.Duration, at time.Duration) (n int) {
 	for _, last := range silent {
@@ -77,13 +104,36 @@
 	return n
 }
 
-// unreachable reports whether no server of the zone has answered for some time, and several
-// are silent.
-func (z *zone) unreachable(at time.Duration) bool {
-	if at-time.Duration(z.answeredAt.Load()) < minSilence {
+// suspected reports whether the zone may be unreachable, so that new flows avoid it: none
+// of its servers has answered for some time, and several are silent.
+func (z *zone) suspected(at time.Duration) bool {
+	if !z.isQuiet(at) {
 		return false
 	}
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	return countRecent(z.silentSinceAnswer, at) >= minSilentInZone
 }
+
+// unreachable reports whether this node doesn't reach the zone, so that flows there may be
+// ended: all that was sent there for some time has been left unanswered, and went to so
+// many servers that they can't all have crashed or be slow.
+func (z *zone) unreachable(at time.Duration) bool {
+	if !z.isQuiet(at) {
+		return false
+	}
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	n := 0
+	for _, u := range z.unanswered {
+		if at-u.sent >= minSilence && at-u.found < silenceMaxAge {
+			n++
+		}
+	}
+	return n >= min(max(z.servers, 1), minUnansweredInZone)
+}
+
+// isQuiet reports whether no server of the zone has answered for some time.
+func (z *zone) isQuiet(at time.Duration) bool {
+	return at-time.Duration(z.answeredAt.Load()) >= minSilence
+}
