Follow changed seeds in the share of cold servers

Reload passed new seeds to the gossip only, and hasNoOtherSeeds went on with those of the start. A node whose settings named no other at its start, and others later, took itself for the only one while it knew no peer, and gave cold servers all that they may get. TestReloadSeeds fails without the change.

--- a/bronzeedge/edge.go
+++ b/bronzeedge/edge.go
@@ -39,8 +39,8 @@
 	follower bronzerecord.Follower
 	routing  routingState
 	held     heldPackets
-	cfgMu    sync.Mutex
-	grace    time.Duration // guarded by cfgMu
+	cfgMu    sync.Mutex // guards cfg.Seeds and grace
+	grace    time.Duration
 
 	gossip      bronzegossip.Gossip
 	fetching    atomic.Bool
@@ -232,6 +232,7 @@
 	}
 	e.cfgMu.Lock()
 	e.grace = cfg.grace()
+	e.cfg.Seeds = cfg.Seeds
 	e.cfgMu.Unlock()
 	e.gossip.SetSeeds(e.peerAddresses(cfg.Seeds))
 	e.log.Line("SettingsInForce", Fields{"Seeds": cfg.Seeds, "GraceSeconds": cfg.GraceSeconds, "NextStart": e.cfg.restartFields(&cfg)})
