Take a peer without a confirmation for no news of the store

A node whose records no store has confirmed says so with an age of 24 days. Its peers took that for a confirmation of 24 days ago, so that the time since their own start no longer counted, and at 0.3 s after a common start each node read the store. Ruled out: first loads, which are stale reads at a tenth of the price; nodes that are behind, as all watches end with what a peer had brought before.

Now such a message says nothing, and a node waits since its own start.

TestCallsAtCommonStart, 100 nodes in a paused clock: 123 calls before, 24 now, against one a start.

--- a/bronzegossip/compaction_test.go
+++ b/bronzegossip/compaction_test.go
@@ -30,8 +30,11 @@
 	silent    bool
 	// linkFree is when the store's link has sent all answers so far.
 	linkFree time.Time
-	// pages counts the pages read by each node.
-	pages map[string]int
+	// pages counts the pages read by each node, stalePages those of them that may be stale,
+	// watches the watches of all nodes.
+	pages      map[string]int
+	stalePages int
+	watches    int
 }
 
 const (
@@ -105,11 +108,14 @@
 }
 
 func (s *pagedStore) source(node string) bronzerecord.Source {
-	read := func(ctx context.Context, after string, _ bool) (p bronzerecord.Page, err error) {
+	read := func(ctx context.Context, after string, stale bool) (p bronzerecord.Page, err error) {
 		bronzeretry.Pause(ctx, storeLatency)
 		var took time.Duration
 		s.locked(func() {
 			s.pages[node]++
+			if stale {
+				s.stalePages++
+			}
 			i, ok := s.find(after)
 			if ok {
 				i++
@@ -123,7 +129,10 @@
 	}
 	watch := func(ctx context.Context, after uint64) (d bronzerecord.Delta, err error) {
 		var cut uint64
-		s.locked(func() { cut = s.compacted })
+		s.locked(func() {
+			cut = s.compacted
+			s.watches++
+		})
 		for range 10 {
 			s.locked(func() {
 				d, err = s.poll(after)
@@ -326,3 +335,34 @@
 		})
 	}
 }
+
+// calls returns what the store's calls cost so far. A page that may be stale costs a tenth.
+func (s *pagedStore) calls() (n float64) {
+	for _, pages := range s.pages {
+		n += float64(pages)
+	}
+	return n - 0.9*float64(s.stalePages) + float64(s.watches)
+}
+
+// All nodes start at once, before the store has confirmed anything to any of them. Guards
+// against nodes that take this for readers which are cut off, and all read the store: each
+// start must cost less than one call.
+func TestCallsAtCommonStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes = 100
+		f := newFleetOfReaders(nodes, 100)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			time.Sleep(time.Second)
+		}()
+		f.start(ctx)
+		time.Sleep(2 * time.Second)
+		f.store.put(tableName)
+		f.waitForTable(f.store.revision, 3*time.Second)
+		f.store.locked(func() {
+			t.Logf("%.1f calls for %d starts", f.store.calls(), nodes)
+			require.Less(t, f.store.calls(), float64(nodes))
+		})
+	})
+}
--- a/bronzegossip/confirm.go
+++ b/bronzegossip/confirm.go
@@ -85,12 +85,14 @@
 	return !g.behindSince.IsZero() && now.Sub(g.behindSince) >= limit
 }
 
-// mergeConfirmation merges a confirmation by the store of records at position p. It
-// applies only if this node has these records or newer ones: otherwise its own aren't the
-// confirmed ones. forward reports whether the confirmation is new and recent enough to be
-// forwarded.
-func (g *Gossip) mergeConfirmation(p bronzerecord.Position, confirmedAt, now time.Time) (forward bool) {
-	if g.Records.Position().Before(p) || !confirmedAt.After(g.confirmedAt) {
+// mergeConfirmation merges the confirmation of a message by the store. It applies only if
+// this node has the message's records or newer ones: otherwise its own aren't the confirmed
+// ones. A sender without a confirmation says nothing: if that counted as an old one, all
+// nodes that start at once would read the store. forward reports whether the confirmation
+// is new and recent enough to be forwarded.
+func (g *Gossip) mergeConfirmation(m *Message, now time.Time) (forward bool) {
+	confirmedAt := now.Add(-time.Duration(m.ContactMS) * time.Millisecond)
+	if m.ContactMS >= neverConfirmedMS || g.Records.Position().Before(m.position()) || !confirmedAt.After(g.confirmedAt) {
 		return false
 	}
 	forward = confirmedAt.Sub(g.confirmedAt) >= minConfirmationAdvance
--- a/bronzegossip/gossip.go
+++ b/bronzegossip/gossip.go
@@ -324,7 +324,7 @@
 		g.newerPeer = m.From
 	}
 	g.noteLatest(m.position(), now)
-	forward := g.mergeConfirmation(m.position(), now.Add(-time.Duration(m.ContactMS)*time.Millisecond), now)
+	forward := g.mergeConfirmation(m, now)
 	forward = g.mergeLoading(m, now) || forward
 	switch {
 	case applied:
