Refuse a node's requests in the soak's CutStore, and end faults one by one

And the end of one of two overlapping failures of the store removed the other's mode, or set the status back for both.

The proxy in front of each node now answers requests with 503 itself, for one node or for all, and a failure that ends takes its own mode away.

--- a/bronzesoak/event.go
+++ b/bronzesoak/event.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"math/rand/v2"
-	"net/http"
 	"net/netip"
 	"slices"
 	"sync"
@@ -112,7 +111,7 @@
 	n.disturb(e.duration(), false)
 	s.network.update(func() { s.network.storeFailures[n.name] = append(s.network.storeFailures[n.name], e.Mode) })
 	bronzeretry.Pause(ctx, e.duration())
-	s.network.update(func() { s.network.storeFailures[n.name] = s.network.storeFailures[n.name][1:] })
+	s.network.update(func() { s.network.storeFailures[n.name] = withoutMode(s.network.storeFailures[n.name], e.Mode) })
 	n.disturb(0, false)
 }
 
@@ -139,13 +138,9 @@
 // storeDown has the store fail for all nodes.
 func (s *soak) storeDown(ctx context.Context, e *Event) {
 	s.storeDisturbance.extend(time.Now().Add(e.duration()))
-	if e.Mode == Refused {
-		s.store.SetStatus(http.StatusServiceUnavailable)
-	}
 	s.network.update(func() { s.network.storeOutages = append(s.network.storeOutages, e.Mode) })
 	bronzeretry.Pause(ctx, e.duration())
-	s.network.update(func() { s.network.storeOutages = s.network.storeOutages[1:] })
-	s.store.SetStatus(0)
+	s.network.update(func() { s.network.storeOutages = withoutMode(s.network.storeOutages, e.Mode) })
 	s.storeDisturbance.extend(time.Now())
 }
 
@@ -227,7 +222,7 @@
 	s.network.update(func() { s.network.storeOutages = append(s.network.storeOutages, Reset) })
 	bronzeretry.Pause(ctx, restoreOutage)
 	s.store.Restore(backup)
-	s.network.update(func() { s.network.storeOutages = s.network.storeOutages[1:] })
+	s.network.update(func() { s.network.storeOutages = withoutMode(s.network.storeOutages, Reset) })
 	bronzeretry.Pause(ctx, rewriteDelay)
 	s.eventsMu.Lock()
 	s.putTable()
--- a/bronzesoak/network.go
+++ b/bronzesoak/network.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -119,6 +120,13 @@
 	}
 }
 
+// withoutMode returns modes without one occurrence of mode. Of two failures that overlap,
+// either may end first.
+func withoutMode(modes []FailureMode, mode FailureMode) []FailureMode {
+	i := slices.Index(modes, mode)
+	return slices.Delete(slices.Clone(modes), i, i+1)
+}
+
 // storeProxy forwards a node's TCP connections to the store and has them fail.
 type storeProxy struct {
 	network  *network
@@ -156,12 +164,32 @@
 	defer stop()
 	go p.resetOnFailure(ctx, conn, upstream)
 	go func() {
-		p.forward(ctx, upstream, conn, silences, false)
+		p.forwardRequests(ctx, upstream, conn, silences)
 		_ = upstream.Close()
 	}()
 	p.forward(ctx, conn, upstream, silences, true)
 }
 
+// refusal is the answer of a store that refuses a request.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+
+// forwardRequests forwards a node's requests. While the failure mode is Refused, it answers
+// them itself: a request is so short that one read returns it whole.
+func (p *storeProxy) forwardRequests(ctx context.Context, upstream io.Writer, conn io.ReadWriter, silences int) {
+	p.forward(ctx, writerFunc(func(request []byte) (int, error) {
+		if mode, _, _ := p.network.failureMode(p.node); mode != Refused {
+			return upstream.Write(request)
+		}
+		_, err := io.WriteString(conn, refusal)
+		return len(request), err
+	}), conn, silences, false)
+}
+
+// writerFunc is an io.Writer that is a function.
+type writerFunc func(b []byte) (n int, err error)
+
+func (f writerFunc) Write(b []byte) (n int, err error) { return f(b) }
+
 // resetOnFailure resets the connection once the failure mode is Reset.
 func (p *storeProxy) resetOnFailure(ctx context.Context, conn *net.TCPConn, upstream net.Conn) {
 	for ctx.Err() == nil {
--- a/bronzesoak/network_test.go
+++ b/bronzesoak/network_test.go
@@ -104,6 +104,33 @@
 	require.Empty(t, b)
 }
 
+// Guards against a fault that nodes don't notice: the requests of the node that is refused
+// must fail, and only those.
+func TestRefused(t *testing.T) {
+	l := newStoreLink(t)
+	conn, r := l.checkWorks(t)
+	l.setModes(Refused)
+	sendRequest(t, conn, "/refused")
+	res, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	require.NoError(t, res.Body.Close())
+	require.Equal(t, http.StatusServiceUnavailable, res.StatusCode)
+	l.setModes()
+	sendRequest(t, conn, "/again")
+	res, err = http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	require.NoError(t, res.Body.Close())
+	require.Equal(t, "/again", <-l.requested)
+}
+
+// A short failure begins during a long one of another mode. Its end must not end the long
+// one.
+func TestOverlappingFailuresEnd(t *testing.T) {
+	modes := []FailureMode{Silent, Reset, Silent}
+	require.Equal(t, []FailureMode{Silent, Silent}, withoutMode(modes, Reset))
+	require.Equal(t, []FailureMode{Reset, Silent}, withoutMode(modes, Silent))
+}
+
 func TestAnswersLost(t *testing.T) {
 	l := newStoreLink(t)
 	l.setModes(AnswersLost)
--- a/bronzesoak/plan.go
+++ b/bronzesoak/plan.go
@@ -83,7 +83,7 @@
 	Slow FailureMode = "Slow"
 	// AnswersLost: requests arrive, but their answers are lost.
 	AnswersLost FailureMode = "AnswersLost"
-	// Refused: the store answers with an error, in StoreDown only.
+	// Refused: requests are answered with an error.
 	Refused FailureMode = "Refused"
 )
 
