Keep the tokens of all servers within their bound as servers join

tokens.add let the sets that exist grow by each new server, and only the building of further sets looked at maxAllTokens. With 13 endpoints of 5,000 servers 11 more servers pass it. The endpoint whose set doesn't fit any more drops it; its tokens are found by a search until there is room again. TestByTokenMemoryAsServersJoin fails without the change (65,546 of 65,536).

--- a/bronzeroute/directory_test.go
+++ b/bronzeroute/directory_test.go
@@ -144,6 +144,37 @@
 	require.Equal(t, "s-77", v.ByToken(last, token).Instance)
 }
 
+// Servers are replaced after forged tokens have made endpoints keep the tokens of all servers.
+// Guards against sets that outgrow their bound server by server; flows must still be found.
+func TestByTokenMemoryAsServersJoin(t *testing.T) {
+	const servers, endpoints = 5000, 13
+	service := func(i int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 1, byte(i)}), 443)
+	}
+	var d Directory
+	var routes []Route
+	for i := range endpoints {
+		routes = append(routes, route(service(i), "a"))
+	}
+	d.SetTable(table(1, routes...), begin)
+	for i := range servers {
+		d.Register(server(fmt.Sprint("s-", i), "b"))
+	}
+	v := d.View()
+	for i := range endpoints {
+		require.Nil(t, v.ByToken(service(i), 12345))
+	}
+	for i := range 200 {
+		d.Register(server(fmt.Sprint("new-", i), "b"))
+		require.LessOrEqual(t, d.tokens.allCount, maxAllTokens)
+	}
+	d.tokens.searchLimiter = rate.NewLimiter(rate.Inf, 1)
+	v = d.View()
+	for i := range endpoints {
+		require.Equal(t, "new-77", v.ByToken(service(i), v.Token(service(i), v.ByName("new-77"))).Instance)
+	}
+}
+
 // A caller sends the token of its flow to another Customer's address.
 func TestByTokenOtherEndpoint(t *testing.T) {
 	var d Directory
--- a/bronzeroute/tokens.go
+++ b/bronzeroute/tokens.go
@@ -78,6 +78,18 @@
 			e.all.Add(holder)
 			t.allCount += e.all.Len()
 		}
+		if t.allCount > maxAllTokens {
+			t.dropAll(e)
+		}
+	}
+}
+
+// dropAll drops the set of all servers' tokens of an endpoint, if there is one. It is built
+// again at the next packet that needs it, if there is room. The caller holds the lock.
+func (t *tokens) dropAll(e *endpointTokens) {
+	if e.all != nil {
+		t.allCount -= e.all.Len()
+		e.all = nil
 	}
 }
 
@@ -132,8 +144,8 @@
 	if e != nil && route.hasPools(e.pools) {
 		return e
 	}
-	if e != nil && e.all != nil {
-		t.allCount -= e.all.Len()
+	if e != nil {
+		t.dropAll(e)
 	}
 	e = &endpointTokens{pools: route.poolNames()}
 	e.routed = t.set(service, func(h tokenHolder) bool { return slices.Contains(e.pools, h.pool) })
