--- a/bronzeconf/service.go
+++ b/bronzeconf/service.go
@@ -89,13 +89,6 @@
 	Idempotent bool
 }
 
-// Endpoint is one address, protocol and port that a service claims.
-type Endpoint struct {
-	Address  netip.Addr
-	Protocol bronzeflow.Protocol
-	Port     uint16
-}
-
 // Match returns the service that claims the destination of key, or nil.
 func (s *Snapshot) Match(key *bronzeflow.Key) *Service {
 	if s == nil {
