Check settings, deploy file and records in one run

check stopped after the faults of settings and deploy file, so that those of the records given with them were shown only by a second run. TestCheckSettingsAndRecords fails without the change. Output without faults is as it was.

--- a/cmd/bronzeusher/check.go
+++ b/cmd/bronzeusher/check.go
@@ -21,8 +21,8 @@
 }
 
 // Run prints the first fault of each settings file and every fault of the
-// deploy file. If there are none, it prints every fault of the records, which
-// are checked one by one and for conflicts with each other.
+// deploy file and of the records, which are checked one by one and for conflicts
+// with each other.
 func (c *checkCommand) Run(p *program) (err error) {
 	faults, err := c.faults()
 	if err != nil {
@@ -36,53 +36,58 @@
 	if len(faults) > 0 {
 		return errFailed
 	}
+	_, err = fmt.Fprintln(p.Stdout, c.checked()+", no faults")
+	return err
+}
+
+// checked says how much was checked.
+func (c *checkCommand) checked() string {
 	if len(c.Files) > 0 {
-		return c.checkRecords(p)
+		return fmt.Sprintf("%d records", len(c.Files))
 	}
 	files := len(c.Settings)
 	if c.Deploy != "" {
 		files++
 	}
-	_, err = fmt.Fprintf(p.Stdout, "%d files, no faults\n", files)
-	return err
+	return fmt.Sprintf("%d files", files)
 }
 
-// faults returns the faults of the settings files and of the deploy file.
+// faults returns the faults of the settings files, the deploy file and the records.
 func (c *checkCommand) faults() (faults []string, err error) {
 	for _, file := range c.Settings {
 		if _, err := bronzeedge.ReadConfig(file); err != nil {
 			faults = append(faults, err.Error())
 		}
 	}
-	if c.Deploy == "" {
-		return faults, nil
+	deployFaults, err := c.deployFaults()
+	if err != nil {
+		return nil, err
 	}
-	body, err := os.ReadFile(c.Deploy)
+	records, err := readRecords(c.Files)
 	if err != nil {
-		return nil, errors.Wrap(err, "read deploy file")
+		return nil, err
 	}
-	for _, fault := range platform.CheckDeploy(body, ".") {
-		faults = append(faults, c.Deploy+": "+fault)
+	faults = append(faults, deployFaults...)
+	refusals := bronzeconf.CheckRecords(records)
+	for i := range refusals {
+		faults = append(faults, refusals[i].Error())
 	}
 	return faults, nil
 }
 
-func (c *checkCommand) checkRecords(p *program) (err error) {
-	records, err := readRecords(c.Files)
-	if err != nil {
-		return err
+// deployFaults returns the faults of the deploy file, if one is given.
+func (c *checkCommand) deployFaults() (faults []string, err error) {
+	if c.Deploy == "" {
+		return nil, nil
 	}
-	refusals := bronzeconf.CheckRecords(records)
-	for i := range refusals {
-		if _, err = fmt.Fprintln(p.Stdout, refusals[i].Error()); err != nil {
-			return err
-		}
+	body, err := os.ReadFile(c.Deploy)
+	if err != nil {
+		return nil, errors.Wrap(err, "read deploy file")
 	}
-	if len(refusals) > 0 {
-		return errFailed
+	for _, fault := range platform.CheckDeploy(body, ".") {
+		faults = append(faults, c.Deploy+": "+fault)
 	}
-	_, err = fmt.Fprintf(p.Stdout, "%d records, no faults\n", len(records))
-	return err
+	return faults, nil
 }
 
 func readRecords(files []string) (records []bronzeconf.Record, err error) {
--- a/cmd/bronzeusher/cli_test.go
+++ b/cmd/bronzeusher/cli_test.go
@@ -219,6 +219,19 @@
 	require.Contains(t, stdout, "roles.edge.share: 2 is not")
 }
 
+// Guards against faults of records that are only shown once those of the settings are gone.
+func TestCheckSettingsAndRecords(t *testing.T) {
+	dir := t.TempDir()
+	settings := writeRecord(t, dir, "settings", strings.Replace(edgeSettings, "ReadyAddress", "Redy", 1))
+	deploy := writeRecord(t, dir, "deploy", "build = 'make'\n[roles.edge]\nrun = 'x'\non = 'edge'\nshare = 2.0\n")
+	text := writeRecord(t, dir, "text", "not a record")
+	code, stdout, _ := runProgram(t, nil, "check", "--settings="+settings, "--deploy="+deploy, text)
+	require.Equal(t, exitFailed, code)
+	for _, fault := range []string{"ReadyAddress: is missing", "roles.edge.share: 2 is not", "text: "} {
+		require.Contains(t, stdout, fault)
+	}
+}
+
 func TestShowEdge(t *testing.T) {
 	status := bronzeedge.Status{
 		Name: "edge-1", Ready: true, Revision: 42,
