Refuse no opening for lack of servers by records from before a pause

A node whose records weren't confirmed since a pause dropped openings without a route, but refused those without a server, or with drained zones only, though they could be placed once the records are read. They are dropped too, so that the caller's next transmission finds a server. Cold servers are still a reason: that goes by the clock. TestPausedNodeRefusesNoOpening fails without the change.

--- a/bronzesteer/pause.go
+++ b/bronzesteer/pause.go
@@ -18,9 +18,9 @@
 // servers.
 //
 // Failure detection is suspended for two seconds from now. Until RecordsConfirmed is
-// called, the records may be out of date: openings without a route, and packets of open
-// flows whose route or server is gone, are dropped instead of refused, and their callers
-// retransmit them.
+// called, the records may be out of date: openings without a route or a server, and packets
+// of open flows whose route or server is gone, are dropped instead of refused, and their
+// callers retransmit them.
 func (s *Steerer) Paused(now time.Time) (discarded Discarded) {
 	s.init()
 	at := s.sinceStart(now)
--- a/bronzesteer/pause_test.go
+++ b/bronzesteer/pause_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"bronzeusher.example/bronzeusher/bronzeroute"
 )
 
 // pause advances the clock without running the node.
@@ -168,3 +170,42 @@
 		require.Equal(t, want*time.Millisecond/2, s.propagationTime(true), peers)
 	}
 }
+
+// While a node is paused, its servers are replaced and the drained zones come back. Callers
+// who open flows before its records are confirmed again must not be refused: a moment later
+// their openings can be placed.
+func TestPausedNodeRefusesNoOpening(t *testing.T) {
+	for name, c := range map[string]struct {
+		before func(s *site)
+		reason Reason
+	}{
+		"Gone": {reason: NoServer, before: func(s *site) {
+			for _, server := range []string{"a-0", "b-0"} {
+				s.directory.Unregister(server, s.now)
+			}
+			s.directory.Advance(s.now.Add(bronzeroute.MissingTimeout + 1))
+		}},
+		"Drained": {reason: ZoneDrained, before: func(s *site) {
+			s.directory.DrainZone("a")
+			s.directory.DrainZone("b")
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 1, 1)
+			c.before(s)
+			s.node.SetView(s.directory.View())
+			_, d := s.open(live)
+			require.Equal(t, Decision{Kind: End, Reason: c.reason}, d)
+			s.pause(5 * time.Second)
+			caller, d := s.open(live)
+			require.Equal(t, Decision{Reason: Unsure}, d)
+
+			s.register("a", 1)
+			s.directory.UndrainZone("a", s.now)
+			s.node.SetView(s.directory.View())
+			s.node.RecordsConfirmed()
+			s.advance(200 * time.Millisecond)
+			require.Equal(t, Forward, caller.retransmit().Kind)
+		})
+	}
+}
--- a/bronzesteer/refuse.go
+++ b/bronzesteer/refuse.go
@@ -44,13 +44,17 @@
 
 // refuseNoServer refuses an opening that no server may take. A retransmission is dropped
 // instead where the route has servers: one of them may have accepted the opening a moment
-// ago.
+// ago. While the records are unconfirmed, only the lack of warm servers is a reason to
+// refuse.
 func (s *Steerer) refuseNoServer(vs *viewState, route *bronzeroute.Route, p *Packet, now time.Time) Decision {
 	d := Decision{Kind: End, Reason: s.noServerReason(vs, route, now)}
 	if d.Reason != NoServer && p.Retransmits > 0 {
 		d.Kind = Drop
 	}
-	return d
+	if d.Reason == ServersCold {
+		return d
+	}
+	return s.ifConfirmed(d)
 }
 
 // noServerReason returns why no server of a route may take a flow.
