Copy exceptions to the first node that joins, and count its own word only

The latest 4,096 wait now. And an acknowledgement counted whoever it came from: a late one of the former successor marked a copy as held by the present one. unackedCopy.peer, which nothing read, decides now. TestCopiesWaitForSuccessor (0 of 3 copied) and TestCopyAcknowledgedByItsHolder fail without the change.

Still open: an acknowledgement names a hash alone, so that of a copy can pass for that of its removal from the same node. That needs a field of the message.

--- a/bronzecore/copy.go
+++ b/bronzecore/copy.go
@@ -1,6 +1,7 @@
 package bronzecore
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -105,6 +106,10 @@
 	id      bronzeflow.ServerID
 }
 
+// maxWaitingCopies is the number of exceptions that wait for another node to copy
+// them to.
+const maxWaitingCopies = 4096
+
 // copier sends copies of this owner's exceptions to their successors at a
 // limited rate. The oldest flows are copied first, since a flow that has lived
 // long is likely to live longest.
@@ -153,8 +158,9 @@
 
 // takeDue returns what may be sent now: exceptions that were opened no later
 // than the second openedBy, and removals. successor returns the node that each
-// goes to. Nothing is returned until a second's worth of tokens has
-// accumulated, so that under load items for the same node share a message,
+// goes to. While there is no other node it returns "", and the latest
+// exceptions wait for one. Nothing is returned until a second's worth of tokens
+// has accumulated, so that under load items for the same node share a message,
 // which takes as little as a quarter of the bytes. Under light load a second's
 // worth accumulates again soon.
 func (c *copier) takeDue(now time.Time, openedBy uint32, successor func(hash uint64) string) (items []pendingCopy, removals []bronzelink.CopyItem) {
@@ -169,6 +175,10 @@
 	if c.tokens < maxTokens {
 		return nil, nil
 	}
+	if len(c.queue) > 0 && successor(c.queue[0].hash) == "" {
+		c.queue = slices.Delete(c.queue, 0, max(0, len(c.queue)-maxWaitingCopies))
+		return nil, nil
+	}
 	batches := make(map[string]int)
 	n := 0
 	for n < len(c.removals) && c.reserve(batches, successor(c.removals[n].Hash)) {
@@ -231,14 +241,14 @@
 	}
 }
 
-// acknowledge stops tracking the given hashes and returns the keys of those
-// flows that the successor has a copy of.
-func (c *copier) acknowledge(hashes []uint64) (keys []bronzeflow.Key) {
+// acknowledge stops tracking the given hashes, as far as the copies were sent to
+// peer, and returns the keys of those flows that peer has a copy of.
+func (c *copier) acknowledge(hashes []uint64, peer string) (keys []bronzeflow.Key) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, hash := range hashes {
 		s, ok := c.unacked[hash]
-		if !ok {
+		if !ok || s.peer != peer {
 			continue
 		}
 		delete(c.unacked, hash)
@@ -329,9 +339,9 @@
 	return append(out, Action{Kind: Send, Peer: peer, Message: &bronzelink.FlowMessage{CopyAcks: acks}})
 }
 
-// handleCopyAcks marks the acknowledged flows as copied.
-func (b *Balancer) handleCopyAcks(hashes []uint64) {
-	for _, key := range b.copier.acknowledge(hashes) {
+// handleCopyAcks marks the flows as copied that peer acknowledges.
+func (b *Balancer) handleCopyAcks(hashes []uint64, peer string) {
+	for _, key := range b.copier.acknowledge(hashes, peer) {
 		b.table.Update(&key, key.Hash(), func(e *bronzeflow.Entry) { e.Flags |= bronzeflow.Copied })
 	}
 }
--- a/bronzecore/copy_test.go
+++ b/bronzecore/copy_test.go
@@ -30,13 +30,18 @@
 
 func newCopyOwner(t *testing.T, nodes int) *copyOwner {
 	c := &copyOwner{Balancer: Balancer{Name: "vm-0"}, t: t}
+	c.SetSnapshot(&bronzeconf.Snapshot{})
+	c.setNodes(nodes)
+	return c
+}
+
+// setNodes puts a view of that many nodes in force.
+func (c *copyOwner) setNodes(nodes int) {
 	var members []bronzelink.Member
 	for i := range nodes {
 		members = append(members, bronzelink.Member{Name: fmt.Sprintf("vm-%d", i), Status: bronzelink.Alive})
 	}
-	c.SetSnapshot(&bronzeconf.Snapshot{})
 	c.SetView(bronzefleet.NewView(c.Name, members, nil, time.Now()))
-	return c
 }
 
 // addException makes flow i an exception of this owner.
@@ -128,3 +133,33 @@
 		}
 	})
 }
+
+// Exceptions are opened while the owner is the only node. Guards against the loss of their
+// flows with the owner after other nodes have joined: the exceptions must be copied then.
+func TestCopiesWaitForSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCopyOwner(t, 1)
+		for i := range 3 {
+			c.addException(i)
+		}
+		c.run(5, func() {})
+		require.Zero(t, c.copied)
+		c.setNodes(2)
+		c.run(5, func() {})
+		require.Equal(t, 3, c.copied)
+		require.Zero(t, c.copier.pending())
+	})
+}
+
+// A copy has been sent to one node and then, as the view has changed, to another. Guards
+// against the first node's late acknowledgement counting for the second, which may not have
+// the copy.
+func TestCopyAcknowledgedByItsHolder(t *testing.T) {
+	var c copier
+	c.trackUnacked(7, unackedCopy{peer: "vm-1"})
+	c.trackUnacked(7, unackedCopy{peer: "vm-2"})
+	require.Empty(t, c.acknowledge([]uint64{7}, "vm-1"))
+	require.Equal(t, 1, c.pending())
+	require.Len(t, c.acknowledge([]uint64{7}, "vm-2"), 1)
+	require.Zero(t, c.pending())
+}
--- a/bronzecore/message.go
+++ b/bronzecore/message.go
@@ -26,7 +26,7 @@
 	case m.Copies != nil:
 		return b.handleCopies(m.Copies, peer, out)
 	case m.CopyAcks != nil:
-		b.handleCopyAcks(m.CopyAcks)
+		b.handleCopyAcks(m.CopyAcks, peer)
 	}
 	return d.out
 }
