Bound the gaps of a copy, and age a load's answers across a suspension

A node whose VM was suspended took the last answer to a node that loads for younger than it was, by the time it slept. Found on reading the change; TestMaxGaps.

--- a/bronzegossip/gossip.go
+++ b/bronzegossip/gossip.go
@@ -149,13 +149,15 @@
 }
 
 // Suspended accounts for the clock having stopped for d while the node was suspended: the
-// last confirmation by the store is older by d.
+// last confirmation by the store and its last answer to a node that reads all records are
+// older by d.
 func (g *Gossip) Suspended(d time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.confirmedAt.IsZero() {
 		g.confirmedAt = g.confirmedAt.Add(-d)
 	}
+	g.loadingAt = g.loadingAt.Add(-d)
 }
 
 // Paused accounts for a pause of this node that ends now. It lasted for paused by the
--- a/bronzerecord/set.go
+++ b/bronzerecord/set.go
@@ -97,6 +97,9 @@
 // copy that is further behind.
 const maxTombstones = 4096
 
+// maxGaps is the number of gaps that are kept, likewise.
+const maxGaps = 64
+
 // Position returns the position up to which the copy is complete, the zero Position if it
 // is empty.
 func (s *Set) Position() Position {
@@ -272,6 +275,10 @@
 			}
 		}
 	}
+	if drop := len(s.gaps) - maxGaps; drop > 0 {
+		s.compacted = max(s.compacted, s.gaps[drop-1].To)
+		s.gaps = slices.Delete(s.gaps, 0, drop)
+	}
 }
 
 func (s *Set) addTombstone(r tombstone) {
--- a/bronzerecord/set_test.go
+++ b/bronzerecord/set_test.go
@@ -227,3 +227,17 @@
 	_, ok = s.Since(Position{Revision: s.Position().Revision - 3})
 	require.True(t, ok)
 }
+
+func TestMaxGaps(t *testing.T) {
+	var s Set
+	for to := range uint64(2 * maxGaps) {
+		require.True(t, s.Apply(Delta{Whole: true, To: 10 * (to + 1), Changed: []Record{{Name: "x", Revision: 10*to + 5, Created: 10*to + 5}}}))
+	}
+	require.Len(t, s.gaps, maxGaps)
+	_, ok := s.Since(Position{Revision: 100})
+	require.False(t, ok)
+	d, ok := s.Since(Position{Revision: s.Position().Revision - 15})
+	require.True(t, ok)
+	require.Len(t, d.Gaps, 2)
+	require.Len(t, d.Changed, 1)
+}
