--- a/bronzesteer/failure_test.go
+++ b/bronzesteer/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -196,8 +197,8 @@
 	own := s.serveN(8, live)
 	s.advance(time.Second)
 	flows := s.zoneBFlows(6)
-	slow, crashed := flows[2], append(flows[:2:2], flows[4:]...)
-	s.stopAnswering(append(crashed, slow), own)
+	slow, crashed := flows[2], slices.Delete(slices.Clone(flows), 2, 4)
+	s.stopAnswering(append(slices.Clone(crashed), slow), own)
 	for range 4 {
 		for _, c := range crashed {
 			c.retransmitRequest()
