--- a/bronzeroute/directory_test.go
+++ b/bronzeroute/directory_test.go
@@ -115,30 +115,39 @@
 	require.Equal(t, "s-a", after.View().ByToken(live, token).Instance)
 }
 
-// Packets with forged tokens arrive for all endpoints of a large deployment. Looking the tokens
-// up among all servers must not grow memory without bound, which would end the node. Flows at a
-// former pool of a route must still be found.
-func TestByTokenForgedTokensMemory(t *testing.T) {
-	const servers, endpoints = 5000, 40
+// endpoint returns one of the endpoints of newManyEndpoints.
+func endpoint(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 1, byte(i)}), 443)
+}
+
+// newManyEndpoints returns a directory of that many servers, all in another pool than that
+// of the endpoints.
+func newManyEndpoints(servers, endpoints int) *Directory {
 	var d Directory
 	var routes []Route
-	service := func(i int) netip.AddrPort {
-		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 1, byte(i)}), 443)
-	}
 	for i := range endpoints {
-		routes = append(routes, route(service(i), "a"))
+		routes = append(routes, route(endpoint(i), "a"))
 	}
 	d.SetTable(table(1, routes...), begin)
 	for i := range servers {
 		d.Register(server(fmt.Sprint("s-", i), "b"))
 	}
+	return &d
+}
+
+// Packets with forged tokens arrive for all endpoints of a large deployment. Looking the tokens
+// up among all servers must not grow memory without bound, which would end the node. Flows at a
+// former pool of a route must still be found.
+func TestByTokenForgedTokensMemory(t *testing.T) {
+	const endpoints = 40
+	d := newManyEndpoints(5000, endpoints)
 	v := d.View()
 	for i := range endpoints {
-		require.Nil(t, v.ByToken(service(i), 12345))
+		require.Nil(t, v.ByToken(endpoint(i), 12345))
 		require.LessOrEqual(t, d.tokens.allCount, maxAllTokens)
 	}
 	d.tokens.searchLimiter = rate.NewLimiter(rate.Inf, 1)
-	last := service(endpoints - 1)
+	last := endpoint(endpoints - 1)
 	token := v.Token(last, v.ByName("s-77"))
 	require.NotZero(t, token)
 	require.Equal(t, "s-77", v.ByToken(last, token).Instance)
@@ -147,22 +156,11 @@
 // Servers are replaced after forged tokens have made endpoints keep the tokens of all servers.
 // Guards against sets that outgrow their bound server by server; flows must still be found.
 func TestByTokenMemoryAsServersJoin(t *testing.T) {
-	const servers, endpoints = 5000, 13
-	service := func(i int) netip.AddrPort {
-		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 1, byte(i)}), 443)
-	}
-	var d Directory
-	var routes []Route
-	for i := range endpoints {
-		routes = append(routes, route(service(i), "a"))
-	}
-	d.SetTable(table(1, routes...), begin)
-	for i := range servers {
-		d.Register(server(fmt.Sprint("s-", i), "b"))
-	}
+	const endpoints = 13
+	d := newManyEndpoints(5000, endpoints)
 	v := d.View()
 	for i := range endpoints {
-		require.Nil(t, v.ByToken(service(i), 12345))
+		require.Nil(t, v.ByToken(endpoint(i), 12345))
 	}
 	for i := range 200 {
 		d.Register(server(fmt.Sprint("new-", i), "b"))
@@ -171,7 +169,7 @@
 	d.tokens.searchLimiter = rate.NewLimiter(rate.Inf, 1)
 	v = d.View()
 	for i := range endpoints {
-		require.Equal(t, "new-77", v.ByToken(service(i), v.Token(service(i), v.ByName("new-77"))).Instance)
+		require.Equal(t, "new-77", v.ByToken(endpoint(i), v.Token(endpoint(i), v.ByName("new-77"))).Instance)
 	}
 }
 
