--- a/bronzegossip/compaction_test.go
+++ b/bronzegossip/compaction_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -176,7 +177,7 @@
 	follower bronzerecord.Follower
 	fetching sync.Mutex
 	// table is the revision of the table in force.
-	table uint64
+	table atomic.Uint64
 }
 
 // fleetOfReaders is a fleet of nodes that follow one store.
@@ -218,7 +219,7 @@
 	d.records.OnChange = func(c bronzerecord.Change) {
 		for _, r := range c.Changed {
 			if r.Name == tableName {
-				d.table = r.Revision
+				d.table.Store(r.Revision)
 			}
 		}
 	}
@@ -275,13 +276,19 @@
 	}
 }
 
-// waitForTable waits until all nodes have the table of a revision, and returns how long
-// that took. It gives up after limit.
-func (f *fleetOfReaders) waitForTable(revision uint64, limit time.Duration) time.Duration {
+// changeTable changes the table, waits until all nodes have it, and returns how long that
+// took. It gives up after limit.
+func (f *fleetOfReaders) changeTable(limit time.Duration) time.Duration {
 	start := time.Now()
+	f.store.put(tableName)
+	var revision uint64
+	f.store.locked(func() {
+		i, _ := f.store.find(tableName)
+		revision = f.store.records[i].Revision
+	})
 	for time.Since(start) < limit {
 		synctest.Wait()
-		if !slices.ContainsFunc(f.nodes, func(d *reader) bool { return d.table < revision }) {
+		if !slices.ContainsFunc(f.nodes, func(d *reader) bool { return d.table.Load() < revision }) {
 			break
 		}
 		time.Sleep(20 * time.Millisecond)
@@ -317,10 +324,7 @@
 				var slowest time.Duration
 				for range 4 {
 					time.Sleep(300 * time.Millisecond)
-					f.store.put(tableName)
-					var revision uint64
-					f.store.locked(func() { revision = f.store.records[0].Revision })
-					slowest = max(slowest, f.waitForTable(revision, inForce))
+					slowest = max(slowest, f.changeTable(inForce))
 				}
 				pages := 0
 				f.store.locked(func() {
@@ -358,8 +362,7 @@
 		}()
 		f.start(ctx)
 		time.Sleep(2 * time.Second)
-		f.store.put(tableName)
-		f.waitForTable(f.store.revision, 3*time.Second)
+		f.changeTable(3 * time.Second)
 		f.store.locked(func() {
 			t.Logf("%.1f calls for %d starts", f.store.calls(), nodes)
 			require.Less(t, f.store.calls(), float64(nodes))
