--- a/bronzesteer/minority_test.go
+++ b/bronzesteer/minority_test.go
@@ -208,7 +208,7 @@
 				m.cut[i][name] = true
 			}
 		}
-		for k := range m.ServersPerZone * 3 {
+		for k := range 3 * m.ServersPerZone {
 			name := fmt.Sprintf("%c-%d", 'a'+k%3, k)
 			if m.CutZone < 0 && m.random.Float64() < m.CutServersFraction {
 				m.cut[i][name] = true
@@ -295,9 +295,8 @@
 	packet Packet
 	// open is set once a server's acceptance has come, over once the flow has ended.
 	open, over bool
-	// answered is the number of requests answered, server the one that the flow is at.
+	// answered is the number of requests answered.
 	answered int
-	server   *modelServer
 }
 
 // openFlow opens a flow at a node, which then sends a few requests with pauses.
@@ -359,7 +358,7 @@
 		return
 	}
 	if p.Open {
-		m.reply(f, s, 0, func() { m.accepted(f, s, d.Token) })
+		m.reply(f, s, 0, func() { m.accepted(f, d.Token) })
 		return
 	}
 	if p.Length == 0 {
@@ -378,11 +377,11 @@
 	})
 }
 
-func (m *minorityModel) accepted(f *modelFlow, s *modelServer, token uint32) {
+func (m *minorityModel) accepted(f *modelFlow, token uint32) {
 	if f.open || f.over {
 		return
 	}
-	f.open, f.server = true, s
+	f.open = true
 	f.packet.Open, f.packet.Token, f.packet.Sequence, f.packet.Acknowledged = false, token, 101, 1
 	m.send(f)
 	m.sendRequest(f)
