--- /dev/null
+++ b/bronzeadmit/levels.go
@@ -0,0 +1,74 @@
+package bronzeadmit
+
+import (
+	"slices"
+)
+
+const (
+	// rampPart is the part of the distance between the starts of two levels in which the less
+	// urgent one goes from no refusals to all. What is left keeps the levels apart.
+	rampPart = 0.8
+	// maxRamp bounds the ramp, so that few levels don't wait longer than more of them.
+	maxRamp = 0.5
+	// lastEnd is the pressure from which the most urgent of several levels is refused.
+	lastEnd = 3
+)
+
+// level is one of the distinct priorities of a pool.
+type level struct {
+	Priority int
+	// Openings are refused from the pressure Start on, and entirely from End on.
+	Start, End float64
+}
+
+// levels are the priorities of a pool, the least urgent first. None counts as a single one.
+type levels []level
+
+// newLevels returns the levels of the given priorities, in any order and possibly repeated.
+func newLevels(priorities []int) (ls levels) {
+	sorted := slices.Clone(priorities)
+	slices.Sort(sorted)
+	sorted = slices.Compact(sorted)
+	slices.Reverse(sorted)
+	step := 0.0
+	if len(sorted) > 1 {
+		step = 1 / float64(len(sorted)-1)
+	}
+	for k, priority := range sorted {
+		l := level{Priority: priority, Start: 1 + float64(k)*step}
+		switch {
+		case len(sorted) == 1:
+			l.End = l.Start + maxRamp
+		case k == len(sorted)-1:
+			l.End = lastEnd
+		default:
+			l.End = l.Start + min(rampPart*step, maxRamp)
+		}
+		ls = append(ls, l)
+	}
+	return ls
+}
+
+// equal reports whether both have the same priorities.
+func (ls levels) equal(other levels) bool { return slices.Equal(ls, other) }
+
+// find returns the index of the level of a priority, and the priority by which rules apply to
+// it: the less urgent one of the level's and its own.
+func (ls levels) find(priority int) (k, effective int) {
+	for k := len(ls) - 1; k >= 0; k-- {
+		if priority <= ls[k].Priority {
+			return k, ls[k].Priority
+		}
+	}
+	return 0, priority
+}
+
+// refused returns the pressure from which openings of level k are refused, and the part that is
+// refused at the given pressure, from 0 to 1.
+func (ls levels) refused(k int, pressure float64) (start, part float64) {
+	start, end := 1.0, 1+maxRamp
+	if k < len(ls) {
+		start, end = ls[k].Start, ls[k].End
+	}
+	return start, min(max((pressure-start)/(end-start), 0), 1)
+}
