Exchange demand for pools between nodes and compute shares of zones

Zones act on constants and on rates that are seconds old, so that flows leave a zone too late or in excess. Nodes now exchange what callers ask of pools, which doesn't depend on where flows are placed, and compute from it which part of a zone's demand goes where. Nothing uses the shares yet.

Ruled out: exchanging utilization, which depends on the shares themselves.

--- a/bronzeedge/edge.go
+++ b/bronzeedge/edge.go
@@ -307,6 +307,7 @@
 		w.flush()
 		e.spreadReports(now)
 		e.updateZonePeers(now)
+		e.updateZoneNodes(now)
 		e.advanceDirectory(now)
 	}
 }
--- a/bronzeedge/peers.go
+++ b/bronzeedge/peers.go
@@ -73,6 +73,8 @@
 	g.Count = e.count
 	g.Loads = e.loads
 	g.OnLoads = e.onLoads
+	g.Sums = e.sums
+	g.OnSums = e.onSums
 	g.Reports = e.reports
 	g.OnReports = e.onReports
 	e.steerer.Name = e.cfg.Name
@@ -105,6 +107,28 @@
 	e.steerer.SetPeerCount(e.gossip.PeerCount(now))
 }
 
+func (e *Edge) sums(now time.Time) (out []bronzegossip.Sum) {
+	for _, sum := range e.steerer.Demand(now) {
+		out = append(out, bronzegossip.Sum{Pool: sum.Pool, Demand: uint32(sum.Rate*rateScale + 0.5)})
+	}
+	return out
+}
+
+func (e *Edge) onSums(from, zone string, sums []bronzegossip.Sum, now time.Time) {
+	in := make([]bronzesteer.Sum, len(sums))
+	for i, sum := range sums {
+		in[i] = bronzesteer.Sum{Pool: sum.Pool, Rate: float64(sum.Demand) / rateScale}
+	}
+	e.steerer.SetDemand(from, zone, in, now)
+}
+
+// updateZoneNodes tells the steerer how many nodes are live in each zone.
+func (e *Edge) updateZoneNodes(now time.Time) {
+	counts := e.gossip.ZonePeerCounts(now)
+	counts[e.cfg.AvailabilityZone]++
+	e.steerer.SetZoneNodes(counts)
+}
+
 func (e *Edge) reports(all bool, now time.Time) (out []bronzegossip.Report) {
 	for _, r := range e.steerer.Reports(all, now) {
 		report := bronzegossip.Report{
--- a/bronzegossip/doc.go
+++ b/bronzegossip/doc.go
@@ -12,8 +12,9 @@
 // A node that hears of a higher revision fetches the difference from the peer that named it.
 // Small differences are part of the message.
 //
-// The messages also carry the loads that nodes put on servers (Load), and what nodes have
-// observed of servers that don't answer (Report), which each node forwards.
+// The messages also carry the loads that nodes put on servers (Load), what callers ask of
+// pools (Sum), and what nodes have observed of servers that don't answer (Report), which
+// each node forwards.
 //
 // No node is declared dead: one that isn't heard of gets no more news, only a request now and
 // then, and nothing else depends on it. Package bronzefleet, whose views decide which node
--- a/bronzegossip/gossip.go
+++ b/bronzegossip/gossip.go
@@ -70,6 +70,10 @@
 	// OnLoads is called with a peer's loads, and with the latencies of the same servers
 	// if the message has them.
 	OnLoads func(from string, loads []Load, latencies []uint32, now time.Time)
+	// Sums returns this node's own demand for pools, at most four of them.
+	Sums func(now time.Time) []Sum
+	// OnSums is called with a peer's demand for pools and the peer's AvailabilityZone.
+	OnSums func(from, zone string, sums []Sum, now time.Time)
 	// Reports returns the reports on servers to send: all of them, or those that are new
 	// since the last call with all false.
 	Reports func(all bool, now time.Time) []Report
@@ -122,7 +126,7 @@
 type datagram struct {
 	to netip.AddrPort
 	m  Message
-	// full messages also carry loads, latencies and reports.
+	// full messages also carry loads, latencies, reports and sums.
 	full bool
 }
 
@@ -267,6 +271,9 @@
 	if g.OnLoads != nil && len(m.Loads) > 0 {
 		g.OnLoads(m.From.Name, m.Loads, m.Latencies, now)
 	}
+	if g.OnSums != nil && len(m.Sums) > 0 {
+		g.OnSums(m.From.Name, m.From.AvailabilityZone, m.Sums, now)
+	}
 	if g.OnReports != nil && len(m.Reports) > 0 {
 		g.OnReports(m.Reports, now)
 	}
@@ -416,8 +423,8 @@
 	}
 }
 
-// fillFull adds loads, latencies and reports to the full messages. They are collected
-// once for all of them.
+// fillFull adds loads, latencies, reports and sums to the full messages. They are
+// collected once for all of them.
 func (g *Gossip) fillFull(out []datagram, now time.Time) {
 	if !slices.ContainsFunc(out, func(d datagram) bool { return d.full }) {
 		return
@@ -427,18 +434,28 @@
 	if g.Loads != nil {
 		loads, latencies = g.Loads()
 	}
+	var sums []Sum
+	if g.Sums != nil {
+		sums = g.Sums(now)
+		sums = sums[:min(len(sums), maxSums)]
+	}
 	reports := g.reports(true, now)
 	for i := range out {
 		if out[i].full {
 			out[i].m.Loads, out[i].m.Latencies, out[i].m.Reports = loads, latencies, reports
+			out[i].m.Sums = sums
 		}
 	}
 }
 
 // encodeBounded returns the encoding of m. If it is longer than MaxMessageBytes, m loses
-// its reports, and if that isn't enough its delta, loads and latencies.
+// its sums, then its reports, and if that isn't enough its delta, loads and latencies.
 func (m *Message) encodeBounded() (b []byte, err error) {
 	b, err = encode(m)
+	if err == nil && len(b) > MaxMessageBytes {
+		m.Sums = nil
+		b, err = encode(m)
+	}
 	if err == nil && len(b) > MaxMessageBytes {
 		m.Reports = nil
 		b, err = encode(m)
--- a/bronzegossip/gossip_test.go
+++ b/bronzegossip/gossip_test.go
@@ -429,8 +429,14 @@
 	b, err := encode(&Message{From: Peer{Name: "b", Address: netip.MustParseAddrPort("10.0.0.1:7000")}})
 	require.NoError(f, err)
 	f.Add(b)
-	f.Fuzz(func(_ *testing.T, b []byte) {
+	b, err = encode(&Message{
+		From: Peer{Name: "b", Address: netip.MustParseAddrPort("10.0.0.1:7000")}, Sums: make([]Sum, maxSums+1),
+	})
+	require.NoError(f, err)
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
 		g := &Gossip{Self: Peer{Name: "a"}, Records: &bronzerecord.Set{}, Send: func(netip.AddrPort, []byte) {}}
+		g.OnSums = func(_, _ string, sums []Sum, _ time.Time) { require.LessOrEqual(t, len(sums), maxSums) }
 		g.Handle(b, time.Now())
 		g.Tick(time.Now())
 	})
--- a/bronzegossip/message.go
+++ b/bronzegossip/message.go
@@ -64,6 +64,8 @@
 	// LoadingMS is one more than how long ago the store answered a node that reads all
 	// records, in milliseconds, or 0 if that was too long ago to matter.
 	LoadingMS uint32 `cbor:"14,keyasint,omitempty"`
+	// Sums are the sender's own demand for pools, at most maxSums of them.
+	Sums []Sum `cbor:"15,keyasint,omitempty"`
 }
 
 // position returns the position of the sender's records.
@@ -111,13 +113,26 @@
 	Rate uint32
 }
 
+// maxSums is the number of pools in Message.Sums. They take 46 bytes.
+const maxSums = 4
+
+// Sum is what the callers of one node ask of one pool.
+type Sum struct {
+	_ struct{} `cbor:",toarray"`
+	// Pool identifies the pool by a number that the nodes agree on.
+	Pool uint32
+	// Demand is how many requests and refused openings the node sees in ten seconds.
+	Demand uint32
+}
+
 // encode returns the encoding of m and sets its version.
 func encode(m *Message) (b []byte, err error) {
 	m.Version = version
 	return cbor.Marshal(m)
 }
 
-// decode parses a message and checks that it has a known version and a sender.
+// decode parses a message and checks that it has a known version and a sender. Sums beyond
+// maxSums are dropped.
 func decode(b []byte) (m Message, err error) {
 	defer func() { err = errors.Wrap(err, "gossip message") }()
 	if err = cbor.Unmarshal(b, &m); err != nil {
@@ -129,5 +144,6 @@
 	if m.From.Name == "" || !m.From.Address.IsValid() {
 		return m, errors.New("missing sender")
 	}
+	m.Sums = m.Sums[:min(len(m.Sums), maxSums)]
 	return m, nil
 }
--- a/bronzegossip/size_test.go
+++ b/bronzegossip/size_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"bronzeusher.example/bronzeusher/bronzerecord"
@@ -23,6 +25,7 @@
 		Records: &bronzerecord.Set{},
 		Send:    func(_ netip.AddrPort, b []byte) { sent = append(sent, b) },
 		Loads:   func() ([]Load, []uint32) { return loads, latencies },
+		Sums:    func(time.Time) []Sum { return largestSums() },
 	}
 	now := time.Now()
 	for i := range 20 {
@@ -39,6 +42,42 @@
 		require.Len(t, m.Loads, len(loads))
 		require.Equal(t, latencies, m.Latencies)
 		require.Len(t, m.Peers, peersPerMessage)
+		require.Equal(t, largestSums(), m.Sums)
 	}
 	t.Logf("%d bytes with %d loads and %d nodes", len(sent[0]), len(loads), peersPerMessage)
 }
+
+func largestSums() (sums []Sum) {
+	for i := range uint32(maxSums) {
+		sums = append(sums, Sum{Pool: math.MaxUint32 - i, Demand: math.MaxUint32})
+	}
+	return sums
+}
+
+// Guards against sums that take more than their 64 bytes, that displace other content of a
+// long message, or that nodes of an earlier version can't decode.
+func TestSumsSize(t *testing.T) {
+	m := Message{From: Peer{Name: "b", Address: netip.MustParseAddrPort("10.0.0.1:7000")}}
+	without, err := encode(&m)
+	require.NoError(t, err)
+	m.Sums = largestSums()
+	with, err := encode(&m)
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(with)-len(without), 64)
+	var earlier struct {
+		From Peer `cbor:"2,keyasint"`
+	}
+	require.NoError(t, cbor.Unmarshal(with, &earlier))
+
+	// These fill the message up to less than the sums take.
+	for b := without; len(b) < MaxMessageBytes-30; b, err = encode(&m) {
+		m.Reports, m.Sums = append(m.Reports, Report{}), nil
+	}
+	require.NoError(t, err)
+	reports := len(m.Reports)
+	m.Sums = largestSums()
+	_, err = m.encodeBounded()
+	require.NoError(t, err)
+	require.Empty(t, m.Sums)
+	require.Len(t, m.Reports, reports)
+}
--- a/bronzesteer/backend.go
+++ b/bronzesteer/backend.go
@@ -47,7 +47,7 @@
 func (s *Steerer) statsOf(pool string) *poolStats {
 	ps := s.poolStats[pool]
 	if ps == nil {
-		ps = &poolStats{}
+		ps = &poolStats{id: poolID(pool)}
 		s.poolStats[pool] = ps
 	}
 	return ps
--- /dev/null
+++ b/bronzesteer/demand.go
@@ -0,0 +1,447 @@
+package bronzesteer
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bronzeusher.example/bronzeusher/bronzeroute"
+	"bronzeusher.example/bronzeusher/bronzeshare"
+)
+
+const (
+	// demandBuckets buckets of demandBucket each hold the demand of the last second.
+	demandBuckets = 16
+	demandBucket  = 64 * time.Millisecond
+	// maxSums bounds the pools in a node's demand, by the bytes available in its messages.
+	// Those with the highest demand are sent.
+	maxSums = 4
+	// maxNodeDemand bounds what a peer says it is asked, in requests per second. It is forty
+	// times what the largest fleet does.
+	maxNodeDemand = 1e6
+	// maxDemandNodes bounds the peers whose demand is kept. It is more than are heard of
+	// within the longest time that demand is used.
+	maxDemandNodes = 256
+	// minDemandNodes is the number of nodes from which a zone's demand is taken. With fewer,
+	// the median of them doesn't bound what a node that lies can do.
+	minDemandNodes = 3
+	// demandMaxAge is how long a peer's demand is used while enough nodes of its zone are
+	// heard of. In a large fleet that is six nodes per second of all zones together, so that
+	// it is longer with more than three zones: zoneDemandMaxAge for each. If fewer than
+	// minDemandNodes are heard of within that time, as in one case of ten at five nodes on
+	// average, the last ones are used for twice as long.
+	demandMaxAge     = 2500 * time.Millisecond
+	zoneDemandMaxAge = demandMaxAge / 3
+	// maxDemandRatio is how many times the median of its zone's nodes a node's demand counts
+	// at most, so that one node that lies has little effect. minDemandBound is the least
+	// bound, in requests per second, for zones where most nodes happen to be idle.
+	maxDemandRatio = 4.0
+	minDemandBound = 1.0
+	// minDemandChange is how many standard deviations this node's own demand must have
+	// changed by for the demand of its zone to be scaled with it.
+	minDemandChange = 3.0
+	// shareMaxAge is how long the shares of zones are reused.
+	shareMaxAge = 250 * time.Millisecond
+)
+
+// Sum is what callers of one node ask of one pool.
+type Sum struct {
+	// Pool is a hash of the pool's name.
+	Pool uint32
+	// Rate is in requests and refused openings per second.
+	Rate float64
+}
+
+func poolID(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
+// demandRate counts what this node's callers ask of a pool in the last second. Each bucket
+// holds the number of its time span in the upper half and its count in the lower one, so that
+// no lock is needed. All methods may be called concurrently.
+type demandRate struct{ buckets [demandBuckets]atomic.Uint64 }
+
+// add counts a request, or a refused opening.
+func (d *demandRate) add(at time.Duration) {
+	span := uint32(at / demandBucket)
+	b := &d.buckets[span%demandBuckets]
+	for {
+		old := b.Load()
+		next := old + 1
+		if uint32(old>>32) != span {
+			next = uint64(span)<<32 | 1
+		}
+		if b.CompareAndSwap(old, next) {
+			return
+		}
+	}
+}
+
+// rate returns the mean over the last second, per second.
+func (d *demandRate) rate(at time.Duration) float64 {
+	span := uint32(at / demandBucket)
+	count := uint32(0)
+	for i := range d.buckets {
+		if b := d.buckets[i].Load(); span-uint32(b>>32) < demandBuckets {
+			count += uint32(b)
+		}
+	}
+	return float64(count) / (time.Duration(demandBuckets-1)*demandBucket + at%demandBucket).Seconds()
+}
+
+// countRefused counts an opening that no server may take, in the pool chosen by the weights of
+// its route.
+func (vs *viewState) countRefused(route *bronzeroute.Route, p *Packet, at time.Duration) {
+	name, _ := route.Pick(p.Key.Hash())
+	if members := vs.membersOf(name); len(members) > 0 {
+		members[0].backend.stats.demand.add(at)
+	}
+}
+
+// demandTable holds what peers say they are asked. All methods may be called concurrently.
+type demandTable struct {
+	mu    sync.Mutex
+	nodes map[string]*nodeDemand
+	// live is the number of live nodes in each zone, including this one.
+	live map[string]int
+}
+
+// nodeDemand is the demand that a node has reported.
+type nodeDemand struct {
+	zone string
+	at   time.Duration
+	// sums holds the first count entries, one for each pool.
+	sums  [maxSums]demandSum
+	count int
+}
+
+// demandSum is the demand for a pool that a node has reported, and this node's own at the time
+// when it was received.
+type demandSum struct {
+	pool      uint32
+	rate, own float64
+}
+
+// Demand returns what this node's callers ask of the pools with the highest demand, at most
+// four. Pools that nobody asks count too, so that an idle node isn't taken for one that tells
+// nothing.
+func (s *Steerer) Demand(now time.Time) (sums []Sum) {
+	s.init()
+	at := s.sinceStart(now)
+	s.mu.Lock()
+	for _, ps := range s.poolStats {
+		sums = append(sums, Sum{Pool: ps.id, Rate: ps.demand.rate(at)})
+	}
+	s.mu.Unlock()
+	slices.SortFunc(sums, func(a, b Sum) int {
+		return cmp.Or(cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Pool, b.Pool))
+	})
+	return sums[:min(len(sums), maxSums)]
+}
+
+// SetDemand records the demand reported by another node in the given zone. Values that no node
+// can have are bounded, and of several for one pool the first counts.
+func (s *Steerer) SetDemand(node, zone string, sums []Sum, now time.Time) {
+	s.init()
+	at := s.sinceStart(now)
+	n := &nodeDemand{zone: zone, at: at}
+	for _, sum := range sums[:min(len(sums), maxSums)] {
+		if n.find(sum.Pool) != nil || math.IsNaN(sum.Rate) {
+			continue
+		}
+		n.sums[n.count] = demandSum{pool: sum.Pool, rate: min(max(sum.Rate, 0), maxNodeDemand), own: s.ownDemand(sum.Pool, at)}
+		n.count++
+	}
+	t := &s.demands
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.nodes == nil {
+		t.nodes = make(map[string]*nodeDemand)
+	}
+	t.expire(at)
+	if _, known := t.nodes[node]; known || len(t.nodes) < maxDemandNodes {
+		t.nodes[node] = n
+	}
+}
+
+// SetZoneNodes sets the number of live nodes in each zone, including this one. The Steerer
+// keeps the map.
+func (s *Steerer) SetZoneNodes(counts map[string]int) {
+	s.demands.mu.Lock()
+	defer s.demands.mu.Unlock()
+	s.demands.live = counts
+}
+
+// ownDemand returns this node's own demand for a pool.
+func (s *Steerer) ownDemand(pool uint32, at time.Duration) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, ps := range s.poolStats {
+		if ps.id == pool {
+			return ps.demand.rate(at)
+		}
+	}
+	return 0
+}
+
+// find returns the entry for a pool, or nil.
+func (n *nodeDemand) find(pool uint32) *demandSum {
+	for i := range n.sums[:n.count] {
+		if n.sums[i].pool == pool {
+			return &n.sums[i]
+		}
+	}
+	return nil
+}
+
+// of returns the node's demand for a pool. It is unknown if the node has named as many others
+// as it can.
+func (n *nodeDemand) of(pool uint32) (sum demandSum, ok bool) {
+	if found := n.find(pool); found != nil {
+		return *found, true
+	}
+	return demandSum{pool: pool}, n.count < maxSums
+}
+
+// expire removes reports that are too old to be used. The caller holds the lock.
+func (t *demandTable) expire(at time.Duration) {
+	for name, n := range t.nodes {
+		if at-n.at > 2*t.maxAge() {
+			delete(t.nodes, name)
+		}
+	}
+}
+
+// maxAge returns how long a report is used. The caller holds the lock.
+func (t *demandTable) maxAge() time.Duration {
+	return max(demandMaxAge, time.Duration(len(t.live))*zoneDemandMaxAge)
+}
+
+// demandSample is the demand of one node for a pool.
+type demandSample struct {
+	age       time.Duration
+	rate, own float64
+}
+
+// samples returns the recent demand of a zone's peers for a pool, the latest first. The caller
+// holds the lock.
+func (t *demandTable) samples(zone string, pool uint32, at time.Duration) (list []demandSample) {
+	for _, n := range t.nodes {
+		if n.zone != zone || at-n.at > 2*t.maxAge() {
+			continue
+		}
+		if sum, ok := n.of(pool); ok {
+			list = append(list, demandSample{age: at - n.at, rate: sum.rate, own: sum.own})
+		}
+	}
+	slices.SortFunc(list, func(a, b demandSample) int { return cmp.Compare(a.age, b.age) })
+	return list
+}
+
+// zoneDemand is the demand of a zone for a pool, in requests per second. own is this node's
+// mean own demand at the times when the zone's nodes reported theirs.
+type zoneDemand struct{ rate, own float64 }
+
+// zoneDemand returns the demand of a zone for a pool. If scale is set, the reports of peers are
+// scaled with the change of own, this node's own demand, since they came. The caller holds the
+// lock.
+func (t *demandTable) zoneDemand(zone string, pool uint32, inZone, scale bool, own float64, at time.Duration) (d zoneDemand, ok bool) {
+	live := t.live[zone]
+	if live == 0 {
+		return d, true
+	}
+	list := t.samples(zone, pool, at)
+	if len(list) > 0 && list[0].age > t.maxAge() {
+		return d, false
+	}
+	if inZone {
+		list = slices.Insert(list, 0, demandSample{rate: own, own: own})
+	}
+	if len(list) < minDemandNodes {
+		return d, false
+	}
+	recent := minDemandNodes
+	for recent < len(list) && list[recent].age <= t.maxAge() {
+		recent++
+	}
+	list = list[:recent]
+	rates := make([]float64, len(list))
+	for i := range list {
+		if scale {
+			list[i].rate *= demandChange(list[i].own, own)
+		}
+		rates[i] = list[i].rate
+	}
+	slices.Sort(rates)
+	bound := max(maxDemandRatio*rates[(len(rates)-1)/2], minDemandBound)
+	for _, sample := range list {
+		d.rate += min(sample.rate, bound)
+		d.own += sample.own
+	}
+	d.rate *= float64(live) / float64(len(list))
+	d.own /= float64(len(list))
+	return d, true
+}
+
+// demandChange returns this node's demand divided by its former demand, or 1 if
+// they differ by no more than chance would explain. A surge of the zone's callers shows in the
+// node's own demand a second or two before it shows in what peers report.
+func demandChange(was, is float64) float64 {
+	// Both are counts of about a second, whose variances are the counts themselves.
+	if math.Abs(is-was) <= minDemandChange*math.Sqrt(is+was) || was == 0 {
+		return 1
+	}
+	return min(max(is/was, 1/maxDemandRatio), maxDemandRatio)
+}
+
+// fleetRatio returns the demand of all nodes for a pool divided by this node's own, at least
+// 1, or the number of nodes if too little is known. Own demand is that of the times at which
+// peers reported theirs: in a surge it would otherwise rise first, and the ratio would fall.
+func (s *Steerer) fleetRatio(pool string, at time.Duration) float64 {
+	id := poolID(pool)
+	own := s.ownDemand(id, at)
+	t := &s.demands
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	nodes, fleet, then := 0, 0.0, 0.0
+	for zone, live := range t.live {
+		nodes += live
+		d, ok := t.zoneDemand(zone, id, zone == s.AvailabilityZone, false, own, at)
+		if !ok {
+			return s.nodeCount(t.live)
+		}
+		fleet += d.rate
+		then += d.own * float64(live)
+	}
+	if nodes == 0 || then == 0 {
+		return s.nodeCount(t.live)
+	}
+	return min(max(fleet*float64(nodes)/then, 1), maxDemandRatio*float64(nodes))
+}
+
+// nodeCount returns the number of live nodes, including this one.
+func (s *Steerer) nodeCount(live map[string]int) float64 {
+	nodes := 0
+	for _, n := range live {
+		nodes += n
+	}
+	if nodes == 0 {
+		return float64(s.peers.Load() + 1)
+	}
+	return float64(nodes)
+}
+
+// zoneShare is the part of this node's openings that goes to a zone.
+type zoneShare struct {
+	zone string
+	part float64
+}
+
+// shareCache holds the shares of a pool's zones.
+type shareCache struct {
+	at   time.Duration
+	list []zoneShare
+	ok   bool
+}
+
+// zoneShares returns the parts of this node's openings that go to each zone of its region. They
+// add up to 1. It returns false if too little is known. mayAvoid is that of the pool's summary.
+// The shares are computed at most every shareMaxAge; concurrent callers use the former ones
+// meanwhile. The caller must not change the list.
+func (s *Steerer) zoneShares(p *pool, mayAvoid bool, at time.Duration) (list []zoneShare, ok bool) {
+	if p == nil || len(p.members) == 0 {
+		return nil, false
+	}
+	ps := p.members[0].backend.stats
+	former := ps.shares.Load()
+	if former != nil && at-former.at < shareMaxAge {
+		return former.list, former.ok
+	}
+	if !ps.sharing.TryLock() {
+		return former.get()
+	}
+	defer ps.sharing.Unlock()
+	c := &shareCache{at: at}
+	c.list, c.ok = s.newShares(p, ps, mayAvoid, at)
+	ps.shares.Store(c)
+	return c.list, c.ok
+}
+
+func (c *shareCache) get() (list []zoneShare, ok bool) {
+	if c == nil {
+		return nil, false
+	}
+	return c.list, c.ok
+}
+
+// newShares computes the shares of a pool's zones.
+func (s *Steerer) newShares(p *pool, ps *poolStats, mayAvoid bool, at time.Duration) (list []zoneShare, ok bool) {
+	zones := s.zoneCapacities(p, ps.serviceTime(), mayAvoid, at)
+	own := ps.demand.rate(at)
+	if !s.demands.addDemand(zones, ps.id, s.AvailabilityZone, own, at) {
+		return nil, false
+	}
+	parts, ok := bronzeshare.Shares(s.AvailabilityZone, zones)
+	for i, part := range parts {
+		list = append(list, zoneShare{zone: zones[i].Name, part: part})
+	}
+	return list, ok
+}
+
+// addDemand sets the zones' demand. It returns false if that of any is unknown.
+func (t *demandTable) addDemand(zones []bronzeshare.Zone, pool uint32, ownZone string, own float64, at time.Duration) (ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range zones {
+		inZone := zones[i].Name == ownZone
+		d, ok := t.zoneDemand(zones[i].Name, pool, inZone, inZone, own, at)
+		if !ok {
+			return false
+		}
+		zones[i].Demand = d.rate
+	}
+	return true
+}
+
+// zoneCapacities returns the zones of this node's region that have live nodes or servers of
+// the pool, by name, with what their usable servers can do. It returns none if the service
+// time is unknown.
+func (s *Steerer) zoneCapacities(p *pool, service time.Duration, mayAvoid bool, at time.Duration) (zones []bronzeshare.Zone) {
+	if service <= 0 {
+		return nil
+	}
+	capacities := map[string]float64{s.AvailabilityZone: 0}
+	for _, m := range p.members {
+		if t := s.tier(m.server, m.backend, mayAvoid, at); t == tierOwnZone || t == tierOtherZone {
+			capacities[m.server.AvailabilityZone] += serverCapacity(m.server, service, s.start.Add(at))
+		}
+	}
+	s.demands.mu.Lock()
+	for zone := range s.demands.live {
+		if s.Regions[zone] == s.Region {
+			capacities[zone] += 0
+		}
+	}
+	s.demands.mu.Unlock()
+	for name, capacity := range capacities {
+		zones = append(zones, bronzeshare.Zone{Name: name, Capacity: capacity})
+	}
+	slices.SortFunc(zones, func(a, b bronzeshare.Zone) int { return cmp.Compare(a.Name, b.Name) })
+	return zones
+}
+
+// serverCapacity returns how many requests per second a server can do.
+func serverCapacity(server *bronzeroute.Server, service time.Duration, now time.Time) float64 {
+	capacity := float64(max(server.Slots, 1)) / service.Seconds()
+	if server.Warm(now) {
+		return capacity
+	}
+	capacity *= coldSlotFraction
+	if limit := server.Warmup.RequestsPerSecond; limit > 0 {
+		capacity = min(capacity, limit)
+	}
+	return capacity
+}
--- a/bronzesteer/flow.go
+++ b/bronzesteer/flow.go
@@ -126,7 +126,7 @@
 		f.sequence = end
 		if f.requestAt == 0 {
 			f.requestAt, f.inFlight, f.overdueAge = at, true, 0
-			f.backend.beginRequest()
+			f.backend.beginRequest(at)
 		}
 		return
 	}
--- a/bronzesteer/load.go
+++ b/bronzesteer/load.go
@@ -189,9 +189,10 @@
 	b.mu.Unlock()
 }
 
-// beginRequest records that a request is sent to the server.
-func (b *backend) beginRequest() {
+// beginRequest records that a request is sent to the server at at.
+func (b *backend) beginRequest(at time.Duration) {
 	b.stats.inFlight.Add(1)
+	b.stats.demand.add(at)
 	b.mu.Lock()
 	b.inFlight++
 	b.rate += float64(time.Second) / float64(rateTimeConstant)
--- a/bronzesteer/shed.go
+++ b/bronzesteer/shed.go
@@ -28,10 +28,17 @@
 )
 
 // poolStats holds the statistics of a pool's servers: the service time of requests, without
-// waiting for a slot, and the number of this node's requests and openings in flight. All
-// methods may be called concurrently.
+// waiting for a slot, the number of this node's requests and openings in flight, and what its
+// callers ask. All methods may be called concurrently.
 type poolStats struct {
+	// id identifies the pool in messages between nodes.
+	id       uint32
 	inFlight atomic.Int64
+	// demand is what this node's callers ask of the pool.
+	demand demandRate
+	// shares are the shares of zones as last computed, which the holder of sharing renews.
+	shares  atomic.Pointer[shareCache]
+	sharing sync.Mutex
 	// medianLatency is the median latency of the servers, 0 if unknown. Some slow or
 	// fast-failing servers don't change it.
 	medianLatency atomic.Int64
--- a/bronzesteer/steer.go
+++ b/bronzesteer/steer.go
@@ -72,6 +72,7 @@
 	zonePeers zonePeers
 	// ownLoads is what Loads returns.
 	ownLoads atomic.Pointer[[]Load]
+	demands  demandTable
 	// loadsUpdatedAt is when loads were last updated. Only Sweep uses it.
 	loadsUpdatedAt time.Duration
 }
@@ -193,9 +194,14 @@
 	c := s.place(vs, route, p, nil, at, now)
 	server := c.server
 	if server == nil {
-		return s.refuseNoServer(vs, route, p, now)
+		d := s.refuseNoServer(vs, route, p, now)
+		if d.Kind == End && p.Retransmits == 0 {
+			vs.countRefused(route, p, at)
+		}
+		return d
 	}
 	if d, ok := s.refusal(vs, route, p, c, now); ok {
+		c.backend.stats.demand.add(at)
 		return d
 	}
 	if t, ok := s.probe(vs, c, p, now); ok {
