--- a/bronzeroom/gauge.go
+++ b/bronzeroom/gauge.go
@@ -11,7 +11,7 @@
 	tickSpan  = 8 * time.Millisecond
 	ringTicks = 64
 	maxUsual  = 500 * time.Millisecond
-	// smoothing is the time constant of the average as a multiple of the usual time, within
+	// smoothing is the time constant of the average as a multiple of the usual time, up to
 	// maxSmoothing. A longer one lags behind queues that fill and empty in a few usual times.
 	smoothing    = 2
 	maxSmoothing = 150 * time.Millisecond
@@ -83,15 +83,15 @@
 		g.begun[now%ringTicks] = uint32(max(g.inFlight, 0))
 		return
 	}
-	constant := float64(min(smoothing*max(g.usual, tickSpan), maxSmoothing))
+	constant := min(smoothing*max(g.usual, tickSpan), maxSmoothing)
 	for range min(now-g.tick, ringTicks) {
-		g.sample(1 - math.Exp(-float64(tickSpan)/constant))
+		g.sample(weight(tickSpan, constant))
 		g.tick++
 		g.begun[g.tick%ringTicks] = 0
 	}
 	if rest := now - g.tick; rest > 0 {
 		// The ring is empty by now, so the samples of the rest are equal.
-		g.sample(1 - math.Exp(-float64(rest)*float64(tickSpan)/constant))
+		g.sample(weight(time.Duration(rest)*tickSpan, constant))
 		g.tick = now
 	}
 }
@@ -103,6 +103,11 @@
 	}
 }
 
+// weight returns that of a sample for a time in an average with the given time constant.
+func weight(passed, constant time.Duration) float64 {
+	return 1 - math.Exp(-float64(passed)/float64(constant))
+}
+
 // difference returns the requests in flight less those begun within the usual time.
 func (g *Gauge) difference() float64 {
 	whole := int64(g.usual / tickSpan)
--- a/bronzeroom/room.go
+++ b/bronzeroom/room.go
@@ -32,8 +32,10 @@
 	// toleratedGrowth that before it stops to grow.
 	tolerated       = 1.0 / 33
 	toleratedGrowth = 1.0 / 100
-	// used is the part of the limit that has to wait for the limit to grow.
-	used = 0.8
+	// used is the part of the limit that has to wait for the limit to grow, unused that below
+	// which growth is given back. Between the two, an answer counts in part: with one threshold,
+	// a limit whose use is at the threshold would go up and down by turns.
+	used, unused = 0.8, 0.75
 	// minUsedAnswers bounds the effect of a single answer on growth in a window with few.
 	minUsedAnswers = 4
 
@@ -123,9 +125,8 @@
 	if rejected {
 		r.window.rejected++
 	}
-	if a.Waiting >= used*r.safeOrDefault()*math.Exp(r.change) {
-		r.window.used++
-	}
+	part := a.Waiting / (r.safeOrDefault() * math.Exp(r.change))
+	r.window.used += min(max((part-unused)/(used-unused), 0), 1)
 	if a.Waiting < calm {
 		r.learn(a.Bytes, rejected)
 	}
@@ -206,14 +207,14 @@
 // adjust changes the limit by what a window has counted.
 func (r *Room) adjust(w counts) {
 	u := w.used / max(w.answers, minUsedAnswers)
-	switch {
-	case r.change >= 0:
-		r.giveBack(growthStep * (1 - u))
-		if r.detects() && !r.lasting.exceeds(toleratedGrowth) {
-			r.change += growthStep * u
-		}
-	case !r.recent.exceeds(tolerated):
-		r.giveBack(growthStep)
+	grown := max(r.change-growthStep*(1-u), 0)
+	if r.detects() && !r.lasting.exceeds(toleratedGrowth) {
+		grown += growthStep * u
+	}
+	if r.change >= 0 {
+		r.change = grown
+	} else if !r.recent.exceeds(tolerated) {
+		r.change = min(r.change+growthStep, grown)
 	}
 	if excess := w.rejected - tolerated*w.answers; excess > 0 {
 		r.change -= min(shrinkStep*excess, maxShrinkStep)
