--- a/bronzeadmit/pool_test.go
+++ b/bronzeadmit/pool_test.go
@@ -1,6 +1,8 @@
 package bronzeadmit
 
 import (
+	"math"
+	"sync"
 	"testing"
 	"time"
 
@@ -72,3 +74,59 @@
 		require.InDelta(t, 25*(1-refused), admitted, 2.3)
 	})
 }
+
+// Guards against rules that don't hold, hold after their end or for more urgent openings, or
+// refuse other callers than pressure does.
+func TestRules(t *testing.T) {
+	var p Pool
+	p.SetRules(&Rules{Closed: true})
+	require.Equal(t, Verdict{Reason: Closed, Fraction: 1}, p.Decide(Request{}, Load{}, 0, start))
+	p.SetRules(&Rules{Shed: []ShedRule{
+		{Priority: 2, Fraction: 0.5, Until: start.Add(time.Second)},
+		{Priority: 2, Fraction: math.NaN(), Until: start.Add(time.Hour)},
+		{Priority: 3, Fraction: 7, Until: start.Add(time.Hour)},
+		{Priority: 0, Fraction: 1, Until: start},
+	}})
+	part := func(priority int, l Load, now time.Time) (refused float64) {
+		for i := range 4000 {
+			r := Request{Priority: priority, Caller: caller(i)}
+			if v := p.Decide(r, l, 0, now); !v.Admit {
+				require.Less(t, position(r.Caller, now), v.Fraction)
+				refused++
+			}
+		}
+		return refused / 4000
+	}
+	require.Zero(t, part(1, Load{}, start))
+	require.InDelta(t, 0.5, part(2, Load{}, start), 0.02)
+	require.Zero(t, part(2, Load{}, start.Add(time.Second)))
+	require.InDelta(t, 0.7, part(2, pressed(1.2), start), 0.02)
+	require.EqualValues(t, 1, part(3, Load{}, start))
+	p.SetRules(nil)
+	for _, none := range []Load{{}, {9, 0}, {math.NaN(), 1}, {9, math.NaN()}, {-9, 1}, {9, -1}, {-9, -1}, {1, math.Inf(1)}} {
+		require.Zero(t, part(3, none, start))
+	}
+	// A clock that is wrong, before 1970 or at its zero value, refuses as many, and 1 in 50 gets in.
+	for _, wrong := range []time.Time{start.Add(9999 * time.Hour), time.Unix(-7, 0), {}} {
+		require.InDelta(t, 0.4, part(3, pressed(1.2), wrong), 0.02)
+		require.InDelta(t, 0.98, part(3, pressed(99), wrong), 0.005)
+	}
+	require.Len(t, Reasons(), len(reasonNames))
+	require.Equal(t, "Shed Unknown", Shed.String()+" "+ReasonCount.String())
+}
+
+// Guards against state that decisions share without the lock, and against allocations.
+func TestConcurrentDecisions(t *testing.T) {
+	var p Pool
+	var wg sync.WaitGroup
+	for g := range 4 {
+		wg.Go(func() {
+			for i := range 2000 {
+				p.SetLevels([]int{i / 500})
+				p.Decide(Request{Customer: "c", Caller: caller(i * g)}, pressed(1.3), time.Duration(i-g)*time.Millisecond, start)
+			}
+		})
+	}
+	wg.Wait()
+	require.Zero(t, testing.AllocsPerRun(100, func() { p.Decide(Request{Customer: "c"}, pressed(1.3), 0, start) }))
+}
