--- a/bronzeadmit/callers.go
+++ b/bronzeadmit/callers.go
@@ -16,10 +16,6 @@
 	// fairFactor is the ratio of the fair rate to the mean of all callers. Usual callers differ
 	// by less, also when each of their requests takes three tries.
 	fairFactor = 4
-	// noiseFactor is the number of standard deviations of a counter by which a caller must be
-	// above the fair rate. That all four counters are that much too high by chance happens to 1
-	// of 4 million callers.
-	noiseFactor = 2
 )
 
 // callers counts openings by caller, in the current window and the one before.
@@ -120,19 +116,11 @@
 	return fairFactor * max(float64(s.usual)/(-sketchColumns*math.Log(free)), 1)
 }
 
-// excess returns the part of a caller's openings that is above the fair rate, 0 if the caller
-// may be below it.
+// excess returns the part of a caller's openings that is above the fair rate. Noise hardly makes
+// usual callers exceed it: all four counters would have to be too high by three times the mean,
+// and beyond 3,000 callers the fair rate grows faster than the noise.
 func (s *sketch) excess(caller uint64, fair float64) (part float64) {
-	n := s.estimate(caller)
-	if n <= fair {
-		return 0
-	}
-	// Callers with m openings each add n openings to a counter with a variance of n x (1+m).
-	variance := float64(s.openings) / sketchColumns * (1 + fair/fairFactor)
-	if n <= fair+noiseFactor*math.Sqrt(variance) {
-		return 0
-	}
-	return 1 - fair/n
+	return max(1-fair/max(s.estimate(caller), 1), 0)
 }
 
 // mix returns a hash of x, by the finalizer of SplitMix64.
--- a/bronzeadmit/pool.go
+++ b/bronzeadmit/pool.go
@@ -151,12 +151,8 @@
 // the fractional part of caller/2^64 + epoch x 0.6180339887..., which unsigned arithmetic wraps
 // around. Callers with the lowest positions are refused.
 func position(caller uint64, now time.Time) float64 {
-	seconds := now.Unix()
-	epoch := seconds / epochSeconds
-	if seconds < 0 && seconds%epochSeconds != 0 {
-		epoch--
-	}
-	return fraction(caller + uint64(epoch)*goldenRatio)
+	epoch := uint64(now.Unix() / epochSeconds)
+	return fraction(caller + epoch*goldenRatio)
 }
 
 // fraction returns x/2^64, below 1.
--- a/bronzeadmit/share_test.go
+++ b/bronzeadmit/share_test.go
@@ -59,8 +59,9 @@
 			}
 			return 1000 + i
 		},
-		"surge":   func(i int) int { return 1000 + i%(4500-min(i/20000, 1)*4000) },
-		"unequal": func(i int) int { return int(1000 * math.Pow(fraction(caller(i)), 1.2)) },
+		"thousands": func(i int) int { return 1000 + int(fraction(caller(i))*2500) },
+		"surge":     func(i int) int { return 1000 + i%(4500-min(i/20000, 1)*4000) },
+		"unequal":   func(i int) int { return int(1000 * math.Pow(fraction(caller(i)), 1.2)) },
 	} {
 		got := ask(new(Pool), 12, 5000, pressed(1.2), func(i int) (Request, string) {
 			j := opening(i)
