Apply operators' orders for overload from the settings

Operators had no way to set shares and priorities, to close a pool or to shed by hand. Config.Overload holds these orders. Reload applies them without a restart, and a faulty change leaves all settings in force as they are.

The decoder set any field of a struct by name; it now skips those that can't be set.

A node that starts with a faulty Overload starts without it and logs SettingsRefused. Refusing to start was ruled out: after a power cut, one wrong order in a file that running nodes have refused would keep the whole fleet down.

Signals to stop get a channel of their own. They shared one with SIGHUP, so a stop could wait behind a reload or be discarded while the channel was full.

bronzesteer.Rules is stored in an atomic pointer; placement doesn't use it yet.

Tests: go test -race of bronzeedge, bronzeconf, bronzesteer and cmd/bronzeedge passes.

--- a/bronzeconf/tree.go
+++ b/bronzeconf/tree.go
@@ -149,7 +149,7 @@
 	for _, m := range o {
 		field := dst.FieldByName(m.name)
 		switch {
-		case !field.IsValid():
+		case !field.CanSet():
 			f.add(fieldPath(path, m.name), "is not a field of this schema version")
 		case seen[m.name]:
 			f.add(fieldPath(path, m.name), "is given twice")
--- a/bronzeedge/config.go
+++ b/bronzeedge/config.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"os"
 	"reflect"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -55,6 +56,8 @@
 	// have received no packets before it exits. 0 means the default.
 	GraceSeconds float64
 	QuietSeconds float64
+	// Overload holds what operators order for pools without room. It may be left out.
+	Overload Overload
 }
 
 // FieldError reports an invalid field of a Config.
@@ -77,6 +80,20 @@
 	return ParseConfig(b)
 }
 
+// ReadInitialConfig reads the Config of a node that starts. Unlike ReadConfig, it leaves an
+// invalid Overload out and returns its fault as refused. A running node goes on by its former
+// settings then, but a node that starts has none: if nodes with a faulty Overload didn't start,
+// none would serve after a power cut.
+func ReadInitialConfig(path string) (cfg Config, refused, err error) {
+	cfg, err = ReadConfig(path)
+	var field *FieldError
+	if errors.As(err, &field) && isOverloadField(field.Field) {
+		cfg.Overload = Overload{}
+		return cfg, err, nil
+	}
+	return cfg, nil, err
+}
+
 // ParseConfig decodes and validates a Config.
 func ParseConfig(b []byte) (cfg Config, err error) {
 	if err = json.Unmarshal(b, &cfg); err != nil {
@@ -89,7 +106,7 @@
 	return cfg, cfg.Check()
 }
 
-// Check returns a *FieldError for the first invalid field.
+// Check returns a *FieldError for the first invalid field. Overload is checked last.
 func (c *Config) Check() error {
 	switch {
 	case c.Name == "":
@@ -113,16 +130,19 @@
 	case c.QuietSeconds < 0:
 		return &FieldError{Field: "QuietSeconds", Reason: "is below 0"}
 	}
-	return nil
+	return c.Overload.Check()
 }
 
+// reloadedFields are the fields that change in a running node.
+var reloadedFields = []string{"Seeds", "GraceSeconds", "Overload"}
+
 // restartFields returns the names of the fields that differ in other and that a running
 // node can't change.
 func (c *Config) restartFields(other *Config) (fields []string) {
 	a, b := reflect.ValueOf(c).Elem(), reflect.ValueOf(other).Elem()
 	for i := range a.NumField() {
 		name := a.Type().Field(i).Name
-		if name != "Seeds" && name != "GraceSeconds" && !reflect.DeepEqual(a.Field(i).Interface(), b.Field(i).Interface()) {
+		if !slices.Contains(reloadedFields, name) && !reflect.DeepEqual(a.Field(i).Interface(), b.Field(i).Interface()) {
 			fields = append(fields, name)
 		}
 	}
--- a/bronzeedge/edge.go
+++ b/bronzeedge/edge.go
@@ -82,6 +82,7 @@
 	e.steerer.Regions = cfg.Regions
 	e.steerer.Memory = int64(cfg.MemoryMB * (1 << 20))
 	e.steerer.OnEvent = e.onServerEvent
+	e.steerer.SetRules(cfg.Overload.Rules())
 	e.records.OnChange = e.onRecords
 	if err = e.listen(); err != nil {
 		e.closeListeners()
@@ -222,9 +223,9 @@
 	})
 }
 
-// Reload applies changed settings. Only Seeds and GraceSeconds change in a running node;
-// other fields take effect at the next start. If err is not nil, the old settings stay in
-// force.
+// Reload applies changed settings. Only Seeds, GraceSeconds and Overload change in a running
+// node; other fields take effect at the next start. If err is not nil, the old settings stay
+// in force.
 func (e *Edge) Reload(cfg Config, err error) {
 	if err != nil {
 		e.log.Line("SettingsRefused", Fields{"Error": err.Error()})
@@ -235,7 +236,11 @@
 	e.cfg.Seeds = cfg.Seeds
 	e.cfgMu.Unlock()
 	e.gossip.SetSeeds(e.peerAddresses(cfg.Seeds))
-	e.log.Line("SettingsInForce", Fields{"Seeds": cfg.Seeds, "GraceSeconds": cfg.GraceSeconds, "NextStart": e.cfg.restartFields(&cfg)})
+	e.steerer.SetRules(cfg.Overload.Rules())
+	e.log.Line("SettingsInForce", Fields{
+		"Seeds": cfg.Seeds, "GraceSeconds": cfg.GraceSeconds, "Overload": &cfg.Overload,
+		"Unknown": e.unknownNames(&cfg.Overload), "NextStart": e.cfg.restartFields(&cfg),
+	})
 }
 
 const (
--- a/bronzesteer/steer.go
+++ b/bronzesteer/steer.go
@@ -35,6 +35,8 @@
 	Random func(n int) int
 
 	state atomic.Pointer[viewState]
+	// rules are what operators have ordered, nil for nothing.
+	rules atomic.Pointer[Rules]
 
 	once   sync.Once
 	start  time.Time
--- a/cmd/bronzeedge/main.go
+++ b/cmd/bronzeedge/main.go
@@ -60,7 +60,7 @@
 }
 
 func run(settings string) (err error) {
-	cfg, err := bronzeedge.ReadConfig(settings)
+	cfg, refused, err := bronzeedge.ReadInitialConfig(settings)
 	if err != nil {
 		return err
 	}
@@ -70,25 +70,31 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
-	go handleSignals(signals, e, settings)
+	if refused != nil {
+		e.Reload(cfg, refused)
+	}
+	// A channel of its own keeps a stop from waiting behind reloads, and from being discarded
+	// while signals to reload fill the channel.
+	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(reload, syscall.SIGHUP)
+	go func() {
+		<-stop
+		e.Leave()
+	}()
+	go reloadSettings(reload, e, settings)
 	return e.Run(context.Background())
 }
 
-// handleSignals makes the node leave on a termination signal, and reloads its settings on
-// SIGHUP or when the modification time of the file changes.
-func handleSignals(signals <-chan os.Signal, e *bronzeedge.Edge, settings string) {
+// reloadSettings reloads the settings on SIGHUP or when the modification time of the file
+// changes.
+func reloadSettings(reload <-chan os.Signal, e *bronzeedge.Edge, settings string) {
 	changed := modTime(settings)
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	for {
 		select {
-		case s := <-signals:
-			if s != syscall.SIGHUP {
-				e.Leave()
-				return
-			}
+		case <-reload:
 		case <-ticker.C:
 			at := modTime(settings)
 			if at.Equal(changed) {
