Add schema version 3 of records

Operators of the product's own records couldn't say which services are refused first. Version 3 has every field of version 2, and Priority, Objective, Share, Closed and Shed. A record of version 2 becomes one of version 3 by its SchemaVersion alone and is in force as before.

A time of Shed that is over is no fault: a record must not become invalid by the passing of time. Guaranteed shares of all Customers add up to at most 1.

--- a/bronzeconf/build.go
+++ b/bronzeconf/build.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"math"
 	"net/netip"
 	"slices"
 
@@ -30,6 +31,7 @@
 		endpoints:    make(map[matchKey]string),
 		servers:      make(map[bronzeflow.ServerID]string),
 		tunnels:      make(map[netip.AddrPort]tunnelClaim),
+		guaranteed:   make(map[string]int64),
 	}
 	sorted := slices.Clone(records)
 	slices.SortStableFunc(sorted, compareRecords)
@@ -60,6 +62,10 @@
 	endpoints    map[matchKey]string
 	servers      map[bronzeflow.ServerID]string
 	tunnels      map[netip.AddrPort]tunnelClaim
+	// guaranteed holds the guaranteed share of each customer in shareUnits,
+	// guaranteedSum their sum.
+	guaranteed    map[string]int64
+	guaranteedSum int64
 }
 
 type serviceName struct {
@@ -108,6 +114,7 @@
 func (b *builder) addService(f *faults, svc *Service) {
 	accepted := *svc
 	accepted.Pool = b.claimPool(f, svc)
+	accepted.Share = b.claimShare(f, svc)
 	b.snapshot.Services = append(b.snapshot.Services, &accepted)
 	claims := new([]matchKey)
 	for i := range accepted.Pool {
@@ -136,6 +143,26 @@
 	return true
 }
 
+// shareUnits is the number of units in a share of 1. Sums of whole units are
+// exact in any order, so that every balancer comes to the same result.
+const shareUnits = 1e9
+
+// claimShare returns the share of svc, or none if the guaranteed shares of all
+// customers would then add up to more than 1. The highest of the guaranteed
+// shares in a customer's records counts.
+func (b *builder) claimShare(f *faults, svc *Service) Share {
+	former := b.guaranteed[svc.Customer]
+	share := max(int64(math.Round(svc.Share.Guaranteed*shareUnits)), former)
+	if left := shareUnits - b.guaranteedSum + former; share > left {
+		f.add("Share.Guaranteed", "%v is more than the %v that other Customers' guaranteed shares leave",
+			svc.Share.Guaranteed, float64(left)/shareUnits)
+		return Share{}
+	}
+	b.guaranteed[svc.Customer] = share
+	b.guaranteedSum += share - former
+	return svc.Share
+}
+
 // claimPool claims the servers of svc and returns those that no earlier record
 // has claimed.
 func (b *builder) claimPool(f *faults, svc *Service) []BackendServer {
--- a/bronzeconf/build_test.go
+++ b/bronzeconf/build_test.go
@@ -62,6 +62,26 @@
 	require.Equal(t, []Refusal{{Record: "a", Reason: "another record has the same name"}}, refusals)
 }
 
+// Guards against guaranteed shares of more than everything, and against a customer whose own
+// records are added up.
+func TestBuildShares(t *testing.T) {
+	record := func(name, customer string, n byte, guaranteed float64) Record {
+		v2 := testService(customer, name, n)
+		v := v2.V3()
+		v.Share = ShareV3{Guaranteed: guaranteed, Highest: 1}
+		return Record{Name: name, Body: body(t, v)}
+	}
+	s := Build(1, []Record{
+		record("a", "agency", 1, 0.7), record("b", "agency", 2, 0.6), record("c", "braille", 3, 0.4), record("d", "desk", 4, 0.3),
+	})
+	require.Equal(t, []Refusal{{
+		Record: "c", Field: "Share.Guaranteed", Reason: "0.4 is more than the 0.3 that other Customers' guaranteed shares leave",
+	}}, s.Refusals)
+	require.Equal(t, Share{}, s.Services[2].Share)
+	require.Equal(t, Share{Guaranteed: 0.3, Highest: 1}, s.Services[3].Share)
+	require.NotNil(t, s.Match(testKey(s.Services[2])))
+}
+
 // drawRecords draws records that often conflict.
 func drawRecords(t *rapid.T) (records []Record) {
 	few := func(label string) byte { return byte(rapid.IntRange(1, 4).Draw(t, label)) }
--- a/bronzeconf/check.go
+++ b/bronzeconf/check.go
@@ -16,6 +16,8 @@
 	MaxOpenDeadline = time.Minute
 	MinIdleTimeout  = time.Second
 	MaxIdleTimeout  = 7 * 24 * time.Hour
+	MaxPriority     = 9
+	MaxObjective    = time.Minute
 )
 
 func (f *faults) checkV1(v *ServiceV1) {
@@ -49,9 +51,7 @@
 	f.checkCount("Limits.HalfOpen", v.Limits.HalfOpen)
 	f.checkCount("Limits.Open", v.Limits.Open)
 	f.checkCount("Limits.NewPerSecond", v.Limits.NewPerSecond)
-	if v.Retry.Budget < 0 || v.Retry.Budget > 1 {
-		f.add("Retry.Budget", "%v is not between 0 and 1", v.Retry.Budget)
-	}
+	f.checkFraction("Retry.Budget", v.Retry.Budget)
 	if v.Retry.Attempts < 1 || v.Retry.Attempts > MaxAttempts {
 		f.add("Retry.Attempts", "%d is not between 1 and %d", v.Retry.Attempts, MaxAttempts)
 	}
@@ -59,6 +59,32 @@
 	f.checkDuration("IdleTimeout", v.IdleTimeout, MinIdleTimeout, MaxIdleTimeout)
 }
 
+func (f *faults) checkV3(v *ServiceV3) {
+	w := v.v2()
+	f.checkV2(&w)
+	if v.Priority < 0 || v.Priority > MaxPriority {
+		f.add("Priority", "%d is not between 0 and %d", v.Priority, MaxPriority)
+	}
+	f.checkDuration("Objective", v.Objective, 0, MaxObjective)
+	f.checkFraction("Share.Guaranteed", v.Share.Guaranteed)
+	f.checkFraction("Share.Highest", v.Share.Highest)
+	if v.Share.Highest > 0 && v.Share.Highest < v.Share.Guaranteed {
+		f.add("Share.Highest", "%v is below the guaranteed %v", v.Share.Highest, v.Share.Guaranteed)
+	}
+	f.checkFraction("Shed.Fraction", v.Shed.Fraction)
+	// A time that is over isn't a fault: a record must not become invalid as
+	// time passes.
+	if v.Shed.Fraction > 0 && v.Shed.Until.IsZero() {
+		f.add("Shed.Until", "is missing")
+	}
+}
+
+func (f *faults) checkFraction(path string, x float64) {
+	if x < 0 || x > 1 {
+		f.add(path, "%v is not between 0 and 1", x)
+	}
+}
+
 func (f *faults) checkName(path, s string) {
 	switch {
 	case s == "":
--- a/bronzeconf/decode.go
+++ b/bronzeconf/decode.go
@@ -60,6 +60,11 @@
 		f.fill("", o, reflect.ValueOf(&v).Elem())
 		f.checkV2(&v)
 		return v.Service()
+	case version == SchemaV3:
+		v := NewServiceV3()
+		f.fill("", o, reflect.ValueOf(&v).Elem())
+		f.checkV3(&v)
+		return v.Service()
 	case version > SchemaNewest:
 		f.tooNew = true
 		f.add(schemaVersionField, "%d is too new: this build knows versions up to %d", version, SchemaNewest)
--- a/bronzeconf/doc.go
+++ b/bronzeconf/doc.go
@@ -1,6 +1,6 @@
 // Package bronzeconf reads the configuration that operators publish: records of
-// services, in two schema versions that may be mixed, and the index that lists
-// them.
+// services, in three schema versions that may be mixed, and the index that
+// lists them.
 //
 // A record describes one service as a JSON object. Decode is strict and returns
 // every fault of a record with the path of its field. Build combines records
@@ -32,5 +32,5 @@
 //	rev, present, bodies := peer.Diff(store.Have())
 //	changed, err := store.Apply(rev, present, bodies)
 //
-// docs/RECORDS.md lists the fields of both schema versions.
+// docs/RECORDS.md lists the fields of all schema versions.
 package bronzeconf
--- a/bronzeconf/record.go
+++ b/bronzeconf/record.go
@@ -13,7 +13,8 @@
 const (
 	SchemaV1     = 1
 	SchemaV2     = 2
-	SchemaNewest = SchemaV2
+	SchemaV3     = 3
+	SchemaNewest = SchemaV3
 )
 
 // MaxRecordBytes is the maximum length of a record. The platform holds values up
@@ -132,6 +133,47 @@
 	Idempotent bool
 }
 
+// ServiceV3 is a record of schema version 3. Its fields that version 2 doesn't
+// have are zero if they are left out, and then order nothing.
+type ServiceV3 struct {
+	SchemaVersion int
+	Customer      string
+	Brand         string
+	Name          string
+	Addresses     []netip.Addr
+	Rules         []RuleV1
+	Pool          []BackendServerV1
+	Policy        PolicyV2
+	Limits        LimitsV2
+	Retry         RetryV2
+	OpenDeadline  Duration
+	IdleTimeout   Duration
+	Priority      int
+	Objective     Duration
+	Share         ShareV3
+	Closed        bool
+	Shed          ShedV3
+}
+
+// ShareV3 is a Share in a record.
+type ShareV3 struct {
+	Guaranteed float64
+	Highest    float64
+}
+
+// ShedV3 is a Shed in a record. Until is in the format of RFC 3339.
+type ShedV3 struct {
+	Fraction float64
+	Until    time.Time
+}
+
+// NewServiceV3 returns a record with all defaults set and no names, addresses,
+// rules or pool.
+func NewServiceV3() ServiceV3 {
+	v := NewServiceV2()
+	return v.V3()
+}
+
 // NewServiceV2 returns a record with all defaults set and no names, addresses,
 // rules or pool.
 func NewServiceV2() ServiceV2 {
@@ -167,6 +209,55 @@
 	return w
 }
 
+// V3 returns the equivalent record of schema version 3.
+func (v *ServiceV2) V3() ServiceV3 {
+	return ServiceV3{
+		SchemaVersion: SchemaV3,
+		Customer:      v.Customer,
+		Brand:         v.Brand,
+		Name:          v.Name,
+		Addresses:     v.Addresses,
+		Rules:         v.Rules,
+		Pool:          v.Pool,
+		Policy:        v.Policy,
+		Limits:        v.Limits,
+		Retry:         v.Retry,
+		OpenDeadline:  v.OpenDeadline,
+		IdleTimeout:   v.IdleTimeout,
+	}
+}
+
+// v2 returns the part of the record that version 2 has.
+func (v *ServiceV3) v2() ServiceV2 {
+	return ServiceV2{
+		SchemaVersion: SchemaV2,
+		Customer:      v.Customer,
+		Brand:         v.Brand,
+		Name:          v.Name,
+		Addresses:     v.Addresses,
+		Rules:         v.Rules,
+		Pool:          v.Pool,
+		Policy:        v.Policy,
+		Limits:        v.Limits,
+		Retry:         v.Retry,
+		OpenDeadline:  v.OpenDeadline,
+		IdleTimeout:   v.IdleTimeout,
+	}
+}
+
+// Service converts a record that has no faults.
+func (v *ServiceV3) Service() *Service {
+	w := v.v2()
+	svc := w.Service()
+	svc.SchemaVersion = SchemaV3
+	svc.Priority = v.Priority
+	svc.Objective = time.Duration(v.Objective)
+	svc.Share = Share(v.Share)
+	svc.Closed = v.Closed
+	svc.Shed = Shed{Fraction: v.Shed.Fraction, Until: v.Shed.Until.UTC()}
+	return svc
+}
+
 // Service converts a record that has no faults.
 func (v *ServiceV1) Service() *Service {
 	w := v.V2()
--- a/bronzeconf/record_test.go
+++ b/bronzeconf/record_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -53,6 +54,30 @@
 	require.Equal(t, Serving, svc.Pool[0].Status)
 }
 
+// Guards against fields of version 3 that get lost, and against an upgrade from
+// version 2 that changes what is in force.
+func TestRecordUpgrade(t *testing.T) {
+	v2 := testService("agency", "map-live", 1)
+	v2.Limits.Open = 7
+	v3 := v2.V3()
+	require.Equal(t, v2, v3.v2())
+	svc, refusals := Decode("a", body(t, v3))
+	require.Empty(t, refusals)
+	want := v2.Service()
+	want.SchemaVersion = SchemaV3
+	require.Equal(t, want, svc)
+
+	v3.Priority, v3.Objective, v3.Closed = 9, Duration(time.Minute), true
+	v3.Share = ShareV3{Guaranteed: 0.25, Highest: 0.5}
+	v3.Shed = ShedV3{Fraction: 1, Until: time.Date(2026, 3, 1, 12, 0, 0, 0, time.FixedZone("", 3600))}
+	svc, refusals = Decode("a", body(t, v3))
+	require.Empty(t, refusals)
+	want.Priority, want.Objective, want.Closed = 9, time.Minute, true
+	want.Share = Share{Guaranteed: 0.25, Highest: 0.5}
+	want.Shed = Shed{Fraction: 1, Until: time.Date(2026, 3, 1, 11, 0, 0, 0, time.UTC)}
+	require.Equal(t, want, svc)
+}
+
 func TestBuildSchemaVersions(t *testing.T) {
 	live := testService("agency", "map-live", 1)
 	live.Policy.ImbalanceBound = 1.5
--- a/bronzeconf/service.go
+++ b/bronzeconf/service.go
@@ -26,6 +26,29 @@
 	OpenDeadline time.Duration
 	// IdleTimeout is the time without packets after which a flow ends.
 	IdleTimeout time.Duration
+	// Priority orders services when not all can be served, from 0, the most
+	// urgent, to MaxPriority. Objective is the target for the time of a
+	// request, 0 if there is none.
+	Priority  int
+	Objective time.Duration
+	Share     Share
+	// Closed means that the service takes no new flows.
+	Closed bool
+	Shed   Shed
+}
+
+// Share bounds what the service's Customer gets of what a balancer admits while
+// not all can be served, as fractions. Highest is 0 if there is no upper bound.
+type Share struct {
+	Guaranteed float64
+	Highest    float64
+}
+
+// Shed orders to refuse a fraction of the callers' new flows until a time. A
+// Fraction of 0 orders nothing.
+type Shed struct {
+	Fraction float64
+	Until    time.Time
 }
 
 // Rule is a protocol and port that the service accepts on each of its addresses.
