Obey the orders of records of schema version 3

A service with Closed takes no new flows, Shed refuses a part of the callers by bronzeadmit, and while all servers of a service report to be full, bronzeadmit decides by its priority and share among the services of version 3, which share the node's limits.

The check stands where the owner would place a flow that no node knows. Retransmissions, and flows that another node has sent to a server, don't pass it, since a server may have accepted them. bronzepool.Admission was ruled out as the place: it knows no servers and serves records of all versions. Services of versions 1 and 2 pay one comparison. Priorities act only if the services of version 3 differ in urgency.

Reports end at a server's hard limit, so that alone they never show more than a load of 1, from which nobody is refused. Openings that servers refuse are added to it for a few seconds (Pool.Saturation). Its constants are chosen, not measured.

--- a/bronzecore/action.go
+++ b/bronzecore/action.go
@@ -115,6 +115,13 @@
 	CallerGone
 	// Draining: this node is leaving and places no new flows.
 	Draining
+	// ServiceClosed: the service's record closes it to new flows.
+	ServiceClosed
+	// Shed: the service's record orders to refuse a part of the callers.
+	Shed
+	// Overloaded: all servers of the service are full, and the service's
+	// priority or share leaves no room for the flow.
+	Overloaded
 	reasonCount
 )
 
@@ -123,6 +130,7 @@
 	"TableFull", "RetryBudget", "OpenDeadline", "ServerRefused", "ServerSilent", "ServerGone",
 	"LateAnswer", "ForeignServer", "UnknownFlow", "Recovering", "EchoMismatch", "RelayLoop",
 	"Fenced", "NotReady", "CallerGone", "Draining",
+	"ServiceClosed", "Shed", "Overloaded",
 }
 
 // String returns the reason's name, which is also the name of its counter.
--- a/bronzecore/balancer.go
+++ b/bronzecore/balancer.go
@@ -58,7 +58,9 @@
 	leaving    atomic.Bool
 	update     sync.Mutex // serializes SetSnapshot and SetView
 
-	limits bronzepool.Admission
+	limits   bronzepool.Admission
+	overload overload
+
 	table  bronzeflow.Table
 	shards [attemptShards]attemptShard
 	copies copyStore
@@ -173,7 +175,9 @@
 	if old := set.snapshot; old != nil && s.Revision < old.Revision {
 		return
 	}
-	b.services.Store(set.next(s, &b.limits, b.owners(), b.AvailabilityZone))
+	next := set.next(s, &b.limits, b.owners(), b.AvailabilityZone)
+	b.overload.setServices(next)
+	b.services.Store(next)
 	b.sweep.startFastRound()
 }
 
--- a/bronzecore/harness_test.go
+++ b/bronzecore/harness_test.go
@@ -96,7 +96,8 @@
 	idle       bool     // sends nothing once it is accepted
 }
 
-// record is a service's record with schema version 2.
+// record is a service's record with schema version 2, or 3 with the fields at the
+// end.
 type record struct {
 	SchemaVersion int
 	Customer      string
@@ -108,6 +109,10 @@
 	Retry         map[string]any
 	Limits        map[string]any `json:",omitempty"`
 	OpenDeadline  string
+	Priority      int            `json:",omitempty"`
+	Objective     string         `json:",omitempty"`
+	Closed        bool           `json:",omitempty"`
+	Shed          map[string]any `json:",omitempty"`
 }
 
 func newWorld(t *testing.T, seed uint64, nodes, servers int) *world {
--- a/bronzecore/owner.go
+++ b/bronzecore/owner.go
@@ -108,6 +108,10 @@
 		d.forward(e.Server, None)
 		return
 	}
+	if r := d.refusal(); r != None {
+		d.refuse(r)
+		return
+	}
 	a := d.newAttempt()
 	if a == nil {
 		d.refuse(HalfOpenLimit)
@@ -147,14 +151,14 @@
 	}
 	v := d.view.Load()
 	if v == nil || !v.Unsettled(d.hash, d.Timing.UnsettledPeriod) {
-		d.place(a, 0)
+		d.placeNew(a)
 		return
 	}
 	// A former owner may just have placed this flow. Placing it again without
 	// a query could open it at two servers.
 	d.query(a)
 	if len(a.outstanding) == 0 {
-		d.place(a, 0)
+		d.placeNew(a)
 	}
 }
 
--- a/bronzecore/recover.go
+++ b/bronzecore/recover.go
@@ -158,6 +158,10 @@
 	case m.State != bronzeflow.Pending:
 		d.shard.remove(a)
 		if a.held.Kind == bronzeflow.Open && m.State == bronzeflow.Closed {
+			if r := d.refusal(); r != None {
+				d.refuse(r)
+				return
+			}
 			d.place(d.newAttempt(), d.service.ifAvailable(m.Server))
 			return
 		}
@@ -183,7 +187,7 @@
 		d.shard.remove(a)
 		d.adopt(mapping(a.key, a.stale))
 	case a.isOpen():
-		d.place(a, 0)
+		d.placeNew(a)
 	case !a.widened:
 		a.widened = true
 		d.query(a)
--- a/bronzecore/service.go
+++ b/bronzecore/service.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"bronzeusher.example/bronzeusher/bronzeadmit"
 	"bronzeusher.example/bronzeusher/bronzeconf"
 	"bronzeusher.example/bronzeusher/bronzeflow"
 	"bronzeusher.example/bronzeusher/bronzepool"
@@ -16,6 +17,8 @@
 	pool    *bronzepool.Pool
 	budget  *bronzepool.Budget
 	account *bronzepool.Account
+	// orders decides by the record's own orders, without regard to load.
+	orders *bronzeadmit.Pool
 }
 
 // serviceSet holds a snapshot and the state of its services. Apart from shared
@@ -27,6 +30,8 @@
 	snapshot *bronzeconf.Snapshot
 	byConf   map[*bronzeconf.Service]*service
 	byName   map[string]*service
+	// ranked is set if services differ in urgency.
+	ranked bool
 	// servers is the number of backend servers in all pools.
 	servers int
 	// shared is set if the nodes share the counts of their flows.
@@ -55,6 +60,7 @@
 		snapshot: snap,
 		byConf:   make(map[*bronzeconf.Service]*service, len(snap.Services)),
 		byName:   make(map[string]*service, len(snap.Services)),
+		ranked:   ranked(snap.Services),
 	}
 	for _, conf := range snap.Services {
 		name := serviceName(conf)
@@ -62,9 +68,11 @@
 		if old, ok := s.byName[name]; ok {
 			st.pool = old.pool
 			st.budget = old.budget
+			st.orders = old.orders
 		} else {
 			st.pool = &bronzepool.Pool{AvailabilityZone: zone}
 			st.budget = &bronzepool.Budget{}
+			st.orders = &bronzeadmit.Pool{}
 		}
 		st.pool.SetService(conf)
 		n.servers += len(conf.Pool)
--- a/bronzecore/status.go
+++ b/bronzecore/status.go
@@ -32,6 +32,39 @@
 	Brand         string
 	SchemaVersion int
 	Servers       []bronzepool.ServerLoad
+	// Rules are those of a record of schema version 3, nil for others.
+	Rules *ServiceRules
+}
+
+// ServiceRules are the rules of a service for times when not all can be served.
+type ServiceRules struct {
+	Priority  int
+	Objective time.Duration
+	Share     bronzeconf.Share
+	Closed    bool
+	// Shed is zero once it has ended.
+	Shed bronzeconf.Shed
+	// Full is set if all servers report to be full. Load is then the number of
+	// flows, and of those asked for, for each that the servers can hold.
+	Full bool
+	Load float64
+}
+
+func (st *service) rules() *ServiceRules {
+	if st.conf.SchemaVersion < bronzeconf.SchemaV3 {
+		return nil
+	}
+	r := &ServiceRules{
+		Priority:  st.conf.Priority,
+		Objective: st.conf.Objective,
+		Share:     st.conf.Share,
+		Closed:    st.conf.Closed,
+	}
+	if time.Now().Before(st.conf.Shed.Until) {
+		r.Shed = st.conf.Shed
+	}
+	r.Load, r.Full = st.pool.Saturation()
+	return r
 }
 
 // Status returns the current state. It visits the pools of all services.
@@ -67,6 +100,7 @@
 			Brand:         conf.Brand,
 			SchemaVersion: conf.SchemaVersion,
 			Servers:       s.pool.Loads(),
+			Rules:         s.rules(),
 		})
 	}
 	return st
--- a/bronzepool/pool.go
+++ b/bronzepool/pool.go
@@ -41,6 +41,9 @@
 	// trials is the level of a leaky bucket: each trial adds 1, and each
 	// choice drains trialShare.
 	trials float64
+	// refusedLoad is what refused openings added to the saturation by refusedAt.
+	refusedLoad float64
+	refusedAt   int64
 	// weighted is set if all servers have a connection limit; their fair
 	// shares are then proportional to it.
 	weighted bool
@@ -166,6 +169,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s := p.index[id]; s != nil {
+		p.countRefusal(p.now())
 		s.noteRefused(p.now(), silent, p.jitter())
 		p.invalidateOnExclusion(s)
 	}
