Show operators' rules in status, show and check

Tests: go test -race of bronzeedge, bronzeconf and cmd/bronzeusher passes, also go test of bronzenode and go vet of all packages.

--- a/bronzeedge/metrics.go
+++ b/bronzeedge/metrics.go
@@ -63,6 +63,10 @@
 	FlowsInDrainedZones int
 	Peers               []bronzegossip.Peer
 	Servers             []bronzesteer.ServerStatus
+	// Pools are the pools with the operators' rules in force, Priorities the routes whose
+	// priority an operator has replaced.
+	Pools      []bronzesteer.PoolStatus
+	Priorities []bronzesteer.RoutePriority
 }
 
 // Status returns the node's current state.
@@ -74,6 +78,7 @@
 		Ready: e.readyStatus() == http.StatusOK, Leaving: e.isLeaving(),
 		Epoch: p.Epoch, Revision: p.Revision, ConfirmedSeconds: e.gossip.SinceConfirmed(now).Seconds(), ReadsStore: e.readsStore(),
 		Peers: e.gossip.Peers(now), Servers: e.steerer.Servers(now),
+		Pools: e.steerer.Pools(now), Priorities: e.steerer.Priorities(),
 	}
 	if v := e.steerer.View(); v != nil {
 		s.Version, s.Routes = v.Table.Version, len(v.Table.Routes)
--- a/bronzesteer/doc.go
+++ b/bronzesteer/doc.go
@@ -14,7 +14,8 @@
 // MergeReports), and loads and latencies (Loads, SetLoads).
 //
 // If servers are overloaded, or none answers, openings are refused at once: callers learn
-// that nothing was run, and the openings admitted are served in time.
+// that nothing was run, and the openings admitted are served in time. SetRules holds what
+// operators have ordered for that case.
 //
 // # Usage
 //
--- a/cmd/bronzeusher/check.go
+++ b/cmd/bronzeusher/check.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -22,7 +23,8 @@
 
 // Run prints the first fault of each settings file and every fault of the
 // deploy file and of the records, which are checked one by one and for conflicts
-// with each other.
+// with each other. If there are none, it prints the operators' orders in the
+// files.
 func (c *checkCommand) Run(p *program) (err error) {
 	faults, err := c.faults()
 	if err != nil {
@@ -36,8 +38,16 @@
 	if len(faults) > 0 {
 		return errFailed
 	}
-	_, err = fmt.Fprintln(p.Stdout, c.checked()+", no faults")
-	return err
+	lines, err := c.orders(time.Now())
+	if err != nil {
+		return err
+	}
+	for _, line := range append(lines, c.checked()+", no faults") {
+		if _, err = fmt.Fprintln(p.Stdout, line); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // checked says how much was checked.
--- a/cmd/bronzeusher/cli_test.go
+++ b/cmd/bronzeusher/cli_test.go
@@ -7,14 +7,17 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"bronzeusher.example/bronzeusher/bronzeadmit"
 	"bronzeusher.example/bronzeusher/bronzeconf"
 	"bronzeusher.example/bronzeusher/bronzecore"
 	"bronzeusher.example/bronzeusher/bronzeedge"
@@ -126,6 +129,9 @@
 			Services: []bronzecore.ServiceStatus{{
 				Customer: "agency", Name: "map-live", Brand: "maps", SchemaVersion: 2,
 				Servers: []bronzepool.ServerLoad{{Instance: "map-1", Own: 3}},
+				Rules: &bronzecore.ServiceRules{
+					Priority: 6, Shed: bronzeconf.Shed{Fraction: 0.75, Until: time.Unix(0, 0).UTC()}, Full: true, Load: 1.5,
+				},
 			}},
 			Refusals: []bronzeconf.Refusal{{Record: "map-archive", Field: "Pool", Reason: "is empty"}},
 		},
@@ -142,7 +148,7 @@
 
 	code, stdout, stderr := runProgram(t, nil, "show", address)
 	require.Equal(t, exitOK, code, stderr)
-	for _, want := range []string{"vm-1", "42", "map-live", "map-1", "vm-2", "Suspect", "map-archive", "is empty", "Refuse.RateLimit"} {
+	for _, want := range []string{"vm-1", "42", "map-live", "map-1", "vm-2", "Suspect", "map-archive", "is empty", "Refuse.RateLimit", "0.75 until 1970-01-01T00:00:00Z", "1.50"} {
 		require.Contains(t, stdout, want)
 	}
 	require.NotContains(t, stdout, "Drop.NoService")
@@ -212,6 +218,31 @@
 	require.Contains(t, stdout, "bad.json: ReadyAddress: is missing")
 }
 
+// Guards against orders that are put in force without the operator having seen what they mean.
+func TestCheckOrders(t *testing.T) {
+	dir := t.TempDir()
+	settings := writeRecord(t, dir, "settings", strings.TrimSuffix(edgeSettings, "}")+`, "Overload": {
+		"Shares": [{"Customer": "atlas", "Guaranteed": 0.3, "Highest": 0.5}], "ClosedPools": ["batch"],
+		"Priorities": [{"Service": "198.18.0.1:443", "Priority": 7}],
+		"Shed": [{"Pool": "live", "Priority": 2, "Fraction": 0.25, "Until": "2020-01-01T00:00:00Z"}]}}`)
+	record := writeRecord(t, dir, "maps", strings.NewReplacer(`:1,`, `:3,"Priority":4,"Closed":true,"Share":{"Guaranteed":0.2},`+
+		`"Shed":{"Fraction":0.5,"Until":"2999-01-01T00:00:00Z"},`).Replace(goodRecord))
+	code, stdout, stderr := runProgram(t, nil, "check", "--settings="+settings, record)
+	require.Equal(t, exitOK, code, stdout+stderr)
+	for _, want := range []string{
+		`"atlas" is guaranteed 0.3 and gets at most 0.5 of each pool`, `pool "batch" takes no new flows`, "198.18.0.1:443 has priority 7",
+		`pool "live" refuses 0.25 of new flows from priority 2 on until 2020-01-01T00:00:00Z, which is over`,
+		`maps: "map-live" has priority 4`, `"agency" is guaranteed 0.2 of each balancer`, `maps: "map-live" takes no new flows`,
+		`"map-live" refuses 0.5 of callers until 2999-01-01T00:00:00Z`,
+	} {
+		require.Contains(t, stdout, want)
+	}
+	bad := writeRecord(t, dir, "bad", strings.TrimSuffix(edgeSettings, "}")+`, "Overload": {"ClosedPools": ["a", 1]}}`)
+	code, stdout, _ = runProgram(t, nil, "check", "--settings="+bad)
+	require.Equal(t, exitFailed, code)
+	require.Contains(t, stdout, "Overload.ClosedPools[1]: is not a string")
+}
+
 func TestCheckDeployFile(t *testing.T) {
 	bad := writeRecord(t, t.TempDir(), "deploy", "build = 'make'\n[roles.edge]\nrun = 'x'\non = 'edge'\nshare = 2.0\n")
 	code, stdout, _ := runProgram(t, nil, "check", "--deploy="+bad)
@@ -236,6 +267,14 @@
 	status := bronzeedge.Status{
 		Name: "edge-1", Ready: true, Revision: 42,
 		Servers: []bronzesteer.ServerStatus{{Instance: "map-1", Status: "Missing", Avoided: true}},
+		Pools: []bronzesteer.PoolStatus{{
+			Pool: "batch", Refused: map[string]uint64{"Closed": 3, "Shed": 0}, Pressure: 1.25,
+			Rules: &bronzeadmit.Rules{
+				Closed: true, Shares: map[string]bronzeadmit.Share{"atlas": {Guaranteed: 0.3}},
+				Shed: []bronzeadmit.ShedRule{{Priority: 2, Fraction: 0.25, Until: time.Unix(0, 0).UTC()}},
+			},
+		}, {Pool: "live"}},
+		Priorities: []bronzesteer.RoutePriority{{Service: netip.MustParseAddrPort("198.18.0.1:443"), Route: "read", Priority: 7}},
 	}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == bronzeedge.StatusPath {
@@ -245,7 +284,8 @@
 	defer server.Close()
 	code, stdout, stderr := runProgram(t, nil, "show", "--edge", "--address="+strings.TrimPrefix(server.URL, "http://"))
 	require.Equal(t, exitOK, code, stderr)
-	for _, want := range []string{"edge-1", "42", "map-1", "Missing"} {
+	for _, want := range []string{"edge-1", "42", "map-1", "Missing", "batch", "0.25 from 2 until 1970-01-01T00:00:00Z", "1.25", "Closed 3", "atlas", "0.3", "198.18.0.1:443", "read"} {
 		require.Contains(t, stdout, want)
 	}
+	require.NotContains(t, stdout, "Shed 0")
 }
--- a/cmd/bronzeusher/show.go
+++ b/cmd/bronzeusher/show.go
@@ -9,11 +9,13 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"bronzeusher.example/bronzeusher/bronzeadmit"
 	"bronzeusher.example/bronzeusher/bronzeedge"
 	"bronzeusher.example/bronzeusher/bronzenode"
 )
@@ -74,10 +76,64 @@
 		t.row(b.Instance, b.Pool, b.AvailabilityZone, b.Status, b.Avoided, b.Silent, b.Flows, b.Work,
 			fmt.Sprintf("%.1f", b.Rate), fmt.Sprintf("%.1f", b.OthersRate), b.LatencyMS)
 	}
+	writePools(t, s)
 	t.end()
 	return t.err
 }
 
+// writePools prints the pools of a bronzeedge and the operators' rules in force.
+func writePools(t *tables, s *bronzeedge.Status) {
+	t.begin("POOL", "SERVERS", "CLOSED", "SHED", "WAITING", "LIMIT", "PRESSURE", "REJECTED", "REFUSED")
+	shares := make(map[string]bronzeadmit.Share)
+	for _, p := range s.Pools {
+		rules := p.Rules
+		if rules == nil {
+			rules = &bronzeadmit.Rules{}
+		}
+		maps.Copy(shares, rules.Shares)
+		t.row(p.Pool, p.Servers, rules.Closed, shedText(rules.Shed), decimals(p.Waiting), decimals(p.Limit), decimals(p.Pressure),
+			p.Rejected, countsText(p.Refused))
+	}
+	t.begin("CUSTOMER", "GUARANTEED", "HIGHEST")
+	for _, customer := range slices.Sorted(maps.Keys(shares)) {
+		t.row(customer, shares[customer].Guaranteed, shares[customer].Highest)
+	}
+	t.begin("SERVICE", "ROUTE", "PUBLISHED", "PRIORITY")
+	for _, p := range s.Priorities {
+		t.row(p.Service, orNone(p.Route), p.Published, p.Priority)
+	}
+}
+
+func decimals(x float64) string { return fmt.Sprintf("%.2f", x) }
+
+// orNone returns s, or a dash for an empty cell.
+func orNone(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+// shedText returns the rules in one cell, such as "0.25 from 2 until 2026-12-24T18:00:00Z".
+func shedText(rules []bronzeadmit.ShedRule) string {
+	var parts []string
+	for _, r := range rules {
+		parts = append(parts, fmt.Sprintf("%v from %d until %s", r.Fraction, r.Priority, r.Until.Format(time.RFC3339)))
+	}
+	return orNone(strings.Join(parts, ", "))
+}
+
+// countsText returns the counts that aren't 0 in one cell, sorted by name.
+func countsText(counts map[string]uint64) string {
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		if counts[name] > 0 {
+			parts = append(parts, fmt.Sprintf("%s %d", name, counts[name]))
+		}
+	}
+	return orNone(strings.Join(parts, ", "))
+}
+
 func fetchStatus[T any](ctx context.Context, url string) (status *T, err error) {
 	defer func() { err = errors.Wrap(err, "query the balancer") }()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
@@ -141,6 +197,7 @@
 	t := &tables{w: w}
 	writeNode(t, s)
 	writeServices(t, s)
+	writeRules(t, s)
 	writePeers(t, s)
 	writeRefusals(t, s)
 	writeCounters(t, s)
@@ -174,6 +231,22 @@
 	}
 }
 
+// writeRules prints the rules of the services of schema version 3.
+func writeRules(t *tables, s *bronzenode.Status) {
+	t.begin("CUSTOMER", "SERVICE", "PRIORITY", "OBJECTIVE", "GUARANTEED", "HIGHEST", "CLOSED", "SHED", "FULL", "LOAD")
+	for _, svc := range s.Balancer.Services {
+		r := svc.Rules
+		if r == nil {
+			continue
+		}
+		shed := "-"
+		if r.Shed.Fraction > 0 {
+			shed = fmt.Sprintf("%v until %s", r.Shed.Fraction, r.Shed.Until.Format(time.RFC3339))
+		}
+		t.row(svc.Customer, svc.Name, r.Priority, r.Objective, r.Share.Guaranteed, r.Share.Highest, r.Closed, shed, r.Full, decimals(r.Load))
+	}
+}
+
 func writePeers(t *tables, s *bronzenode.Status) {
 	t.begin("PEER", "STATUS", "ZONE", "CONTROL", "REVISION", "PROTOCOL")
 	for _, peer := range s.Peers {
