--- a/bronzesteer/flow.go
+++ b/bronzesteer/flow.go
@@ -1,6 +1,8 @@
 package bronzesteer
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -234,6 +236,7 @@
 func (sh *shard) sweep(at time.Duration, now time.Time, lost map[*backend]loss) (endedFlows []EndedFlow) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
+	var pending []*flow
 	for key, f := range sh.flows {
 		limit := flowTimeout
 		if !f.open {
@@ -253,6 +256,14 @@
 			sh.remove(key)
 			continue
 		}
+		if f.requestAt != 0 {
+			pending = append(pending, f)
+		}
+	}
+	// Each overdue request changes its server's latency, which the next one is judged by. In
+	// the order of the map, the same packets would lead to different decisions in each run.
+	slices.SortFunc(pending, func(a, b *flow) int { return cmp.Compare(a.requestAt, b.requestAt) })
+	for _, f := range pending {
 		f.checkOverdue(at)
 	}
 	return endedFlows
@@ -262,7 +273,7 @@
 // latency, each time that the age has doubled. Otherwise a server that accepts openings but
 // hangs on some requests would look idle, and attract more flows.
 func (f *flow) checkOverdue(at time.Duration) {
-	if f.requestAt == 0 || f.countedUnanswered {
+	if f.countedUnanswered {
 		return
 	}
 	age := at - f.requestAt
--- a/bronzesteer/load.go
+++ b/bronzesteer/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -155,7 +156,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	sums = make(map[uint32]loadSum)
-	for node, n := range s.peerLoads {
+	// In a fixed order, as the rounding of sums depends on it.
+	for _, node := range slices.Sorted(maps.Keys(s.peerLoads)) {
+		n := s.peerLoads[node]
 		if at-n.at > peerLoadTimeout {
 			delete(s.peerLoads, node)
 			continue
