--- a/bronzesteer/overload_test.go
+++ b/bronzesteer/overload_test.go
@@ -31,13 +31,48 @@
 	return last
 }
 
+// simulation is a site with a queue of simulation steps.
+type simulation struct {
+	*site
+	events events
+	rnd    *rand.Rand
+}
+
+func newSimulation(s *site) simulation {
+	return simulation{site: s, rnd: rand.New(rand.NewPCG(5, 6))}
+}
+
+func (s *simulation) after(d time.Duration, do func()) {
+	heap.Push(&s.events, event{s.now.Add(d), do})
+}
+
+// finish simulates until nothing is left to do.
+func (s *simulation) finish() {
+	for len(s.events) > 0 {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.do()
+	}
+}
+
+// firstFree returns the slot that is free first, and from when.
+func (s *simulation) firstFree(slots []time.Time) (first int, start time.Time) {
+	for i := range slots {
+		if slots[i].Before(slots[first]) {
+			first = i
+		}
+	}
+	if slots[first].Before(s.now) {
+		return first, s.now
+	}
+	return first, slots[first]
+}
+
 // queueSite is a site whose servers process two requests at a time and queue eight. Callers
 // open a flow for each request, with up to two more tries if they are refused or the queue
 // is full.
 type queueSite struct {
-	*site
-	events events
-	rnd    *rand.Rand
+	simulation
 	// slots holds until when each slot of each server is in use.
 	slots map[string][]time.Time
 
@@ -53,7 +88,7 @@
 
 // newQueueSite returns a site with perZone servers in each of two zones.
 func newQueueSite(t *testing.T, perZone int) *queueSite {
-	q := &queueSite{site: newSite(t, perZone, perZone), rnd: rand.New(rand.NewPCG(5, 6)), slots: map[string][]time.Time{}}
+	q := &queueSite{simulation: newSimulation(newSite(t, perZone, perZone)), slots: map[string][]time.Time{}}
 	q.node.Random = q.rnd.IntN
 	pools := []bronzeroute.WeightedPool{{Pool: "live", Weight: 1}}
 	q.directory.SetTable(&bronzeroute.Table{Version: 2, Routes: []bronzeroute.Route{
@@ -67,10 +102,6 @@
 	return q
 }
 
-func (q *queueSite) after(d time.Duration, do func()) {
-	heap.Push(&q.events, event{q.now.Add(d), do})
-}
-
 // run simulates callers arriving at the given rate for d, until all have been served or
 // have failed.
 func (q *queueSite) run(service netip.AddrPort, perSecond float64, d time.Duration) {
@@ -84,11 +115,7 @@
 	for sweep := time.Duration(0); sweep < d; sweep += 100 * time.Millisecond {
 		q.after(sweep, func() { q.node.Sweep(q.now) })
 	}
-	for len(q.events) > 0 {
-		e := heap.Pop(&q.events).(event)
-		q.now = e.at
-		e.do()
-	}
+	q.finish()
 }
 
 // try is one attempt of a caller whose request began at since.
@@ -105,16 +132,7 @@
 	c.accept()
 	c.request()
 	slots := q.slots[c.server.Instance]
-	first := 0
-	for i := range slots {
-		if slots[i].Before(slots[first]) {
-			first = i
-		}
-	}
-	start := slots[first]
-	if start.Before(q.now) {
-		start = q.now
-	}
+	first, start := q.firstFree(slots)
 	// With eight requests queued, a slot is free after four rounds of work.
 	if start.Sub(q.now) > simQueue/2*simWork {
 		q.after(time.Millisecond, func() { q.try(service, since, tries-1) })
