--- a/bronzeadmit/levels.go
+++ b/bronzeadmit/levels.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 )
 
 const (
@@ -12,11 +13,15 @@
 	maxRamp = 0.5
 	// lastEnd is the pressure from which the most urgent of several levels is refused.
 	lastEnd = 3
-	// ceilingStart and ceilingEnd are the fractions of the ceiling between which the most urgent
-	// of several levels is refused, if that is later. Requests on open flows, which nobody can
-	// refuse, may keep the pressure above lastEnd; urgent requests are still served in time then.
+	// ceilingStart and ceilingEnd are the fractions of the ceiling between which all but the
+	// least urgent level are refused one after the other, if that is later. Requests on open
+	// flows, which nobody can refuse, may keep the pressure above lastEnd; urgent requests are
+	// still served in time then.
 	ceilingStart = 0.8
 	ceilingEnd   = 1.2
+	// levelTimeout is how long a level counts after its last opening. Routes that nobody uses
+	// don't compete with others.
+	levelTimeout = 10 * time.Second
 )
 
 // level is one of the distinct priorities of a pool.
@@ -57,6 +62,38 @@
 // equal reports whether both have the same priorities.
 func (ls levels) equal(other levels) bool { return slices.Equal(ls, other) }
 
+// activeLevels tells which levels have had openings recently.
+type activeLevels struct {
+	seen []time.Duration // the time of the last opening, by level
+	next time.Duration   // when the active levels are to be determined again
+}
+
+// see records an opening of level k of n, and reports whether the active levels may have changed.
+func (a *activeLevels) see(k, n int, at time.Duration) (changed bool) {
+	if len(a.seen) != n {
+		// Until the timeout, all levels may be in use.
+		a.seen, a.next = slices.Repeat([]time.Duration{at}, n), at
+	}
+	if n == 0 {
+		return false
+	}
+	changed = at >= a.next || at-a.seen[k] > levelTimeout
+	a.seen[k] = at
+	return changed
+}
+
+// of returns the levels of ls that are active.
+func (a *activeLevels) of(ls levels, at time.Duration) levels {
+	a.next = at + levelTimeout/10
+	var priorities []int
+	for k := range ls {
+		if at-a.seen[k] <= levelTimeout {
+			priorities = append(priorities, ls[k].Priority)
+		}
+	}
+	return newLevels(priorities)
+}
+
 // find returns the index of the level of a priority, and the priority by which rules apply to
 // it: the less urgent one of the level's and its own.
 func (ls levels) find(priority int) (k, effective int) {
@@ -76,8 +113,10 @@
 	if k < len(ls) {
 		start, end = ls[k].Start, ls[k].End
 	}
-	if k > 0 && k == len(ls)-1 {
-		start, end = max(start, ceilingStart*ceiling), max(end, ceilingEnd*ceiling)
+	if k > 0 && k < len(ls) {
+		step := (ceilingEnd - ceilingStart) / float64(len(ls)-1)
+		from := ceilingStart + step*float64(k-1)
+		start, end = max(start, from*ceiling), max(end, (from+rampPart*step)*ceiling)
 	}
 	return start, min(max((pressure-start)/(end-start), 0), 1)
 }
--- a/bronzeadmit/pool.go
+++ b/bronzeadmit/pool.go
@@ -63,7 +63,10 @@
 // called concurrently.
 type Pool struct {
 	mu        sync.Mutex
+	// levels are all levels, competing those that have had openings recently.
 	levels    levels
+	competing levels
+	active    activeLevels
 	rules     Rules
 	callers   callers
 	customers customers
@@ -79,7 +82,7 @@
 	if l.equal(p.levels) {
 		return
 	}
-	p.levels = l
+	p.levels, p.competing, p.active = l, nil, activeLevels{}
 	p.customers = customers{} // The rates are counted by level.
 }
 
@@ -117,7 +120,10 @@
 // among those whom the rules leave.
 func (p *Pool) decide(k int, pos float64, r *Request, pressure, ceiling float64, at time.Duration) Verdict {
 	p.callers.count(r.Caller, at)
-	start, refused := p.levels.refused(k, pressure, ceiling)
+	if p.active.see(k, len(p.levels), at) {
+		p.competing = p.active.of(p.levels, at)
+	}
+	start, refused := p.competing.refused(p.competingIndex(k), pressure, ceiling)
 	// Frequent callers of a level are limited when openings of the level are about to be
 	// refused: earlier, less urgent openings are still admitted.
 	if pressure >= start {
@@ -145,6 +151,15 @@
 	return Verdict{Reason: Priority, Fraction: own}
 }
 
+// competingIndex returns the index of level k among those that compete.
+func (p *Pool) competingIndex(k int) int {
+	if len(p.levels) == 0 {
+		return 0
+	}
+	i, _ := p.competing.find(p.levels[k].Priority)
+	return i
+}
+
 // guarantee admits the callers with the highest positions, and refuses others for the reason.
 func guarantee(pos float64, reason Reason) Verdict {
 	if pos >= 1-guaranteed {
--- a/bronzeadmit/pool_test.go
+++ b/bronzeadmit/pool_test.go
@@ -103,7 +103,7 @@
 	require.InDelta(t, 0.7, part(2, pressed(1.2), start), 0.02)
 	require.EqualValues(t, 1, part(3, Load{}, start))
 	p.SetRules(nil)
-	for _, none := range []Load{{}, {9, 0}, {math.NaN(), 1}, {9, math.NaN()}, {-9, 1}, {9, -1}, {-9, -1}, {1, math.Inf(1)}} {
+	for _, none := range []Load{{}, {9, 0, 0}, {math.NaN(), 1, 0}, {9, math.NaN(), 0}, {-9, 1, 0}, {9, -1, 0}, {-9, -1, 0}, {1, math.Inf(1), 0}} {
 		require.Zero(t, part(3, none, start))
 	}
 	// A clock that is wrong, before 1970 or at its zero value, refuses as many, and 1 in 50 gets in.
--- a/bronzeadmit/replay_test.go
+++ b/bronzeadmit/replay_test.go
@@ -70,7 +70,7 @@
 	for _, load := range []float64{1.5, 2} {
 		offered := func(k, _ int) float64 { return load * float64(1-k) }
 		draws := replay(60, offered, func(p *Pool, _ int, _ Request, l Load, _ [2]float64, _ time.Duration) bool {
-			_, refused := p.levels.refused(0, l.pressure())
+			_, refused := p.levels.refused(0, l.pressure(), 0)
 			return random.Float64() >= refused
 		})[0]
 		positions := replay(60, offered, func(p *Pool, _ int, r Request, l Load, _ [2]float64, at time.Duration) bool {
--- a/bronzeroom/room_test.go
+++ b/bronzeroom/room_test.go
@@ -36,7 +36,7 @@
 		add(start, func() { waiting-- })
 		if r.Float64() < part {
 			add(at, func() { inFlight++; g.Begin(at) })
-			add(done, func() { inFlight--; g.Finish(done); excess += float64(done-at-usual) / float64(smoothing) })
+			add(done, func() { inFlight--; g.Finish(done); excess += float64(done-at-usual) / float64(maxSmoothing) })
 		}
 	}
 	for n, now := range events[:1000] {
@@ -44,7 +44,7 @@
 		for _, apply := range now {
 			apply()
 		}
-		excess *= 1 - tickWeight
+		excess *= 1 - weight(tickSpan, maxSmoothing)
 		for i, x := range []float64{max(inFlight/slots-1, 0), max(excess/slots, 0), g.Waiting(usual, at) / slots, waiting / 120} {
 			bias[i] += (x - waiting/120) / 1000
 			square[i] += (x - waiting/120) * (x - waiting/120) / 1000
