--- a/bronzesteer/demand.go
+++ b/bronzesteer/demand.go
@@ -33,7 +33,7 @@
 	// demandMaxAge is how long a peer's demand is used while enough nodes of its zone are
 	// heard of. In a large fleet that is six nodes per second of all zones together, so that
 	// it is longer with more than three zones: zoneDemandMaxAge for each. If fewer than
-	// minDemandNodes are heard of within that time, as in one case of ten at five nodes on
+	// minDemandNodes are heard of within that time, as in one case of eight at five nodes on
 	// average, the last ones are used for twice as long.
 	demandMaxAge     = 2500 * time.Millisecond
 	zoneDemandMaxAge = demandMaxAge / 3
