Keep the fleet's demand and the node's own of the same time in their ratio

The node's own demand counted as it is now in the fleet's, but as it was when peers reported in the divisor. In a small fleet the ratio would rise in a surge, and more requests would seem to wait than do.

--- a/bronzegossip/size_test.go
+++ b/bronzegossip/size_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -25,7 +26,7 @@
 		Records: &bronzerecord.Set{},
 		Send:    func(_ netip.AddrPort, b []byte) { sent = append(sent, b) },
 		Loads:   func() ([]Load, []uint32) { return loads, latencies },
-		Sums:    func(time.Time) []Sum { return largestSums() },
+		Sums:    func(time.Time) []Sum { return largestSums },
 	}
 	now := time.Now()
 	for i := range 20 {
@@ -42,17 +43,12 @@
 		require.Len(t, m.Loads, len(loads))
 		require.Equal(t, latencies, m.Latencies)
 		require.Len(t, m.Peers, peersPerMessage)
-		require.Equal(t, largestSums(), m.Sums)
+		require.Equal(t, largestSums, m.Sums)
 	}
 	t.Logf("%d bytes with %d loads and %d nodes", len(sent[0]), len(loads), peersPerMessage)
 }
 
-func largestSums() (sums []Sum) {
-	for i := range uint32(maxSums) {
-		sums = append(sums, Sum{Pool: math.MaxUint32 - i, Demand: math.MaxUint32})
-	}
-	return sums
-}
+var largestSums = slices.Repeat([]Sum{{Pool: math.MaxUint32, Demand: math.MaxUint32}}, maxSums)
 
 // Guards against sums that take more than their 64 bytes, that displace other content of a
 // long message, or that nodes of an earlier version can't decode.
@@ -63,7 +59,7 @@
 		m.Reports = append(m.Reports, Report{})
 	}
 	require.NoError(t, err)
-	m.Sums = largestSums()
+	m.Sums = largestSums
 	with, err := encode(&m)
 	require.NoError(t, err)
 	require.LessOrEqual(t, len(with)-len(without), 64)
--- a/bronzesteer/demand.go
+++ b/bronzesteer/demand.go
@@ -278,8 +278,9 @@
 }
 
 // zoneDemand returns the demand of a zone for a pool. In the own zone, own, this node's own
-// demand, is known exactly and counts once; if scale is set, the reports of peers are scaled
-// with its change since they came. The caller holds the lock.
+// demand, is known exactly and counts once. If scale is set, the reports of peers are scaled
+// with its change since they came; otherwise it counts as it was then. The caller holds the
+// lock.
 func (t *demandTable) zoneDemand(zone string, pool uint32, inZone, scale bool, own float64, at time.Duration) (d zoneDemand, ok bool) {
 	live := t.live[zone]
 	if live == 0 {
@@ -321,8 +322,11 @@
 	// matters as far as not all of them have been heard of.
 	size := max(squares-mean*mean-mean, minNodeSpread*mean*minNodeSpread*mean) * max(1-n/others, 0)
 	d.rate, d.deviation = mean*others, math.Sqrt((mean+size)/n)*others
-	if inZone {
+	switch {
+	case inZone && scale:
 		d.rate += own
+	case inZone:
+		d.rate += d.own
 	}
 	return d, true
 }
--- a/bronzesteer/demand_test.go
+++ b/bronzesteer/demand_test.go
@@ -78,6 +78,9 @@
 				continue
 			}
 			sums := []Sum{{Pool: poolID("live"), Rate: max(r.rates[from]+r.random.NormFloat64()*math.Sqrt(r.rates[from]), 0)}}
+			if from < len(r.watchers) {
+				sums = r.watchers[from].Demand(begin.Add(r.at()))
+			}
 			arrives := r.step + int(r.random.Float64()*r.delay/demandStep.Seconds())
 			r.late[arrives] = append(r.late[arrives], func() {
 				w.SetDemand(fmt.Sprint(from), r.zones[from%3].Name, sums, begin.Add(r.at()))
@@ -90,20 +93,16 @@
 	}
 }
 
-// shares returns the parts of a watcher by zone.
-func (r *demandReplay) shares(w int) (parts []float64, ok bool) {
-	list, ok := r.watchers[w].zoneShares(r.watchers[w].state.Load().pools["live"], true, r.at())
-	for _, share := range list {
-		parts = append(parts, share.part)
-	}
-	return parts, ok
+// shares returns the shares of a watcher.
+func (r *demandReplay) shares(w int) (parts []zoneShare, ok bool) {
+	return r.watchers[w].zoneShares(r.watchers[w].state.Load().pools["live"], true, r.at())
 }
 
 // Guards against shares that don't settle where the true demand would have them, that oscillate
 // while it is constant, or that are used with too few nodes. Zones may have no servers, and a
 // zone may be cut off before.
 func TestZoneSharesSettle(t *testing.T) {
-	off, far, n := 0.0, 0.0, 0.0
+	off, far, ratio, n := 0.0, 0.0, 0.0, 0.0
 	rapid.Check(t, func(rt *rapid.T) {
 		draw := func(name string, low, high float64) float64 { return rapid.Float64Range(low, high).Draw(rt, name) }
 		servers, nodes := rapid.SliceOfN(rapid.IntRange(0, 5), 3, 3).Draw(rt, "Servers"), rapid.IntRange(3, 600).Draw(rt, "Nodes")
@@ -122,13 +121,15 @@
 			for w := range r.watchers {
 				if parts, ok := r.shares(w); ok {
 					ideal, _ := bronzeshare.Shares(r.watchers[w].AvailabilityZone, r.zones)
-					e := math.Abs(parts[w%3] - ideal[w%3])
+					e := math.Abs(parts[w%3].part - ideal[w%3])
 					off, far, n = off+e, far+math.Floor(min(e/0.25, 1)), n+1
+					ratio += r.watchers[w].fleetRatio("live", r.at()) * r.rates[w] / (r.zones[0].Demand + r.zones[1].Demand + r.zones[2].Demand)
 				}
 			}
 		})
 	})
-	t.Logf("off by %.4f on average, by 0.25 or more in %.4f", off/n, far/n)
+	t.Logf("off by %.4f on average, by 0.25 or more in %.4f; ratio %.4f of the true one", off/n, far/n, ratio/n)
+	require.InDelta(t, 1, ratio/n, 0.05)
 	require.Less(t, off/n, 0.05)
 	require.Less(t, far/n, 0.02)
 }
@@ -140,7 +141,7 @@
 func replaySurge(t *testing.T, withShares bool) (mean, highest, crossing float64) {
 	r := newDemandReplay(t, 7, []int{4, 4, 4}, 114, []float64{13, 13, 13}, 3, 0.5)
 	known, n, total := []float64{0.5, 0.5, 0.5}, 0.0, 0.0
-	r.run(40*time.Second, func() {
+	step := func() {
 		for i := 0; r.at() == 10*time.Second && i < len(r.rates); i += 3 {
 			r.zones[0].Demand += 2 * r.rates[i]
 			r.rates[i] *= 3
@@ -153,26 +154,25 @@
 				sum.ownZone = usage{used: known[own], slots: 1}
 				elsewhere := []int{(own + 1) % 3, (own + 2) % 3}
 				other := slices.MinFunc(elsewhere, func(a, b int) int { return cmp.Compare(known[a], known[b]) })
-				parts = make([]float64, 3)
+				parts = make([]zoneShare, 3)
 				for range 100 {
-					parts[map[bool]int{true: other, false: own}[s.shouldSpill(sum)]] += 0.01
+					parts[map[bool]int{true: other, false: own}[s.shouldSpill(sum)]].part += 0.01
 				}
 			}
 			placed := r.zones[own].Demand * 3 / float64(len(r.watchers))
-			for z, part := range parts {
-				use[z] += part * placed / r.zones[z].Capacity
-			}
-			if r.at() >= 13*time.Second {
-				crossing, total = crossing+(1-parts[own])*placed, total+placed
+			for z := range parts {
+				use[z] += parts[z].part * placed / r.zones[z].Capacity
 			}
+			crossing, total = crossing+(1-parts[own].part)*placed, total+placed
 		}
 		for z := range use {
 			known[z] += (use[z] - known[z]) * demandStep.Seconds() / (rateTimeConstant + peerLoadTimeout/2).Seconds()
 		}
-		if r.at() >= 13*time.Second {
-			mean, n, highest = mean+slices.Max(use), n+1, max(highest, slices.Max(use))
-		}
-	})
+		mean, n, highest = mean+slices.Max(use), n+1, max(highest, slices.Max(use))
+	}
+	r.run(13*time.Second, step)
+	mean, n, highest, crossing, total = 0, 0, 0, 0, 0
+	r.run(27*time.Second, step)
 	return mean / n, highest, crossing / total
 }
 
@@ -248,3 +248,18 @@
 	s.now = s.now.Add(time.Second + demandBucket)
 	require.Equal(t, []Sum{{Pool: poolID("live")}}, s.node.Demand(s.now))
 }
+
+// Guards against a ratio that rises in a surge of all nodes' callers, since the node's own demand
+// shows it before that of its peers does: openings would be refused for requests that nobody has.
+func TestFleetRatioDuringSurge(t *testing.T) {
+	r := newDemandReplay(t, 3, []int{2, 2, 2}, 9, []float64{50, 50, 50}, 1, 0.5)
+	r.run(6*time.Second, func() {})
+	for i := range r.rates {
+		r.rates[i] *= 9
+	}
+	r.run(4*time.Second, func() {
+		for _, w := range r.watchers {
+			require.InDelta(t, 9, w.fleetRatio("live", r.at()), 3)
+		}
+	})
+}
