--- a/bronzeroom/gauge.go
+++ b/bronzeroom/gauge.go
@@ -11,9 +11,11 @@
 	tickSpan  = 8 * time.Millisecond
 	ringTicks = 64
 	maxUsual  = 500 * time.Millisecond
-	// smoothing is the time constant of the average as a multiple of the usual time, up to
-	// maxSmoothing. A longer one lags behind queues that fill and empty in a few usual times.
+	// The time constant of the average is smoothing times the usual time, but long enough for
+	// smoothed requests, and at most maxSmoothing. A longer one lags behind queues that fill and
+	// empty in a few usual times; over fewer requests the estimate is mostly noise.
 	smoothing    = 2
+	smoothed     = 24
 	maxSmoothing = 150 * time.Millisecond
 	// pauseTicks is the time without any call, 2 s, after which the process may have been
 	// suspended. A node that sees one request per second calls several times in 2 s.
@@ -83,7 +85,7 @@
 		g.begun[now%ringTicks] = uint32(max(g.inFlight, 0))
 		return
 	}
-	constant := min(smoothing*max(g.usual, tickSpan), maxSmoothing)
+	constant := g.constant()
 	for range min(now-g.tick, ringTicks) {
 		g.sample(weight(tickSpan, constant))
 		g.tick++
@@ -103,6 +105,15 @@
 	}
 }
 
+// constant returns the time constant of the average.
+func (g *Gauge) constant() time.Duration {
+	requests := uint32(1)
+	for _, n := range g.begun {
+		requests += n
+	}
+	return min(max(smoothing*g.usual, tickSpan, smoothed*ringTicks*tickSpan/time.Duration(requests)), maxSmoothing)
+}
+
 // weight returns that of a sample for a time in an average with the given time constant.
 func weight(passed, constant time.Duration) float64 {
 	return 1 - math.Exp(-float64(passed)/float64(constant))
--- a/bronzeroom/room.go
+++ b/bronzeroom/room.go
@@ -10,7 +10,10 @@
 const (
 	// safeWaiting is the safe limit per slot: with fewer, slots are idle while the next
 	// request is on its way; more only add waiting.
-	safeWaiting = 1.5
+	safeWaiting = 1.0
+	// objectivePart is the part of the objective that a mean request may take: the slower ones
+	// take twice as long.
+	objectivePart = 0.45
 	// minSafe is the lower bound of the safe limit, however short the objective is.
 	minSafe = 0.5
 	// maxChange bounds the logarithm of the limit's ratio to the safe limit: it is from half
@@ -137,7 +140,7 @@
 func (r *Room) Limit(b Bounds) float64 {
 	highest := 2 * safeWaiting
 	if b.Usual > 0 && b.Objective > 0 {
-		highest = max(min(highest, float64(b.Objective)/2/float64(b.Usual)-1), minSafe)
+		highest = max(min(highest, objectivePart*float64(b.Objective)/float64(b.Usual)-1), minSafe)
 	}
 	safe := min(safeWaiting, highest)
 	r.mu.Lock()
