--- a/bronzeedge/counters.go
+++ b/bronzeedge/counters.go
@@ -163,6 +163,11 @@
 	g.Update(value)
 }
 
+// poolGauge sets a gauge of a pool. It is only called while metrics are read.
+func (c *counters) poolGauge(name, pool string, value float64) {
+	c.scope.Tagged(map[string]string{"Pool": pool}).Gauge(name).Update(value)
+}
+
 // text renders all metrics in the Prometheus text format.
 func (c *counters) text() []byte {
 	for kind := range kindCount {
--- a/bronzeedge/metrics.go
+++ b/bronzeedge/metrics.go
@@ -36,12 +36,25 @@
 		e.counts.gauge("DrainedZones", float64(len(v.DrainedZones)))
 	}
 	e.counts.gauge("FlowsInDrainedZones", float64(e.steerer.FlowsInDrainedZones()))
+	for _, p := range e.steerer.Pools(now) {
+		e.counts.poolGauge("RoomLimit", p.Pool, p.Limit)
+		e.counts.poolGauge("RoomWaiting", p.Pool, p.Waiting)
+		e.counts.poolGauge("PoolClosed", p.Pool, boolGauge(p.Rules != nil && p.Rules.Closed))
+	}
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	if _, err := w.Write(e.counts.text()); err != nil {
 		e.count("MetricsNotSent")
 	}
 }
 
+// boolGauge returns 1 for true and 0 for false.
+func boolGauge(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // Status is the state of a node as reported to operators.
 type Status struct {
 	Name             string
