--- a/bronzeroom/gauge.go
+++ b/bronzeroom/gauge.go
@@ -57,7 +57,8 @@
 
 // Waiting returns the number of requests that wait for a slot, given the usual time from a request
 // to its acknowledgement at a server with free slots: the smoothed number or the present one,
-// whichever is lower. The average alone would go on after the queues have emptied. It returns 0 as long as the usual
+// whichever is lower if there are enough requests to tell. The average alone would go on after the
+// queues have emptied. It returns 0 as long as the usual
 // time is unknown (0). A usual time over 500 ms counts as 500 ms.
 func (g *Gauge) Waiting(usual, at time.Duration) float64 {
 	g.mu.Lock()
@@ -67,7 +68,10 @@
 	if g.usual == 0 {
 		return 0
 	}
-	return max(min(g.average, g.difference()), 0)
+	if g.constant() < maxSmoothing {
+		return max(min(g.average, g.difference()), 0)
+	}
+	return max(g.average, 0)
 }
 
 // advance ends the ticks before at. A time before the tick in progress counts as in it.
--- a/bronzeroom/room.go
+++ b/bronzeroom/room.go
@@ -14,8 +14,9 @@
 	// objectivePart is the part of the objective that a mean request may take: the slower ones
 	// take twice as long.
 	objectivePart = 0.45
-	// minSafe is the lower bound of the safe limit, however short the objective is.
-	minSafe = 0.5
+	// minSafe is the lower bound of the safe limit, however short the objective is: with fewer,
+	// slots are idle even if a single node places all requests.
+	minSafe = 0.75
 	// maxChange bounds the logarithm of the limit's ratio to the safe limit: it is from half
 	// to twice the safe limit.
 	maxChange = math.Ln2
