Count what waits only if answers are late

While a quarter of the servers had just fallen silent, their unanswered requests counted as waiting, and openings were refused although there was room.

--- a/bronzesteer/room.go
+++ b/bronzesteer/room.go
@@ -42,7 +42,7 @@
 func (s *Steerer) waiting(ps *poolStats, usual time.Duration, slots float64, at time.Duration) float64 {
 	w := 0.0
 	if own := ps.gauge.Waiting(usual, at); own > 0 && slots > 0 {
-		w = own * s.fleetRatio(ps, at) / slots
+		w = own * ps.delayed() * s.fleetRatio(ps, at) / slots
 	}
 	ps.lastWaiting.Store(w)
 	return w
