Learn the usual time of answers as a mean of calm samples

Little's law needs the mean. The sixtieth percentile lay between answers of one packet (acknowledged 40 ms late) and of two, so that some nodes learned 20 ms where others had 55, and refused openings at a node without a queue.

--- a/bronzeroom/usual.go
+++ b/bronzeroom/usual.go
@@ -1,33 +1,36 @@
 package bronzeroom
 
 import (
-	"slices"
 	"sync"
 	"time"
 )
 
 const (
 	// minSample and maxSample bound the requests of a sample, sampleSpan is the time within
-	// which they are begun, and sampleInterval the least time between two samples. The more
-	// samples there are and the smaller they are, the further the lowest percentile is below the
-	// true one.
+	// which they are begun, and sampleInterval the least time between two samples.
 	minSample      = 16
 	maxSample      = 64
 	sampleSpan     = time.Second
 	sampleInterval = 250 * time.Millisecond
-	// sampleTimeout is how long a sample may take. It is given up if too many of its requests
-	// have no answer by then.
+	// sampleTimeout is how long a sample may take. It is given up if fewer than answeredPart of
+	// its requests have an answer by then.
 	sampleTimeout = 5 * time.Second
-	// usualSpan is how long the lowest percentile counts at least. A pool that has been overloaded
+	answeredPart  = 0.9
+	// usualSpan is how long the lowest mean counts at least. A pool that has been overloaded
 	// for all of up to twice this time is taken to have become slower.
 	usualSpan = 15 * time.Second
+	// calmRatio is how much higher than the lowest a mean may be that counts, and meanWeight
+	// the weight of one in the average. The lowest of many means alone is well below the true
+	// one by chance.
+	calmRatio  = 1.3
+	meanWeight = 0.15
 )
 
-// Usual learns the time from a request to its acknowledgement at a server with free slots, as the
-// lowest recent percentile of samples of requests. Waiting only adds to it, so that the lowest one
-// comes from the least loaded time. A sample consists of requests begun one after another,
-// not of answers: the first answers after the begin of a surge are those to the shortest requests.
-// The zero Usual works. All methods may be called concurrently and cost no allocation.
+// Usual learns the mean time from a request to its acknowledgement at servers with free slots,
+// from the means of samples of requests. Waiting only adds to a mean, so that those near the
+// lowest recent one come from times without load. A sample consists of requests begun one after
+// another, not of answers: the first answers after the begin of a surge are those to the shortest
+// requests. The zero Usual works. All methods may be called concurrently and cost no allocation.
 type Usual struct {
 	mu sync.Mutex
 	// id is that of the present sample, which was opened at opened and has joined requests, 0
@@ -36,11 +39,14 @@
 	opened time.Duration
 	done   bool
 	joined int
-	// times holds those of its requests that were answered.
-	times    [maxSample]time.Duration
-	answered int
-	// lowest is that of the present span, former that of the one before, 0 if unknown.
+	// answered is the number of its requests that were answered, sum that of their times, and
+	// longest the longest of these.
+	answered     int
+	sum, longest time.Duration
+	// lowest is the lowest mean of the present span, former that of the one before, 0 if
+	// unknown. average is what Time returns.
 	lowest, former time.Duration
+	average        time.Duration
 	start          time.Duration // of the present span
 }
 
@@ -52,7 +58,7 @@
 	age := at - u.opened
 	if u.id == 0 || u.done && age >= sampleInterval || age >= sampleTimeout {
 		u.id = max(u.id+1, 1)
-		u.opened, u.done, u.joined, u.answered = at, false, 0, 0
+		u.opened, u.done, u.joined, u.answered, u.sum, u.longest = at, false, 0, 0, 0, 0
 	}
 	if u.done || !u.joinable(at) {
 		return 0
@@ -71,8 +77,9 @@
 	if sample != u.id || u.done {
 		return
 	}
-	u.times[u.answered] = took
 	u.answered++
+	u.sum += took
+	u.longest = max(u.longest, took)
 	u.update(at)
 }
 
@@ -82,38 +89,37 @@
 	return u.joined < minSample || u.id > 1 && u.joined < maxSample && at-u.opened < sampleSpan
 }
 
-// update takes the percentile of the present sample once enough of its requests are answered: the
-// others take longer.
+// update takes the mean of the present sample once enough of its requests are answered. The others
+// count like the longest.
 func (u *Usual) update(at time.Duration) {
-	if u.done || u.joined == 0 || u.joinable(at) || u.answered <= u.rank() {
+	if u.done || u.joined == 0 || u.joinable(at) || float64(u.answered) < answeredPart*float64(u.joined) {
 		return
 	}
 	u.done = true
-	sorted := u.times // a copy
-	slices.Sort(sorted[:u.answered])
-	time := sorted[u.rank()]
+	mean := (u.sum + time.Duration(u.joined-u.answered)*u.longest) / time.Duration(u.joined)
 	if at-u.start >= usualSpan {
 		u.former, u.lowest, u.start = u.lowest, 0, at
 	}
-	if u.lowest == 0 || time < u.lowest {
-		u.lowest = time
+	if u.lowest == 0 || mean < u.lowest {
+		u.lowest = mean
 	}
+	lowest := u.lowest
+	if u.former > 0 {
+		lowest = min(lowest, u.former)
+	}
+	highest := time.Duration(calmRatio * float64(lowest))
+	switch {
+	case u.average == 0:
+		u.average = mean
+	case mean <= highest:
+		u.average += time.Duration(meanWeight * float64(mean-u.average))
+	}
+	u.average = min(u.average, highest)
 }
 
-// rank returns the index of the sample's percentile among its times. The sixtieth percentile of
-// service times with a long tail is about their mean, which the least of several is to estimate.
-func (u *Usual) rank() int { return u.joined * 3 / 5 }
-
 // Time returns the usual time, 0 if it is unknown.
 func (u *Usual) Time() time.Duration {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	switch {
-	case u.lowest == 0:
-		return u.former
-	case u.former == 0:
-		return u.lowest
-	default:
-		return min(u.lowest, u.former)
-	}
+	return u.average
 }
