--- a/bronzeadmit/pool.go
+++ b/bronzeadmit/pool.go
@@ -62,7 +62,7 @@
 // Pool decides who is admitted to one pool on one node. The zero Pool works. All methods may be
 // called concurrently.
 type Pool struct {
-	mu        sync.Mutex
+	mu sync.Mutex
 	// levels are all levels, competing those that have had openings recently.
 	levels    levels
 	competing levels
--- a/bronzesteer/shed.go
+++ b/bronzesteer/shed.go
@@ -10,15 +10,6 @@
 )
 
 const (
-	// As the time that the requests in flight in a pool will take rises from shedStart to
-	// shedAll times the objective of the route, the fraction of new flows that is refused
-	// rises from 0 to 1.
-	//
-	// Without shedding, all queues fill and stay full under overload: as many requests are
-	// answered as ever, but nearly all too late. Refusing some keeps the others in time.
-	// Starting earlier would refuse callers that would have been served, if late.
-	shedStart = 1.0
-	shedAll   = 1.2
 	// unqueuedUtilization is the utilization up to which a server's answer times show the
 	// service time alone, serviceTimeWeight the weight of one sample.
 	unqueuedUtilization = 0.7
@@ -168,13 +159,3 @@
 	own := pf.own + float64(pf.stats.inFlight.Load()-pf.counted)
 	return max(own, 0) * nodes / pf.slots
 }
-
-// shedFraction returns the fraction of new flows to be refused, from 0 to 1, if requests
-// take the given time and the objective is as given. It is 0 if either is unknown.
-func shedFraction(delay, objective time.Duration) float64 {
-	if objective <= 0 {
-		return 0
-	}
-	ratio := float64(delay) / float64(objective)
-	return min(max((ratio-shedStart)/(shedAll-shedStart), 0), 1)
-}
--- a/bronzesteer/spread.go
+++ b/bronzesteer/spread.go
@@ -21,10 +21,9 @@
 // called concurrently.
 type subsets struct {
 	mu sync.Mutex
-	// names are those of the other live nodes of the own zone, version counts their changes.
-	names   []string
-	version uint64
-	first   map[int]int // by number of servers
+	// names are those of the other live nodes of the own zone.
+	names []string
+	first map[int]int // by number of servers
 }
 
 // SetLivePeers sets the names of the other live nodes of this node's zone. The Steerer keeps
@@ -59,7 +58,13 @@
 	if !ok {
 		return c, false
 	}
-	zone := s.drawZone(shares)
+	// Flows within the zone survive a partition between zones. They leave it only as far as
+	// answer times confirm that requests wait: the capacity of zones is underestimated if
+	// callers acknowledge late.
+	zone := s.AvailabilityZone
+	if s.randomFloat() < sum.inFlight.stats.delayed() {
+		zone = s.drawZone(shares)
+	}
 	best := s.leastLoadedOfSubset(p, zone, tried, sum, at, now)
 	for i := range shares {
 		if best != nil {
