--- a/bronzeroom/room.go
+++ b/bronzeroom/room.go
@@ -10,7 +10,7 @@
 const (
 	// safeWaiting is the safe limit per slot: with fewer, slots are idle while the next
 	// request is on its way; more only add waiting.
-	safeWaiting = 0.8
+	safeWaiting = 1.0
 	// objectivePart is the part of the objective that a mean request may take: the slower ones
 	// take twice as long.
 	objectivePart = 0.45
--- a/bronzesteer/backend.go
+++ b/bronzesteer/backend.go
@@ -17,6 +17,8 @@
 	zone     *zone
 	stats    *poolStats
 	slots    int
+	// slowness is that of the pool's servers in the zone.
+	slowness *slowness
 	// room is what this node has learned of the server's room.
 	room bronzeroom.Server
 	// shortID identifies the server in messages between nodes.
@@ -43,9 +45,11 @@
 func (s *Steerer) newBackend(server *bronzeroute.Server) *backend {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	stats := s.statsOf(server.Pool)
 	return &backend{
 		instance: server.Instance, zoneName: server.AvailabilityZone,
-		zone: s.zone(server.AvailabilityZone), stats: s.statsOf(server.Pool), slots: server.Slots,
+		zone: s.zone(server.AvailabilityZone), stats: stats, slots: server.Slots,
+		slowness: stats.slownessOf(server.AvailabilityZone),
 		shortID: shortID(server), startedAt: server.StartedAt,
 	}
 }
--- a/bronzesteer/flow.go
+++ b/bronzesteer/flow.go
@@ -172,7 +172,7 @@
 	rejected := f.backend.observeAnswer(int(p.Acknowledged-f.answeredUpTo), at)
 	f.backend.stats.recordAck(p.Length == 0)
 	if p.Length == 0 {
-		f.backend.stats.recordAnswerTime(at-f.requestAt, rejected)
+		f.backend.slowness.observe(at-f.requestAt, f.backend.stats.serviceTime(), rejected, at)
 		// An acknowledgement without data is sent at once; one that comes with new data may
 		// be late.
 		f.backend.observeLatency(at-f.requestAt, at)
--- a/bronzesteer/room.go
+++ b/bronzesteer/room.go
@@ -18,7 +18,8 @@
 	maxWaitAge = time.Second
 )
 
-// poolLoad returns the load of the pool of a choice, for a route. It is zero for a route without
+// poolLoad returns the load of the pool of a choice, for a route. What waits counts as far as
+// answer times in the zone of the choice confirm it. It is zero for a route without
 // an objective. If callers don't acknowledge answers when they receive them, nothing shows what
 // waits, and the load is the time that the requests in flight will take, relative to the
 // objective.
@@ -32,7 +33,7 @@
 		return bronzeadmit.Load{Waiting: c.sum.inFlight.perSlot(), Limit: float64(route.Objective) / float64(usual)}
 	}
 	return bronzeadmit.Load{
-		Waiting: s.waiting(ps, usual, c.sum.inFlight.slots, at),
+		Waiting: s.waiting(ps, usual, c.sum.inFlight.slots, at) * c.backend.slowness.delayed(at),
 		Limit:   ps.room.Limit(bronzeroom.Bounds{Usual: usual, Objective: route.Objective, At: at}),
 		Ceiling: float64(route.Objective) / float64(usual),
 	}
@@ -42,7 +43,7 @@
 func (s *Steerer) waiting(ps *poolStats, usual time.Duration, slots float64, at time.Duration) float64 {
 	w := 0.0
 	if own := ps.gauge.Waiting(usual, at); own > 0 && slots > 0 {
-		w = own * ps.delayed() * s.fleetRatio(ps, at) / slots
+		w = own * s.fleetRatio(ps, at) / slots
 	}
 	ps.lastWaiting.Store(w)
 	return w
--- a/bronzesteer/shed.go
+++ b/bronzesteer/shed.go
@@ -18,14 +18,6 @@
 	// one sample.
 	minPromptAcks   = 0.8
 	promptAckWeight = 0.05
-	// slownessWeight is the weight of one answer in the slowness of a pool, and maxSlowness the
-	// upper bound of a sample. Up to usualSlowness, answers take as long as usual: the mean of
-	// service times exceeds the usual time, which is the least of several percentiles. From
-	// delayedSlowness on, they show a queue.
-	slownessWeight  = 0.08
-	maxSlowness     = 3.0
-	usualSlowness   = 1.15
-	delayedSlowness = 1.35
 )
 
 // poolStats holds the statistics of a pool's servers: the service time of requests, without
@@ -57,11 +49,11 @@
 	medianLatency atomic.Int64
 
 	mu sync.Mutex
+	// slowness is by AvailabilityZone.
+	slowness map[string]*slowness
 	// promptAcks is the fraction of recent answers that callers acknowledged promptly, not
 	// only with their next request.
 	promptAcks float64
-	// slowness is the mean of the last answer times relative to the usual time.
-	slowness float64
 }
 
 // acksPromptly reports whether callers acknowledge answers when they receive them, so that
@@ -83,30 +75,6 @@
 	ps.promptAcks += promptAckWeight * (sample - ps.promptAcks)
 }
 
-// recordAnswerTime records how long an answer took, or that it was a rejection, which shows a
-// full queue.
-func (ps *poolStats) recordAnswerTime(took time.Duration, rejected bool) {
-	usual := ps.serviceTime()
-	if usual <= 0 {
-		return
-	}
-	ratio := min(float64(took)/float64(usual), maxSlowness)
-	if rejected {
-		ratio = maxSlowness
-	}
-	ps.mu.Lock()
-	defer ps.mu.Unlock()
-	ps.slowness += slownessWeight * (ratio - ps.slowness)
-}
-
-// delayed returns the part, from 0 to 1, to which answer times confirm that requests wait. While
-// requests are left unanswered by servers that have just failed, the others answer as usual.
-func (ps *poolStats) delayed() float64 {
-	ps.mu.Lock()
-	defer ps.mu.Unlock()
-	return min(max((ps.slowness-usualSlowness)/(delayedSlowness-usualSlowness), 0), 1)
-}
-
 // serviceTime returns the usual time of an answer without waiting for a slot, 0 if unknown.
 func (ps *poolStats) serviceTime() time.Duration { return ps.usual.Time() }
 
--- /dev/null
+++ b/bronzesteer/slowness.go
@@ -0,0 +1,69 @@
+package bronzesteer
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// slownessWeight is the weight of one answer, and maxSlowness the upper bound of a sample.
+	slownessWeight = 0.08
+	maxSlowness    = 3.0
+	// Up to usualSlowness, answers take as long as usual. From delayedSlowness on, they show a
+	// queue: the mean of a dozen service times is seldom that far above the usual one.
+	usualSlowness   = 1.15
+	delayedSlowness = 1.35
+	// slownessDecay is the time constant with which slowness is forgotten without answers: a
+	// zone that gets no flows would stay slow for good.
+	slownessDecay = time.Second
+)
+
+// slowness is how long the servers of a pool in one AvailabilityZone take to answer, relative to
+// the usual time. All methods may be called concurrently.
+type slowness struct {
+	mu sync.Mutex
+	// excess is the mean of the last samples less one.
+	excess     float64
+	observedAt time.Duration
+}
+
+// observe records how long an answer took, or that it was a rejection, which shows a full queue.
+func (sl *slowness) observe(took, usual time.Duration, rejected bool, at time.Duration) {
+	if usual <= 0 {
+		return
+	}
+	ratio := min(float64(took)/float64(usual), maxSlowness)
+	if rejected {
+		ratio = maxSlowness
+	}
+	sl.mu.Lock()
+	defer sl.mu.Unlock()
+	sl.excess += slownessWeight * (ratio - 1 - sl.excess)
+	sl.observedAt = at
+}
+
+// delayed returns the part, from 0 to 1, to which answer times confirm that requests wait. While
+// requests are left unanswered by servers that have just failed, the others answer as usual.
+func (sl *slowness) delayed(at time.Duration) float64 {
+	sl.mu.Lock()
+	defer sl.mu.Unlock()
+	idle := max(at-sl.observedAt, 0)
+	excess := sl.excess * math.Exp(-float64(idle)/float64(slownessDecay))
+	return min(max((excess+1-usualSlowness)/(delayedSlowness-usualSlowness), 0), 1)
+}
+
+// slownessOf returns the slowness of a zone's servers.
+func (ps *poolStats) slownessOf(zone string) *slowness {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	sl := ps.slowness[zone]
+	if sl == nil {
+		if ps.slowness == nil {
+			ps.slowness = make(map[string]*slowness)
+		}
+		sl = &slowness{}
+		ps.slowness[zone] = sl
+	}
+	return sl
+}
--- a/bronzesteer/spread.go
+++ b/bronzesteer/spread.go
@@ -58,13 +58,7 @@
 	if !ok {
 		return c, false
 	}
-	// Flows within the zone survive a partition between zones. They leave it only as far as
-	// answer times confirm that requests wait: the capacity of zones is underestimated if
-	// callers acknowledge late.
-	zone := s.AvailabilityZone
-	if s.randomFloat() < sum.inFlight.stats.delayed() {
-		zone = s.drawZone(shares)
-	}
+	zone := s.zoneWithRoom(sum.inFlight.stats, shares, at)
 	best := s.leastLoadedOfSubset(p, zone, tried, sum, at, now)
 	for i := range shares {
 		if best != nil {
@@ -79,6 +73,28 @@
 	return choice{server: best.server, backend: best.backend, tier: best.tier, sum: sum}, true
 }
 
+// zoneWithRoom returns the zone for a flow. Flows within the own zone survive a partition between
+// zones. They leave it only as far as answer times confirm that requests wait there: the capacity
+// of zones is underestimated if callers acknowledge late. They go by the shares, or to another
+// zone if answers are as late in the one that was drawn, and not there.
+func (s *Steerer) zoneWithRoom(ps *poolStats, shares []zoneShare, at time.Duration) string {
+	own := ps.slownessOf(s.AvailabilityZone).delayed(at)
+	if own == 0 || s.randomFloat() >= own {
+		return s.AvailabilityZone
+	}
+	zone := s.drawZone(shares)
+	least := ps.slownessOf(zone).delayed(at)
+	if least == 0 {
+		return zone
+	}
+	for i := range shares {
+		if d := ps.slownessOf(shares[i].zone).delayed(at); d < least {
+			zone, least = shares[i].zone, d
+		}
+	}
+	return zone
+}
+
 // drawZone draws a zone by the shares.
 func (s *Steerer) drawZone(shares []zoneShare) string {
 	x := s.randomFloat()
