Apply operators' rules to placement and report the load of pools

A closed pool is passed over if its route has another; priorities of the orders replace those of routes; the status has what waits, the limit, rejections and refusals by reason.

--- a/bronzesteer/backend.go
+++ b/bronzesteer/backend.go
@@ -50,7 +50,7 @@
 		instance: server.Instance, zoneName: server.AvailabilityZone,
 		zone: s.zone(server.AvailabilityZone), stats: stats, slots: server.Slots,
 		slowness: stats.slownessOf(server.AvailabilityZone),
-		shortID: shortID(server), startedAt: server.StartedAt,
+		shortID:  shortID(server), startedAt: server.StartedAt,
 	}
 }
 
--- a/bronzesteer/place.go
+++ b/bronzesteer/place.go
@@ -91,24 +91,25 @@
 }
 
 // chooseServer returns the best server for a flow. The pool is chosen by the route's
-// weights; if none of its servers can be used, another pool of the route with a better one
-// is.
+// weights; if none of its servers can be used, or it is closed, another pool of the route with a
+// better one is.
 func (s *Steerer) chooseServer(vs *viewState, route *bronzeroute.Route, p *Packet, tried *backend, at time.Duration, now time.Time) choice {
 	pool, ok := route.Pick(p.Key.Hash())
 	if !ok {
 		return choice{}
 	}
 	best := s.chooseFromPool(vs.pools[pool], tried, at, now)
+	closed := s.isClosed(pool)
 	for i := range route.Pools {
-		if best.tier > tierAvoided {
+		if best.tier > tierAvoided && !closed {
 			break
 		}
 		weighted := &route.Pools[i]
-		if weighted.Weight <= 0 || weighted.Pool == pool {
+		if weighted.Weight <= 0 || weighted.Pool == pool || s.isClosed(weighted.Pool) {
 			continue
 		}
-		if c := s.chooseFromPool(vs.pools[weighted.Pool], tried, at, now); c.tier > best.tier {
-			best = c
+		if c := s.chooseFromPool(vs.pools[weighted.Pool], tried, at, now); c.tier > best.tier || closed && c.server != nil {
+			best, closed = c, false
 		}
 	}
 	return best
--- a/bronzesteer/room.go
+++ b/bronzesteer/room.go
@@ -110,8 +110,8 @@
 	return rejected
 }
 
-// setLevels sets the priorities that compete in each pool.
-func (s *Steerer) setLevels(v *bronzeroute.View, rules *Rules) {
+// setAdmission sets the priorities that compete in each pool, and what operators have ordered.
+func (s *Steerer) setAdmission(v *bronzeroute.View, rules *Rules) {
 	levels := make(map[string][]int)
 	for i := range v.Table.Routes {
 		route := &v.Table.Routes[i]
@@ -125,5 +125,6 @@
 	defer s.mu.Unlock()
 	for pool, ps := range s.poolStats {
 		ps.admit.SetLevels(levels[pool])
+		ps.admit.SetRules(rules.Pool(pool))
 	}
 }
--- a/bronzesteer/rules.go
+++ b/bronzesteer/rules.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bronzeusher.example/bronzeusher/bronzeadmit"
+	"bronzeusher.example/bronzeusher/bronzeroom"
 	"bronzeusher.example/bronzeusher/bronzeroute"
 )
 
@@ -44,9 +45,13 @@
 	return route.Priority
 }
 
-// SetRules puts rules in force, nil for none. It only stores a pointer, so that it delays neither
-// packets nor a stop.
-func (s *Steerer) SetRules(rules *Rules) { s.rules.Store(rules) }
+// SetRules puts rules in force, nil for none. It doesn't wait for packets in progress.
+func (s *Steerer) SetRules(rules *Rules) {
+	s.rules.Store(rules)
+	if v := s.View(); v != nil {
+		s.setAdmission(v, rules)
+	}
+}
 
 // Rules returns the rules in force, nil if there are none.
 func (s *Steerer) Rules() *Rules { return s.rules.Load() }
@@ -86,11 +91,38 @@
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(servers)) {
-		list = append(list, PoolStatus{Pool: name, Servers: servers[name], Rules: inForce(rules.Pool(name), now)})
+		p := PoolStatus{Pool: name, Servers: servers[name], Rules: inForce(rules.Pool(name), now)}
+		s.mu.Lock()
+		ps := s.poolStats[name]
+		s.mu.Unlock()
+		if ps != nil {
+			ps.addStatus(&p, s.sinceStart(now))
+		}
+		list = append(list, p)
 	}
 	return list
 }
 
+// addStatus adds the load of the pool. The limit is that of a route without an objective.
+func (ps *poolStats) addStatus(p *PoolStatus, at time.Duration) {
+	p.Waiting = ps.lastWaiting.Load()
+	p.Limit = ps.room.Limit(bronzeroom.Bounds{Usual: ps.serviceTime(), At: at})
+	p.Pressure = p.Waiting / p.Limit
+	p.Rejected = ps.rejected.Load()
+	p.Refused = make(map[string]uint64)
+	for _, r := range bronzeadmit.Reasons() {
+		if n := ps.refused[r].Load(); n > 0 {
+			p.Refused[r.String()] = n
+		}
+	}
+}
+
+// isClosed reports whether an operator has closed the pool for new flows.
+func (s *Steerer) isClosed(pool string) bool {
+	r := s.Rules().Pool(pool)
+	return r != nil && r.Closed
+}
+
 // inForce returns the rules without those that have ended, nil if nothing is left.
 func inForce(r *bronzeadmit.Rules, now time.Time) *bronzeadmit.Rules {
 	if r == nil {
--- a/bronzesteer/slowness.go
+++ b/bronzesteer/slowness.go
@@ -8,12 +8,12 @@
 
 const (
 	// slownessWeight is the weight of one answer, and maxSlowness the upper bound of a sample.
-	slownessWeight = 0.08
+	slownessWeight = 0.05
 	maxSlowness    = 3.0
 	// Up to usualSlowness, answers take as long as usual. From delayedSlowness on, they show a
-	// queue: the mean of a dozen service times is seldom that far above the usual one.
-	usualSlowness   = 1.15
-	delayedSlowness = 1.35
+	// queue: the mean of twenty service times is seldom that far above the usual one.
+	usualSlowness   = 1.25
+	delayedSlowness = 1.5
 	// slownessDecay is the time constant with which slowness is forgotten without answers: a
 	// zone that gets no flows would stay slow for good.
 	slownessDecay = time.Second
--- a/bronzesteer/steer.go
+++ b/bronzesteer/steer.go
@@ -121,7 +121,7 @@
 	s.init()
 	vs := s.newViewState(v, s.state.Load())
 	s.removeUnrouted(vs)
-	s.setLevels(v, s.Rules())
+	s.setAdmission(v, s.Rules())
 	s.state.Store(vs)
 }
 
