--- a/bronzesteer/spread.go
+++ b/bronzesteer/spread.go
@@ -12,9 +12,10 @@
 	// pool, otherZoneSubset that in each other zone. About as many nodes then share a server,
 	// so that a node's own requests in flight tell something of what the server has to do.
 	// Rates that peers report are too old for that: all nodes would choose the servers that
-	// were idle seconds ago.
+	// were idle seconds ago. The subset in another zone is larger than minUnansweredInZone, so
+	// that a partition shows.
 	ownZoneSubset   = 5
-	otherZoneSubset = 3
+	otherZoneSubset = 8
 )
 
 // subsets holds where in each zone's servers this node begins to place. All methods may be
@@ -117,7 +118,7 @@
 	if zone == s.AvailabilityZone {
 		t, size = tierOwnZone, ownZoneSubset
 	}
-	var candidates [ownZoneSubset]candidate
+	var candidates [max(ownZoneSubset, otherZoneSubset)]candidate
 	list := candidates[:0]
 	first := s.subsets.begin(s.Name, len(members))
 	for i := range members {
