--- a/bronzesteer/slowness.go
+++ b/bronzesteer/slowness.go
@@ -14,6 +14,11 @@
 	// queue: the mean of twenty service times is seldom that far above the usual one.
 	usualSlowness   = 1.25
 	delayedSlowness = 1.5
+	// Flows leave their zone from leaveSlowness on, and all that the shares say at
+	// allLeaveSlowness. A partition between zones ends flows that cross it, which is worse for
+	// callers than a short wait.
+	leaveSlowness    = 1.5
+	allLeaveSlowness = 2.5
 	// slownessDecay is the time constant with which slowness is forgotten without answers: a
 	// zone that gets no flows would stay slow for good.
 	slownessDecay = time.Second
@@ -46,11 +51,21 @@
 // delayed returns the part, from 0 to 1, to which answer times confirm that requests wait. While
 // requests are left unanswered by servers that have just failed, the others answer as usual.
 func (sl *slowness) delayed(at time.Duration) float64 {
+	return sl.part(usualSlowness, delayedSlowness, at)
+}
+
+// leaves returns the part, from 0 to 1, of the flows to other zones that the shares say.
+func (sl *slowness) leaves(at time.Duration) float64 {
+	return sl.part(leaveSlowness, allLeaveSlowness, at)
+}
+
+// part returns where the slowness lies between two values, from 0 to 1.
+func (sl *slowness) part(from, to float64, at time.Duration) float64 {
 	sl.mu.Lock()
 	defer sl.mu.Unlock()
 	idle := max(at-sl.observedAt, 0)
-	excess := sl.excess * math.Exp(-float64(idle)/float64(slownessDecay))
-	return min(max((excess+1-usualSlowness)/(delayedSlowness-usualSlowness), 0), 1)
+	value := 1 + sl.excess*math.Exp(-float64(idle)/float64(slownessDecay))
+	return min(max((value-from)/(to-from), 0), 1)
 }
 
 // slownessOf returns the slowness of a zone's servers.
--- a/bronzesteer/spread.go
+++ b/bronzesteer/spread.go
@@ -79,8 +79,8 @@
 // of zones is underestimated if callers acknowledge late. They go by the shares, or to another
 // zone if answers are as late in the one that was drawn, and not there.
 func (s *Steerer) zoneWithRoom(ps *poolStats, shares []zoneShare, at time.Duration) string {
-	own := ps.slownessOf(s.AvailabilityZone).delayed(at)
-	if own == 0 || s.randomFloat() >= own {
+	leaves := ps.slownessOf(s.AvailabilityZone).leaves(at)
+	if leaves == 0 || s.randomFloat() >= leaves {
 		return s.AvailabilityZone
 	}
 	zone := s.drawZone(shares)
