--- a/bronzeroom/usual.go
+++ b/bronzeroom/usual.go
@@ -16,8 +16,8 @@
 	// its requests have an answer by then.
 	sampleTimeout = 5 * time.Second
 	answeredPart  = 0.9
-	// usualSpan is how long the lowest mean counts at least. A pool that has been overloaded
-	// for all of up to twice this time is taken to have become slower.
+	// usualSpan is how long the lowest mean counts at least. A pool that has answered late for
+	// all of up to twice this time without being full is taken to have become slower.
 	usualSpan = 15 * time.Second
 	// calmRatio is how much higher than the lowest a mean may be that counts, and meanWeight
 	// the weight of one in the average. The lowest of many means alone is well below the true
@@ -117,6 +117,14 @@
 	u.average = min(u.average, highest)
 }
 
+// Hold tells that the pool is full: what is known counts for another span. Otherwise a lasting
+// overload would be learned as the usual time, and hide the wait that it is refused for.
+func (u *Usual) Hold(at time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.start = max(u.start, at)
+}
+
 // Time returns the usual time, 0 if it is unknown.
 func (u *Usual) Time() time.Duration {
 	u.mu.Lock()
--- a/bronzesteer/place.go
+++ b/bronzesteer/place.go
@@ -98,7 +98,7 @@
 	if !ok {
 		return choice{}
 	}
-	best := s.chooseFromPool(vs.pools[pool], tried, at, now)
+	best := s.chooseFromPool(vs.pools[pool], route, tried, at, now)
 	closed := s.isClosed(pool)
 	for i := range route.Pools {
 		if best.tier > tierAvoided && !closed {
@@ -108,15 +108,15 @@
 		if weighted.Weight <= 0 || weighted.Pool == pool || s.isClosed(weighted.Pool) {
 			continue
 		}
-		if c := s.chooseFromPool(vs.pools[weighted.Pool], tried, at, now); c.tier > best.tier || closed && c.server != nil {
+		if c := s.chooseFromPool(vs.pools[weighted.Pool], route, tried, at, now); c.tier > best.tier || closed && c.server != nil {
 			best, closed = c, false
 		}
 	}
 	return best
 }
 
-// chooseFromPool returns the server of a pool for a flow.
-func (s *Steerer) chooseFromPool(p *pool, tried *backend, at time.Duration, now time.Time) choice {
+// chooseFromPool returns the server of a pool for a flow of the route.
+func (s *Steerer) chooseFromPool(p *pool, route *bronzeroute.Route, tried *backend, at time.Duration, now time.Time) choice {
 	if p == nil {
 		return choice{}
 	}
@@ -129,7 +129,7 @@
 		for i := range list {
 			sum.add(&list[i])
 		}
-		if s.isBusy(sum.inFlight.stats, sum, at) {
+		if route.Objective > 0 && s.isBusy(sum.inFlight.stats, sum, at) {
 			if c, ok := s.chooseFromSubset(p, tried, sum, at, now); ok {
 				return c
 			}
@@ -137,7 +137,7 @@
 		return s.pickCandidate(list, sum)
 	}
 	sum := s.summary(p, at, now)
-	if s.isBusy(sum.inFlight.stats, sum, at) {
+	if route.Objective > 0 && s.isBusy(sum.inFlight.stats, sum, at) {
 		if c, ok := s.chooseFromSubset(p, tried, sum, at, now); ok {
 			return c
 		}
--- a/bronzesteer/refuse.go
+++ b/bronzesteer/refuse.go
@@ -48,6 +48,9 @@
 	if !d.Verdict.Reason.IsOrder() && s.isExempt(route, now) {
 		return d, false
 	}
+	if d.Load.IsFull() {
+		ps.usual.Hold(at)
+	}
 	ps.refused[d.Verdict.Reason].Add(1)
 	return d, true
 }
