--- a/bronzesteer/place_test.go
+++ b/bronzesteer/place_test.go
@@ -1,12 +1,15 @@
 package bronzesteer
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"bronzeusher.example/bronzeusher/bronzeflow"
 	"bronzeusher.example/bronzeusher/bronzeroute"
 )
 
@@ -230,6 +233,51 @@
 	})
 }
 
+// BenchmarkDecideBusy measures an opening of a route with an objective, by the number of servers:
+// in a pool with room, and in a busy one, where it is placed in the node's subset.
+func BenchmarkDecideBusy(b *testing.B) {
+	for _, n := range []int{150, 6000} {
+		for _, busy := range []bool{false, true} {
+			b.Run(fmt.Sprintf("%d/busy=%v", n, busy), func(b *testing.B) {
+				s := newSite(&testing.T{}, n/3, n/3, n/3)
+				s.directory.SetTable(&bronzeroute.Table{Version: 2, Routes: []bronzeroute.Route{{
+					Service: live, Objective: 500 * time.Millisecond,
+					Pools: []bronzeroute.WeightedPool{{Pool: "live", Weight: 1}},
+				}}}, s.now)
+				s.node.SetView(s.directory.View())
+				p := s.node.state.Load().pools["live"]
+				ps, at := p.members[0].backend.stats, s.node.sinceStart(s.now)
+				ps.promptAcks = 1
+				for range 16 {
+					ps.usual.Answered(ps.usual.Begin(at), 50*time.Millisecond, at)
+				}
+				s.node.SetZoneNodes(map[string]int{"a": 3, "b": 3, "c": 3})
+				for i := range 9 {
+					s.node.SetDemand(fmt.Sprint(i), string(rune('a'+i%3)), []Sum{{Pool: ps.id, Rate: 10}}, s.now)
+				}
+				if busy {
+					const earlier = 500 * time.Millisecond
+					ps.gauge.Waiting(ps.serviceTime(), at-earlier)
+					for range n {
+						ps.gauge.Begin(at - earlier)
+					}
+				}
+				sum := s.node.summary(p, at, s.now)
+				require.Equal(b, busy, s.node.isBusy(ps, sum, at))
+				_, ok := s.node.chooseFromSubset(p, nil, sum, at, s.now)
+				require.True(b, ok)
+				b.ReportAllocs()
+				var i uint32
+				for b.Loop() {
+					i++
+					caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(i >> 22), byte(i >> 14)}), uint16(1024+i&0x3fff))
+					s.node.Decide(&Packet{Key: bronzeflow.NewKey(bronzeflow.TCP, caller, live), Open: true}, s.now)
+				}
+			})
+		}
+	}
+}
+
 // In a large fleet, each node rarely sends requests to a slow server, and this node has old
 // samples from before the server became slow. It must use the latencies that its peers
 // report.
