Sum the demand of zones in a fixed order

The sum of floats depends on their order, which was that of a map: the same packets could lead to different decisions.

--- a/bronzesteer/demand.go
+++ b/bronzesteer/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -376,7 +377,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	nodes, fleet, then := 0.0, 0.0, 0.0
-	for zone, live := range t.live {
+	// The sum of floats depends on their order, and decisions must not depend on that of a map.
+	for _, zone := range slices.Sorted(maps.Keys(t.live)) {
+		live := t.live[zone]
 		d, ok := t.zoneDemand(zone, ps.id, zone == s.AvailabilityZone, false, own, at)
 		if !ok {
 			return 0
--- a/bronzesteer/demand_test.go
+++ b/bronzesteer/demand_test.go
@@ -271,3 +271,31 @@
 		}
 	})
 }
+
+// Guards against a ratio that differs between runs, since sums depend on the order of a map.
+func TestFleetRatioIsReproducible(t *testing.T) {
+	s := newSite(t, 1)
+	zones := map[string]int{"a": 3}
+	for i, zone := range []string{"b", "c", "d", "e", "f"} {
+		zones[zone] = 3
+		for n := range 3 {
+			s.node.SetDemand(fmt.Sprint(zone, n), zone, []Sum{{Pool: poolID("live"), Rate: 0.1 + 0.7*float64(i)}}, s.now)
+		}
+	}
+	for n := range 2 {
+		s.node.SetDemand(fmt.Sprint("a", n), "a", []Sum{{Pool: poolID("live"), Rate: 0.3}}, s.now)
+	}
+	s.node.SetZoneNodes(zones)
+	ps, at := s.node.poolStats["live"], s.node.sinceStart(s.now)
+	for range 30 {
+		ps.demand.add(at)
+	}
+	for node := range s.node.demands.nodes {
+		s.node.demands.nodes[node].sums[0].own = 10.1
+	}
+	first := s.node.newFleetRatio(ps, at)
+	require.NotZero(t, first)
+	for range 200 {
+		require.Equal(t, first, s.node.newFleetRatio(ps, at))
+	}
+}
