--- a/bronzesteer/room_test.go
+++ b/bronzesteer/room_test.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -311,3 +312,34 @@
 		require.NotZero(t, s.node.poolStats["live"].serviceTime(), "%d of 10 are late", late)
 	}
 }
+
+// Guards against rules of before that a view puts in force again, since both came at once: a pool
+// that was closed would stay open.
+func TestRulesAndViewAtOnce(t *testing.T) {
+	s := newSite(t, 1)
+	table := &bronzeroute.Table{Version: 2}
+	for i := range 1000 {
+		service := netip.AddrPortFrom(live.Addr(), uint16(1+i))
+		pools := []bronzeroute.WeightedPool{{Pool: "live", Weight: 1}}
+		table.Routes = append(table.Routes, bronzeroute.Route{Name: service.String(), Service: service, Pools: pools})
+	}
+	s.directory.SetTable(table, s.now)
+	v := s.directory.View()
+	for i := range 100 {
+		rules := &Rules{Default: &bronzeadmit.Rules{Closed: i%2 == 0}}
+		var stop atomic.Bool
+		begun, done := make(chan struct{}), make(chan struct{})
+		go func() {
+			defer close(done)
+			for close(begun); !stop.Load(); {
+				s.node.SetView(v)
+			}
+		}()
+		<-begun
+		s.node.SetRules(rules)
+		stop.Store(true)
+		<-done
+		d := s.node.poolStats["live"].admit.Decide(bronzeadmit.Request{}, bronzeadmit.Load{}, 0, s.now)
+		require.Equal(t, i%2 != 0, d.Admit, i)
+	}
+}
--- a/bronzesteer/rules.go
+++ b/bronzesteer/rules.go
@@ -47,6 +47,8 @@
 
 // SetRules puts rules in force, nil for none. It doesn't wait for packets in progress.
 func (s *Steerer) SetRules(rules *Rules) {
+	s.settingAdmission.Lock()
+	defer s.settingAdmission.Unlock()
 	s.rules.Store(rules)
 	if v := s.View(); v != nil {
 		s.setAdmission(v, rules)
--- a/bronzesteer/steer.go
+++ b/bronzesteer/steer.go
@@ -37,6 +37,9 @@
 	state atomic.Pointer[viewState]
 	// rules are what operators have ordered, nil for nothing.
 	rules atomic.Pointer[Rules]
+	// settingAdmission is held while a view or rules are put in force, so that pools get both
+	// of the latest.
+	settingAdmission sync.Mutex
 
 	once   sync.Once
 	start  time.Time
@@ -121,6 +124,8 @@
 	s.init()
 	vs := s.newViewState(v, s.state.Load())
 	s.removeUnrouted(vs)
+	s.settingAdmission.Lock()
+	defer s.settingAdmission.Unlock()
 	s.setAdmission(v, s.Rules())
 	s.state.Store(vs)
 }
