Add overload to the fault soak

The soak never overloaded a pool of routes with different priorities, so nothing checked refusals from outside.

An Overload event adds callers on the less urgent one of two routes to a pool. NewOverloadPlan (--overload) adds one to the plan of a seed. Slots, objectives, lengths of sessions and answers differ only in a plan that has the event. Requests and answers now carry the number of the attempt in a byte that was unused, in all plans.

New invariants: RanRefused, AnsweredRefused, RefusedOpen and RefusedUrgent. The last one compares the loads of refusals in the nodes' logs. Admitted openings were ruled out for this, since the log has no load for them, and the load of the moment differs between zones.

Rejections take one service time in these plans.

--- a/bronzesoak/caller.go
+++ b/bronzesoak/caller.go
@@ -66,6 +66,7 @@
 			h.soak.violations.add(Altered, "caller %s got %d bytes from %s: %v", h.addr, n, from, err)
 			continue
 		}
+		h.checkAnswer(&p)
 		h.mu.Lock()
 		f := h.flows[p.Destination.Port()]
 		h.mu.Unlock()
@@ -192,11 +193,11 @@
 
 // request makes a request in the open flow. ended is true if the caller must not
 // use the flow any more.
-func (f *callerFlow) request(ctx context.Context, id uint64) (o outcome, ended bool) {
-	payload := append(binary.LittleEndian.AppendUint64(nil, id), 0)
+func (f *callerFlow) request(ctx context.Context, r attempt) (o outcome, ended bool) {
+	payload := append(binary.LittleEndian.AppendUint64(nil, r.id), r.number)
 	a, ok := f.roundTrip(ctx, func(uint32) standin.Packet {
 		return standin.Packet{Sequence: f.sequence, Acknowledged: f.acknowledged, Payload: payload}
-	}, requestTimeout, 4, func(a *receivedPacket) bool { return f.isReset(a) || f.isAnswer(a, id) })
+	}, requestTimeout, 4, func(a *receivedPacket) bool { return f.isReset(a) || f.isAnswer(a, r) })
 	switch {
 	case !ok:
 		return failed, true
@@ -208,7 +209,7 @@
 	f.acknowledged = a.Sequence + uint32(len(a.Payload))
 	f.token = a.Token
 	f.send(standin.Packet{Sequence: f.sequence, Acknowledged: f.acknowledged})
-	if a.Payload[8] == answerFull {
+	if a.Payload[8]&1 == answerFull {
 		return rejected, a.Final
 	}
 	return served, a.Final
@@ -221,17 +222,18 @@
 	return a.Reset && off >= -resetWindow && off <= resetWindow
 }
 
-// isAnswer reports whether a packet answers the request with the given ID. An
-// answer with an invalid checksum violates Altered.
-func (f *callerFlow) isAnswer(a *receivedPacket, id uint64) bool {
-	if a.Reset || a.Open || len(a.Payload) != requestSize {
+// isAnswer reports whether a packet answers an attempt of a request. An answer
+// with an invalid checksum violates Altered.
+func (f *callerFlow) isAnswer(a *receivedPacket, to attempt) bool {
+	if a.Reset || a.Open || len(a.Payload) < requestSize {
 		return false
 	}
 	if !a.ChecksumValid {
 		f.host.soak.violations.add(Altered, "caller %v got an answer that its server did not write", f.key)
 		return false
 	}
-	return binary.LittleEndian.Uint64(a.Payload) == id
+	answered, _ := answerOf(&a.Packet)
+	return answered == to
 }
 
 // makeRequests runs sessions until ctx is done, each for the route that pick
@@ -253,15 +255,15 @@
 // open, or the server rejected it.
 func (h *callerHost) session(ctx context.Context, r route, pause time.Duration) {
 	var f *callerFlow
-	for range maxRequestsPerFlow {
+	for range h.soak.requestsPerFlow(&r) {
 		if ctx.Err() != nil {
 			break
 		}
 		start, id := time.Now(), h.soak.requestID()
 		o := failed
-		for attempts := 0; attempts < 3 && time.Since(start) < requestTimeout && ctx.Err() == nil; attempts++ {
+		for attempts := byte(0); attempts < 3 && time.Since(start) < requestTimeout && ctx.Err() == nil; attempts++ {
 			var retry bool
-			f, o, retry = h.attempt(ctx, f, r, id)
+			f, o, retry = h.attempt(ctx, f, r, attempt{id, attempts})
 			if !retry {
 				break
 			}
@@ -282,17 +284,20 @@
 // attempt makes one attempt of a request, in flow f or in a new one if f is nil.
 // It returns the flow if it is still open, and whether the request may be
 // retried.
-func (h *callerHost) attempt(ctx context.Context, f *callerFlow, r route, id uint64) (open *callerFlow, o outcome, retry bool) {
+func (h *callerHost) attempt(ctx context.Context, f *callerFlow, r route, a attempt) (open *callerFlow, o outcome, retry bool) {
 	if f == nil {
 		f = h.newFlow(r.service, nil)
-		if opened, _, _ := f.connect(ctx); !opened {
+		if opened, answered, reply := f.connect(ctx); !opened {
+			if answered && !reply.ChecksumValid && h.soak.tracker.recordAttempt(a, denied) {
+				h.soak.violations.add(RanRefused, "request %d had run when attempt %d was refused", a.id, a.number)
+			}
 			f.close(false)
 			return nil, failed, true
 		}
 	}
-	o, ended := f.request(ctx, id)
-	if ended {
-		f.close(o == failed)
+	o, ended := f.request(ctx, a)
+	if ended || o == rejected && h.soak.plan.overloads() {
+		f.close(!ended || o == failed)
 		f = nil
 	}
 	return f, o, o == rejected || o == failed && r.idempotent
--- a/bronzesoak/doc.go
+++ b/bronzesoak/doc.go
@@ -11,8 +11,10 @@
 // Observations of callers and servers are checked against what was published
 // and injected: see Invariant. An invariant with a time bound is checked only
 // where the node, the server or the store concerned has been undisturbed for
-// four seconds. Nodes store nothing and their clocks are not changed, so there
-// are no faults of disks or clocks.
+// four seconds. Refusals for lack of room are checked in the nodes' logs, which
+// have the load that a refusal was based on, in plans with an Overload. Nodes
+// store nothing and their clocks are not changed, so there are no faults of disks
+// or clocks.
 //
 // # Usage
 //
--- a/bronzesoak/event.go
+++ b/bronzesoak/event.go
@@ -71,6 +71,8 @@
 		s.removeRoute()
 	case Surge:
 		s.surge(ctx, e.duration())
+	case Overload:
+		s.overload(ctx, e.duration())
 	}
 }
 
@@ -366,6 +368,9 @@
 		service: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(n >> 8), byte(n)}), 443),
 		pool:    pools[n%len(pools)], idempotent: n%3 != 0,
 	}
+	if n == lessUrgentRoute && s.plan.overloads() {
+		r.priority = 1
+	}
 	s.tracker.addRoute(r)
 	s.publish()
 	s.tracker.mu.Lock()
--- a/bronzesoak/invariant.go
+++ b/bronzesoak/invariant.go
@@ -45,6 +45,19 @@
 	// Exited: a node process exited although it had been neither killed nor told
 	// to leave.
 	Exited Invariant = "Exited"
+	// RanRefused: a server ran an attempt of a request whose opening a node reset or
+	// which a server rejected.
+	RanRefused Invariant = "RanRefused"
+	// AnsweredRefused: an attempt was answered with a success after its caller was
+	// told that it was refused or rejected.
+	AnsweredRefused Invariant = "AnsweredRefused"
+	// RefusedOpen: a node refused for lack of room a retransmitted opening, or one
+	// whose first packet a server had received.
+	RefusedOpen Invariant = "RefusedOpen"
+	// RefusedUrgent: a node refused an urgent opening at a load at which it still
+	// admitted a part of the less urgent ones of the pool, less than two seconds
+	// before.
+	RefusedUrgent Invariant = "RefusedUrgent"
 	// Unserved: fewer than nine tenths of the requests near the end of the run,
 	// when generated plans start no more events, were served.
 	Unserved Invariant = "Unserved"
--- a/bronzesoak/plan.go
+++ b/bronzesoak/plan.go
@@ -59,6 +59,10 @@
 	RemoveRoute Kind = "RemoveRoute"
 	// Surge doubles the number of callers.
 	Surge Kind = "Surge"
+	// Overload adds overloadFactor times the plan's callers on the route
+	// lessUrgentRoute. In a plan that has it, this route is less urgent than the
+	// others of its pool, and overloadSlots and overloadObjective apply.
+	Overload Kind = "Overload"
 )
 
 // randomKinds are the kinds that NewPlan draws from first. RestoreStore and
@@ -68,7 +72,7 @@
 	StoreForgets, CrashServer, ReplaceServer, ReuseAddress, AddRoute, RemoveRoute, Surge,
 }
 
-var allKinds = append(slices.Clone(randomKinds), RestoreStore, DrainZone)
+var allKinds = append(slices.Clone(randomKinds), RestoreStore, DrainZone, Overload)
 
 // FailureMode is how a connection to the store fails.
 type FailureMode string
@@ -169,6 +173,23 @@
 	return p
 }
 
+// NewOverloadPlan generates the plan that NewPlan does, with an Overload. Its
+// servers take longer for a request, so that this machine can overload them.
+func NewOverloadPlan(seed uint64, length time.Duration) Plan {
+	p := NewPlan(seed, length)
+	r := rand.New(rand.NewPCG(seed, 0x0ad5))
+	p.WorkMS = 35 + r.IntN(20)
+	span := max(int((length - recoveryPeriod - time.Second).Milliseconds()), 2)
+	p.Events = append(p.Events, Event{AtMS: 1000 + r.IntN(span/2), ForMS: 2000 + r.IntN(1000), Kind: Overload})
+	p.sort()
+	return p
+}
+
+// overloads reports whether the plan has an Overload.
+func (p *Plan) overloads() bool {
+	return slices.ContainsFunc(p.Events, func(e Event) bool { return e.Kind == Overload })
+}
+
 func (p *Plan) sort() {
 	slices.SortStableFunc(p.Events, func(a, b Event) int { return a.AtMS - b.AtMS })
 }
--- a/bronzesoak/plan_test.go
+++ b/bronzesoak/plan_test.go
@@ -22,6 +22,8 @@
 			require.LessOrEqual(t, p.Events[i].offset(), p.length()-recoveryPeriod)
 		}
 	}
+	require.NotContains(t, seen, Overload)
+	seen[Overload] = true // TestOverloadPlan
 	require.Len(t, seen, len(allKinds))
 }
 
--- a/bronzesoak/run.go
+++ b/bronzesoak/run.go
@@ -48,6 +48,11 @@
 	// Broken lists the first violations, BrokenTotal counts all.
 	Broken      []Violation
 	BrokenTotal int
+	// RefusedOpenings counts the openings that nodes logged as refused for lack of
+	// room, RefusedUrgent the urgent ones of lessUrgentRoute's pool. Both are 0 in a
+	// plan without an Overload.
+	RefusedOpenings int
+	RefusedUrgent   int
 	// Seconds has the requests by the second in which they began.
 	Seconds []SecondStats
 }
@@ -331,6 +336,8 @@
 	if r.Stalls == 0 && float64(end.Served) < minFinalServed*float64(max(end.total(), 1)) {
 		s.violations.add(Unserved, "%d of %d requests", end.Served, end.total())
 	}
+	s.checkLogs()
+	r.RefusedOpenings, r.RefusedUrgent = s.refused.total, s.refused.urgent
 	s.violations.mu.Lock()
 	defer s.violations.mu.Unlock()
 	r.Broken, r.BrokenTotal = s.violations.list, s.violations.total
--- a/bronzesoak/server.go
+++ b/bronzesoak/server.go
@@ -17,8 +17,9 @@
 	serverQueue = 8
 	// drainTime is how long a server runs on after it registered as draining.
 	drainTime = 6 * time.Second
-	// requestSize is the length of a request or an answer in bytes: the request's
-	// ID and one more byte, which in an answer is answerDone or answerFull.
+	// requestSize is the length of a request or a rejection in bytes: the request's
+	// ID and one more byte, the number of the attempt. In an answer, the attempt is
+	// shifted by one bit, and the lowest bit is answerDone or answerFull.
 	requestSize = 9
 )
 
@@ -108,6 +109,9 @@
 func (s *server) handleOpen(n *node, key flowKey, f *serverFlow, p *standin.Packet, r *route) {
 	s.checkNewFlow(n, r)
 	s.soak.tracker.recordUse(n.currentStart(), p.Destination)
+	if p.Acknowledged == 0 && s.soak.plan.overloads() {
+		s.soak.tracker.recordReached(key)
+	}
 	if f == nil {
 		f = &serverFlow{sequence: rand.Uint32(), acknowledged: p.Sequence + 1}
 		s.flows[key] = f
@@ -175,34 +179,58 @@
 
 // handleRequest runs a request, or rejects it if the queue is full.
 func (s *server) handleRequest(key flowKey, f *serverFlow, p *standin.Packet, r *route) {
-	id := binary.LittleEndian.Uint64(p.Payload)
-	if s.busy >= serverSlots+serverQueue {
-		s.answer(key, f, id, answerFull)
+	id, slots := binary.LittleEndian.Uint64(p.Payload), s.soak.slots()
+	a := attempt{id, p.Payload[8]}
+	work := time.Duration((0.5 + rand.Float64()) * float64(s.soak.plan.WorkMS) * float64(time.Millisecond))
+	if s.busy >= slots+serverQueue {
+		s.reject(key, f, a, work)
 		return
 	}
+	if s.soak.tracker.recordAttempt(a, ran) {
+		s.soak.violations.add(RanRefused, "request %d ran at %s after attempt %d was refused or rejected", id, s.name, a.number)
+	}
 	if times := s.soak.tracker.recordExecution(id); times > 1 && !r.idempotent {
 		s.soak.violations.add(RanTwice, "request %d ran %d times, last at %s", id, times, s.name)
 	}
 	s.busy++
-	rounds := time.Duration(1 + (s.busy-1)/serverSlots)
-	work := time.Duration((0.5 + rand.Float64()) * float64(s.soak.plan.WorkMS) * float64(time.Millisecond))
+	rounds := time.Duration(1 + (s.busy-1)/slots)
 	time.AfterFunc(rounds*work, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.busy--
 		if !s.stopped && s.flows[key] == f {
-			s.answer(key, f, id, answerDone)
+			s.answer(key, f, a, answerDone)
+		}
+	})
+}
+
+// reject answers that there is no room: at once, or after the given work in a plan
+// with an Overload, as real servers do when a slot becomes free. The caller holds
+// the lock.
+func (s *server) reject(key flowKey, f *serverFlow, a attempt, work time.Duration) {
+	if !s.soak.plan.overloads() {
+		s.answer(key, f, a, answerFull)
+		return
+	}
+	time.AfterFunc(work, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if !s.stopped && s.flows[key] == f {
+			s.answer(key, f, a, answerFull)
 		}
 	})
 }
 
 // answer answers the flow's last request. A draining server closes the flow with
 // it.
-func (s *server) answer(key flowKey, f *serverFlow, id uint64, outcome byte) {
-	payload := binary.LittleEndian.AppendUint64(nil, id)
+func (s *server) answer(key flowKey, f *serverFlow, to attempt, outcome byte) {
+	payload := append(binary.LittleEndian.AppendUint64(nil, to.id), to.number<<1|outcome)
+	if outcome == answerDone && s.soak.plan.overloads() {
+		payload = append(payload, make([]byte, overloadAnswer-len(payload))...)
+	}
 	a := standin.Packet{
 		Source: key.service, Destination: key.caller, Token: f.token, Sequence: f.sequence, Acknowledged: f.acknowledged,
-		Payload: append(payload, outcome), Final: !s.drainedAt.IsZero(),
+		Payload: payload, Final: !s.drainedAt.IsZero(),
 	}
 	f.sequence += uint32(len(a.Payload))
 	f.answer = a.Bytes()
@@ -228,7 +256,7 @@
 func (s *server) registration() standin.Server {
 	return standin.Server{
 		Name: s.name, Pool: s.pool, Address: s.proxy.conn.LocalAddr().(*net.UDPAddr).AddrPort(),
-		AvailabilityZone: s.zone, Slots: serverSlots, Draining: !s.drainedAt.IsZero(),
+		AvailabilityZone: s.zone, Slots: s.soak.slots(), Draining: !s.drainedAt.IsZero(),
 	}
 }
 
--- a/bronzesoak/soak.go
+++ b/bronzesoak/soak.go
@@ -37,14 +37,18 @@
 	// storeDisturbance is that of the store as a whole; cuts of one node from the
 	// store are disturbances of the node.
 	storeDisturbance disturbance
-	tracker          *tracker
-	violations       violationLog
-	counts           counts
-	router           *router
-	nodes            []*node
-	callerHosts      []*callerHost
+	// overloaded is extended while the pool of lessUrgentRoute is overloaded, so
+	// that nodes may refuse active routes.
+	overloaded  disturbance
+	tracker     *tracker
+	violations  violationLog
+	counts      counts
+	router      *router
+	nodes       []*node
+	callerHosts []*callerHost
 
 	lastRequestID atomic.Uint64
+	refused       refusals
 	stalls        atomic.Int64
 	tableVersion  uint64 // guarded by eventsMu
 	eventsMu      sync.Mutex
@@ -137,7 +141,7 @@
 	if !answered || !a.Reset || a.ChecksumValid || n.currentStart() != start {
 		return
 	}
-	if now, ok := s.tracker.route(r.service); !ok || !now.active() {
+	if now, ok := s.tracker.route(r.service); !ok || !now.active() || !s.overloaded.settled() {
 		return
 	}
 	switch {
@@ -183,7 +187,7 @@
 	for i, r := range s.tracker.activeRoutes() {
 		t.Routes = append(t.Routes, standin.Route{
 			Name: r.service.String(), Service: r.service, Pool: r.pool, Idempotent: r.idempotent,
-			Objective: time.Duration(500+i) * time.Millisecond,
+			Objective: s.objective(i), Priority: r.priority,
 		})
 	}
 	if err := s.store.PutTable(t); err != nil {
--- a/bronzesoak/tracker.go
+++ b/bronzesoak/tracker.go
@@ -14,6 +14,7 @@
 	service    netip.AddrPort
 	pool       string
 	idempotent bool
+	priority   int
 	// addedAt is when the store had the first table with the route, removedAt
 	// when it had the first table without it; zero if not yet.
 	addedAt   time.Time
@@ -38,6 +39,10 @@
 	order      []netip.AddrPort
 	flows      map[flowKey]*openFlow
 	executions map[uint64]int // by request ID
+	attempts   map[attempt]attemptState
+	// reached are the flows whose first opening packet a server has received. They
+	// are recorded in a plan with an Overload only.
+	reached map[flowKey]bool
 	// usedRoutes are the routes by which each process of a node has forwarded.
 	usedRoutes map[nodeStart]map[netip.AddrPort]bool
 }
@@ -51,6 +56,7 @@
 func newTracker() *tracker {
 	return &tracker{
 		routes: map[netip.AddrPort]*route{}, flows: map[flowKey]*openFlow{}, executions: map[uint64]int{},
+		attempts: map[attempt]attemptState{}, reached: map[flowKey]bool{},
 		usedRoutes: map[nodeStart]map[netip.AddrPort]bool{},
 	}
 }
--- a/cmd/bronzesoak/main.go
+++ b/cmd/bronzesoak/main.go
@@ -32,6 +32,7 @@
 	From      uint64        `default:"1" help:"First seed."`
 	Seeds     int           `default:"1" help:"Number of consecutive seeds to run."`
 	Length    time.Duration `default:"20s" help:"Duration of traffic for each seed."`
+	Overload  bool          `help:"Add an overload to the plan of each seed."`
 	Plan      string        `help:"Run this plan (JSON) instead of seeds." type:"existingfile"`
 	WritePlan string        `help:"Write the plan of the first seed to this file and run nothing."`
 	Program   string        `help:"The program under test; built from this module if omitted." type:"existingfile"`
@@ -92,8 +93,12 @@
 		p, err := bronzesoak.ReadPlan(f.Plan)
 		return []bronzesoak.Plan{p}, err
 	}
+	newPlan := bronzesoak.NewPlan
+	if f.Overload {
+		newPlan = bronzesoak.NewOverloadPlan
+	}
 	for i := range max(f.Seeds, 1) {
-		plans = append(plans, bronzesoak.NewPlan(f.From+uint64(i), f.Length))
+		plans = append(plans, newPlan(f.From+uint64(i), f.Length))
 	}
 	return plans, nil
 }
@@ -125,6 +130,9 @@
 		return r, err
 	}
 	fmt.Fprintf(os.Stderr, "seed %d: %d requests served, %d not, %d promises broken\n", plan.Seed, r.Served, r.Failed+r.Rejected, r.BrokenTotal)
+	if r.RefusedOpenings > 0 {
+		fmt.Fprintf(os.Stderr, "seed %d: %d openings refused for lack of room, %d of them urgent\n", plan.Seed, r.RefusedOpenings, r.RefusedUrgent)
+	}
 	for _, b := range r.Broken {
 		fmt.Fprintf(os.Stderr, "seed %d: %s (logs in %s)\n", plan.Seed, b, logs)
 	}
