Limit frequent callers beyond a moment of pressure, and accept settings without orders

Settings with null lists, as an encoder of the type writes them, were refused on reload. Priorities without an objective are controlled, too.

--- a/bronzeadmit/levels.go
+++ b/bronzeadmit/levels.go
@@ -22,6 +22,9 @@
 	// levelTimeout is how long a level counts after its last opening. Routes that nobody uses
 	// don't compete with others.
 	levelTimeout = 10 * time.Second
+	// pressedTime is how long frequent callers of a level are limited after the pressure has
+	// fallen. A node's estimate of the pressure falls by chance several times a second.
+	pressedTime = 2 * time.Second
 )
 
 // level is one of the distinct priorities of a pool.
@@ -64,8 +67,9 @@
 
 // activeLevels tells which levels have had openings recently.
 type activeLevels struct {
-	seen []time.Duration // the time of the last opening, by level
-	next time.Duration   // when the active levels are to be determined again
+	pressedAt []time.Duration // when openings of the level were last about to be refused
+	seen      []time.Duration // the time of the last opening, by level
+	next      time.Duration   // when the active levels are to be determined again
 }
 
 // see records an opening of level k of n, and reports whether the active levels may have changed.
@@ -73,6 +77,7 @@
 	if len(a.seen) != n {
 		// Until the timeout, all levels may be in use.
 		a.seen, a.next = slices.Repeat([]time.Duration{at}, n), at
+		a.pressedAt = slices.Repeat([]time.Duration{at - pressedTime}, n)
 	}
 	if n == 0 {
 		return false
@@ -82,6 +87,17 @@
 	return changed
 }
 
+// pressed reports whether openings of level k are about to be refused, or recently were.
+func (a *activeLevels) pressed(k int, now bool, at time.Duration) bool {
+	if k >= len(a.pressedAt) {
+		return now
+	}
+	if now {
+		a.pressedAt[k] = at
+	}
+	return now || at-a.pressedAt[k] < pressedTime
+}
+
 // of returns the levels of ls that are active.
 func (a *activeLevels) of(ls levels, at time.Duration) levels {
 	a.next = at + levelTimeout/10
--- a/bronzeadmit/pool.go
+++ b/bronzeadmit/pool.go
@@ -125,8 +125,8 @@
 	}
 	start, refused := p.competing.refused(p.competingIndex(k), pressure, ceiling)
 	// Frequent callers of a level are limited when openings of the level are about to be
-	// refused: earlier, less urgent openings are still admitted.
-	if pressure >= start {
+	// refused, and for some time after: earlier, less urgent openings are still admitted.
+	if p.active.pressed(k, pressure >= start, at) {
 		if part := p.callers.excess(r.Caller); part > 0 && p.callers.draw(r.Caller) < part {
 			return Verdict{Reason: FairShare, Fraction: part + (1-part)*min(refused, 1-guaranteed)}
 		}
--- a/bronzeedge/overload.go
+++ b/bronzeedge/overload.go
@@ -17,13 +17,13 @@
 // In JSON it is decoded strictly: a misspelt field would silently drop an order.
 type Overload struct {
 	// Shares bound what Customers get of each pool that they share with others.
-	Shares []CustomerShare
+	Shares []CustomerShare `json:",omitempty"`
 	// Priorities replace the priorities of routes.
-	Priorities []ServicePriority
+	Priorities []ServicePriority `json:",omitempty"`
 	// ClosedPools are pools that take no new flows.
-	ClosedPools []string
+	ClosedPools []string `json:",omitempty"`
 	// Shed orders to refuse a part of the openings.
-	Shed []PoolShed
+	Shed []PoolShed `json:",omitempty"`
 
 	// invalid is the first fault found while decoding, which Check returns. It isn't an error
 	// of decoding, so that the other fields of the settings can be used.
--- a/bronzeroom/usual.go
+++ b/bronzeroom/usual.go
@@ -12,8 +12,9 @@
 	maxSample      = 64
 	sampleSpan     = time.Second
 	sampleInterval = 250 * time.Millisecond
-	// sampleTimeout is how long a sample may take. It is given up if fewer than answeredPart of
-	// its requests have an answer by then.
+	// sampleTimeout is how long a sample waits for answeredPart of its requests to be answered.
+	// After that, half of them suffice: the others are at servers that have failed, or their
+	// answers are acknowledged late.
 	sampleTimeout = 5 * time.Second
 	answeredPart  = 0.9
 	// usualSpan is how long the lowest mean counts at least. A pool that has answered late for
@@ -56,6 +57,9 @@
 	defer u.mu.Unlock()
 	u.update(at)
 	age := at - u.opened
+	if !u.done && age >= sampleTimeout && 2*u.answered >= minSample && 2*u.answered >= u.joined {
+		u.take(u.sum/time.Duration(u.answered), at)
+	}
 	if u.id == 0 || u.done && age >= sampleInterval || age >= sampleTimeout {
 		u.id = max(u.id+1, 1)
 		u.opened, u.done, u.joined, u.answered, u.sum, u.longest = at, false, 0, 0, 0, 0
@@ -95,8 +99,12 @@
 	if u.done || u.joined == 0 || u.joinable(at) || float64(u.answered) < answeredPart*float64(u.joined) {
 		return
 	}
+	u.take((u.sum+time.Duration(u.joined-u.answered)*u.longest)/time.Duration(u.joined), at)
+}
+
+// take ends the present sample, whose mean is given.
+func (u *Usual) take(mean, at time.Duration) {
 	u.done = true
-	mean := (u.sum + time.Duration(u.joined-u.answered)*u.longest) / time.Duration(u.joined)
 	if at-u.start >= usualSpan {
 		u.former, u.lowest, u.start = u.lowest, 0, at
 	}
--- a/bronzesteer/place.go
+++ b/bronzesteer/place.go
@@ -129,7 +129,7 @@
 		for i := range list {
 			sum.add(&list[i])
 		}
-		if route.Objective > 0 && s.isBusy(sum.inFlight.stats, sum, at) {
+		if sum.inFlight.stats.isControlled(route) && s.isBusy(sum.inFlight.stats, sum, at) {
 			if c, ok := s.chooseFromSubset(p, tried, sum, at, now); ok {
 				return c
 			}
@@ -137,7 +137,7 @@
 		return s.pickCandidate(list, sum)
 	}
 	sum := s.summary(p, at, now)
-	if route.Objective > 0 && s.isBusy(sum.inFlight.stats, sum, at) {
+	if sum.inFlight.stats.isControlled(route) && s.isBusy(sum.inFlight.stats, sum, at) {
 		if c, ok := s.chooseFromSubset(p, tried, sum, at, now); ok {
 			return c
 		}
--- a/bronzesteer/room.go
+++ b/bronzesteer/room.go
@@ -1,6 +1,7 @@
 package bronzesteer
 
 import (
+	"slices"
 	"time"
 
 	"bronzeusher.example/bronzeusher/bronzeadmit"
@@ -19,17 +20,17 @@
 )
 
 // poolLoad returns the load of the pool of a choice, for a route. What waits counts as far as
-// answer times in the zone of the choice confirm it. It is zero for a route without
-// an objective. If callers don't acknowledge answers when they receive them, nothing shows what
-// waits, and the load is the time that the requests in flight will take, relative to the
-// objective.
+// answer times in the zone of the choice confirm it. It is zero for a route without an objective
+// in a pool without different priorities. If callers don't acknowledge answers when they receive
+// them, nothing shows what waits, and the load is the time that the requests in flight will take,
+// relative to the objective.
 func (s *Steerer) poolLoad(route *bronzeroute.Route, c choice, at time.Duration) (l bronzeadmit.Load) {
 	ps := c.backend.stats
 	usual := ps.serviceTime()
-	if usual <= 0 || route.Objective <= 0 {
+	if usual <= 0 || !ps.isControlled(route) {
 		return l
 	}
-	if !ps.acksPromptly() {
+	if !ps.acksPromptly() && route.Objective > 0 {
 		return bronzeadmit.Load{Waiting: c.sum.inFlight.perSlot(), Limit: float64(route.Objective) / float64(usual)}
 	}
 	return bronzeadmit.Load{
@@ -39,6 +40,12 @@
 	}
 }
 
+// isControlled reports whether the configuration asks for overload control: the route has an
+// objective, or routes with different priorities share the pool.
+func (ps *poolStats) isControlled(route *bronzeroute.Route) bool {
+	return route.Objective > 0 || ps.competes.Load()
+}
+
 // waiting returns the number of requests that wait per slot, of all nodes.
 func (s *Steerer) waiting(ps *poolStats, usual time.Duration, slots float64, at time.Duration) float64 {
 	w := 0.0
@@ -124,6 +131,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for pool, ps := range s.poolStats {
+		slices.Sort(levels[pool])
+		ps.competes.Store(len(slices.Compact(slices.Clone(levels[pool]))) > 1)
 		ps.admit.SetLevels(levels[pool])
 		ps.admit.SetRules(rules.Pool(pool))
 	}
--- a/bronzesteer/shed.go
+++ b/bronzesteer/shed.go
@@ -37,8 +37,10 @@
 	room        bronzeroom.Room
 	admit       bronzeadmit.Pool
 	lastWaiting atomicFloat
-	rejected    atomic.Uint64
-	refused     [bronzeadmit.ReasonCount]atomic.Uint64
+	// competes is set if routes with different priorities share the pool.
+	competes atomic.Bool
+	rejected atomic.Uint64
+	refused  [bronzeadmit.ReasonCount]atomic.Uint64
 	// shares and ratio are what zoneShares and fleetRatio return. steady holds the demand of
 	// each zone, for whoever renews shares.
 	shares renewed[zoneShares]
--- a/bronzesteer/slowness.go
+++ b/bronzesteer/slowness.go
@@ -7,13 +7,14 @@
 )
 
 const (
-	// slownessWeight is the weight of one answer, and maxSlowness the upper bound of a sample.
+	// slownessWeight is the least weight of one answer, and maxSlowness the upper bound of a
+	// sample. Answers that came before a gap count less.
 	slownessWeight = 0.05
 	maxSlowness    = 3.0
 	// Up to usualSlowness, answers take as long as usual. From delayedSlowness on, they show a
 	// queue: the mean of twenty service times is seldom that far above the usual one.
-	usualSlowness   = 1.25
-	delayedSlowness = 1.5
+	usualSlowness   = 1.35
+	delayedSlowness = 1.7
 	// Flows leave their zone from leaveSlowness on, and all that the shares say at
 	// allLeaveSlowness. A partition between zones ends flows that cross it, which is worse for
 	// callers than a short wait.
@@ -44,8 +45,8 @@
 	}
 	sl.mu.Lock()
 	defer sl.mu.Unlock()
-	excess := sl.decayed(at)
-	sl.excess = excess + slownessWeight*(ratio-1-excess)
+	weight := max(slownessWeight, 1-math.Exp(-float64(at-sl.observedAt)/float64(slownessDecay)))
+	sl.excess += weight * (ratio - 1 - sl.excess)
 	sl.observedAt = at
 }
 
