--- a/bronzeedge/packets.go
+++ b/bronzeedge/packets.go
@@ -104,6 +104,9 @@
 		w.hold(b)
 	}
 	e.counts.decision(&d)
+	if d.Reason == bronzesteer.Overloaded {
+		e.count("Refused" + d.Verdict.Reason.String())
+	}
 	if d.TrackingDenial != bronzepool.Admitted {
 		e.count("NotFollowed" + d.TrackingDenial.String())
 	}
