--- a/bronzeadmit/doc.go
+++ b/bronzeadmit/doc.go
@@ -14,8 +14,8 @@
 //
 //	var p bronzeadmit.Pool
 //	p.SetLevels([]int{1, 2})
-//	load := bronzeadmit.Load{Waiting: 1.8, Limit: 1.5}
-//	request := bronzeadmit.Request{Priority: 2, Customer: "skema", Caller: xxhash.Sum64(address)}
+//	load := bronzeadmit.Load{Waiting: 1.8, Limit: 1.0, Ceiling: 8}
+//	request := bronzeadmit.Request{Priority: 2, Customer: "map-live", Caller: xxhash.Sum64(address)}
 //	v := p.Decide(request, load, time.Since(started), time.Now())
 //	if !v.Admit {
 //		// Refuse the opening, and log v.Reason and v.Fraction.
--- a/bronzeroom/gauge.go
+++ b/bronzeroom/gauge.go
@@ -58,8 +58,8 @@
 // Waiting returns the number of requests that wait for a slot, given the usual time from a request
 // to its acknowledgement at a server with free slots: the smoothed number or the present one,
 // whichever is lower if there are enough requests to tell. The average alone would go on after the
-// queues have emptied. It returns 0 as long as the usual
-// time is unknown (0). A usual time over 500 ms counts as 500 ms.
+// queues have emptied. It returns 0 as long as the usual time is unknown (0). A usual time over
+// 500 ms counts as 500 ms.
 func (g *Gauge) Waiting(usual, at time.Duration) float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
