Remove what overload control wrote again or does too often

ZonePeerCounts of the gossip has no caller since the edge derives counts and names from one list. bronzecore hashed the caller's address in its own way, which Key.CallerHash does; SetLevels sorts and compacts what was sorted and compacted before it. The subsets of a node are derived again only when the names of the zone's live nodes have changed, not ten times per second. No decision on the platform's interface changes; bronzecore's order of callers is another one of the same kind.

--- a/bronzeadmit/pool.go
+++ b/bronzeadmit/pool.go
@@ -72,7 +72,7 @@
 	customers customers
 }
 
-// SetLevels sets the distinct priorities of the routes of the pool. Without them, all priorities
+// SetLevels sets the priorities of the routes of the pool, in any order and possibly repeated. Without them, all priorities
 // are equal. An opening of another priority counts as one of the next less urgent priority of
 // these, or of the least urgent one.
 func (p *Pool) SetLevels(priorities []int) {
--- a/bronzecore/overload.go
+++ b/bronzecore/overload.go
@@ -1,12 +1,10 @@
 package bronzecore
 
 import (
-	"slices"
 	"time"
 
 	"bronzeusher.example/bronzeusher/bronzeadmit"
 	"bronzeusher.example/bronzeusher/bronzeconf"
-	"bronzeusher.example/bronzeusher/bronzeflow"
 )
 
 // fullLimit is the load of full servers, in flows for each that they can hold,
@@ -31,14 +29,11 @@
 		if conf.SchemaVersion < bronzeconf.SchemaV3 {
 			continue
 		}
-		if !slices.Contains(levels, conf.Priority) {
-			levels = append(levels, conf.Priority)
-		}
+		levels = append(levels, conf.Priority)
 		if conf.Share != (bronzeconf.Share{}) {
 			shares[conf.Customer] = joinShares(shares[conf.Customer], conf.Share)
 		}
 	}
-	slices.Sort(levels)
 	o.pool.SetLevels(levels)
 	o.pool.SetRules(&bronzeadmit.Rules{Shares: shares})
 }
@@ -116,10 +111,7 @@
 
 // admission lets p decide on the packet's flow.
 func (d *decision) admission(p *bronzeadmit.Pool, l bronzeadmit.Load) bronzeadmit.Verdict {
-	// The port is left out, so that a caller can't improve its position by
-	// opening another flow.
-	caller := bronzeflow.Key{Caller: d.packet.Key.Caller}
-	r := bronzeadmit.Request{Priority: d.service.conf.Priority, Customer: d.service.conf.Customer, Caller: caller.Hash()}
+	r := bronzeadmit.Request{Priority: d.service.conf.Priority, Customer: d.service.conf.Customer, Caller: d.packet.Key.CallerHash()}
 	// The times of operators and the epochs that nodes agree on are those of the
 	// wall clock, which d.now isn't.
 	at, now := d.now.Sub(d.started), time.Now()
--- a/bronzeflow/key.go
+++ b/bronzeflow/key.go
@@ -129,6 +129,6 @@
 	return x
 }
 
-// CallerHash returns a hash of the caller's address, whatever its port. It is the same in every
-// process.
+// CallerHash returns a hash of the caller's address, whatever its port: a caller can't change it
+// by opening another flow. It is the same in every process.
 func (k *Key) CallerHash() uint64 { return xxhash.Sum64(k.Caller[:]) }
--- a/bronzegossip/peers.go
+++ b/bronzegossip/peers.go
@@ -178,15 +178,6 @@
 	return g.liveCount(now)
 }
 
-// ZonePeerCounts returns the number of live peers in each AvailabilityZone that has any.
-func (g *Gossip) ZonePeerCounts(now time.Time) (counts map[string]int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	counts = make(map[string]int)
-	g.eachLive(now, func(p *peer) { counts[p.AvailabilityZone]++ })
-	return counts
-}
-
 // KnownPeers returns the names of the peers in an AvailabilityZone that were heard of in
 // the last minutes, live or not, in order. all is the number of such peers in all zones.
 func (g *Gossip) KnownPeers(zone string) (names []string, all int) {
--- a/bronzesteer/room.go
+++ b/bronzesteer/room.go
@@ -131,9 +131,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for pool, ps := range s.poolStats {
-		slices.Sort(levels[pool])
-		ps.competes.Store(len(slices.Compact(slices.Clone(levels[pool]))) > 1)
-		ps.admit.SetLevels(levels[pool])
+		list := levels[pool]
+		ps.competes.Store(len(list) > 0 && slices.Min(list) != slices.Max(list))
+		ps.admit.SetLevels(list)
 		ps.admit.SetRules(rules.Pool(pool))
 	}
 }
--- a/bronzesteer/shed.go
+++ b/bronzesteer/shed.go
@@ -11,7 +11,7 @@
 
 const (
 	// unqueuedUtilization is the utilization up to which a server's answer times show the
-	// service time alone, serviceTimeWeight the weight of one sample.
+	// service time alone.
 	unqueuedUtilization = 0.7
 	// minPromptAcks is the fraction of a pool's answers that must be acknowledged promptly
 	// for a missing acknowledgement to mean a missing answer, promptAckWeight the weight of
--- a/bronzesteer/spread.go
+++ b/bronzesteer/spread.go
@@ -1,6 +1,7 @@
 package bronzesteer
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -27,13 +28,14 @@
 	first map[int]int // by number of servers
 }
 
-// SetLivePeers sets the names of the other live nodes of this node's zone. The Steerer keeps
-// the slice.
+// SetLivePeers sets the names of the other live nodes of this node's zone, in order. The Steerer
+// keeps the slice.
 func (s *Steerer) SetLivePeers(names []string) {
 	s.subsets.mu.Lock()
 	defer s.subsets.mu.Unlock()
-	s.subsets.names = names
-	s.subsets.first = nil
+	if !slices.Equal(names, s.subsets.names) {
+		s.subsets.names, s.subsets.first = names, nil
+	}
 }
 
 // begin returns where to begin among the given number of servers.
