review: add a script to case 1

Shows the same fault with processes on the real clock: two of six nodes run for 9 ms of each 100 ms, the two readers are cut off from the store by a proxy, and a route is dropped.

--- a/review/standins/caller.go
+++ b/review/standins/caller.go
@@ -57,8 +57,10 @@
 	// requestID is the request that waits for its answer, 0 if none does.
 	requestID atomic.Uint64
 	unsafe    bool
-	openedAt  time.Time
-	answers   int
+	// via is the node to which the flow's packets go, nil if the router chooses.
+	via      *node
+	openedAt time.Time
+	answers  int
 	// lastAck is acknowledged, for the goroutine that reads packets.
 	lastAck atomic.Uint32
 }
@@ -179,7 +181,10 @@
 	if !p.Open {
 		p.Token = f.token
 	}
-	n := f.c.d.route(f.c.zone, f.key)
+	n := f.via
+	if n == nil {
+		n = f.c.d.route(f.c.zone, f.key)
+	}
 	_, _ = f.c.conn.WriteToUDPAddrPort(p.Bytes(), netip.AddrPortFrom(n.ip, uint16(f.c.d.ports.data)))
 }
 
--- a/review/standins/deployment.go
+++ b/review/standins/deployment.go
@@ -81,6 +81,7 @@
 	ip         netip.Addr
 	cmd        *exec.Cmd
 	exited     chan struct{}
+	storeLink  *storeLink
 
 	mu     sync.Mutex
 	misses int
@@ -170,6 +171,9 @@
 		}
 	}
 	for _, n := range d.nodes {
+		if n.storeLink, err = newStoreLink(d.address(n.ip, d.ports.store), d.address(machineIP(0, kindStore, 0), d.ports.store)); err != nil {
+			return err
+		}
 		if err = d.startNode(n); err != nil {
 			return err
 		}
@@ -194,11 +198,21 @@
 	}
 	d.http = &http.Server{Handler: d.store, ReadHeaderTimeout: time.Second}
 	go func() { _ = d.http.Serve(l) }()
-	return d.store.PutTable(standin.Table{Version: 4, IdleTimeout: idleTimeout, Routes: []standin.Route{
+	return d.putTable(4, true)
+}
+
+// putTable publishes a version of the configuration, with or without the route for files.
+func (d *deployment) putTable(version uint64, files bool) error {
+	routes := []standin.Route{
 		{Name: "page-preview", Service: safeEndpoint, Pool: liveService, Idempotent: true, Objective: 200 * time.Millisecond, Priority: 2},
 		{Name: "proof-correction", Service: unsafeEndpoint, Pool: liveService, Objective: 250 * time.Millisecond, Priority: 1},
-		{Name: "embosser-file", Service: filesEndpoint, Pool: filesService, Idempotent: true, Objective: 500 * time.Millisecond, Priority: 2},
-	}})
+	}
+	if files {
+		routes = append(routes, standin.Route{
+			Name: "embosser-file", Service: filesEndpoint, Pool: filesService, Idempotent: true, Objective: 500 * time.Millisecond, Priority: 2,
+		})
+	}
+	return d.store.PutTable(standin.Table{Version: version, IdleTimeout: idleTimeout, Routes: routes})
 }
 
 // placeholder is one in the template of the settings.
@@ -222,7 +236,7 @@
 		"node-name": n.name, "region": region, "zone": n.zone, "zones": regions, "ip": n.ip.String(), "seeds": seeds,
 		"listen.data-addr": d.address(n.ip, d.ports.data), "listen.ready": d.address(n.ip, d.ports.ready),
 		"listen.control":   d.address(n.ip, d.ports.control),
-		"internal-ports.0": d.ports.peer, "platform.addr": d.address(machineIP(0, kindStore, 0), d.ports.store),
+		"internal-ports.0": d.ports.peer, "platform.addr": d.address(n.ip, d.ports.store),
 		"limits.memory-mb": memoryMB, "bounds.grace-s": graceSeconds,
 	}
 	return placeholder.ReplaceAllFunc(template, func(match []byte) []byte {
@@ -385,6 +399,9 @@
 			_ = n.cmd.Process.Signal(syscall.SIGKILL)
 			<-n.exited
 		}
+		if n.storeLink != nil {
+			n.storeLink.close()
+		}
 	}
 	for _, s := range d.servers {
 		s.leave()
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -29,7 +29,7 @@
 const runLimit = 100 * time.Second
 
 func main() {
-	name := flag.String("case", "", "case to run: 2 or 3")
+	name := flag.String("case", "", "case to run: 1, 2 or 3")
 	trouble := flag.Bool("trouble", false, "cause the disruption of the case")
 	path := flag.String("record", "", "file for the record of the run")
 	flag.Parse()
@@ -39,7 +39,7 @@
 func run(name string, trouble bool, path string) (code int) {
 	scenario, known := scenarios[name]
 	if !known || path == "" {
-		fmt.Fprintln(os.Stderr, "usage: standins --case 2|3 [--trouble] --record FILE")
+		fmt.Fprintln(os.Stderr, "usage: standins --case 1|2|3 [--trouble] --record FILE")
 		return exitNoRun
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), runLimit)
@@ -56,10 +56,10 @@
 		return exitNoRun
 	}
 	if n := rec.violationCount(); n > 0 {
-		fmt.Printf("FLOW broken %d times\n", n)
+		fmt.Printf("rule broken %d times\n", n)
 		return exitBroken
 	}
-	fmt.Println("FLOW held")
+	fmt.Println("rule held")
 	return exitHeld
 }
 
--- a/review/standins/scenario.go
+++ b/review/standins/scenario.go
@@ -9,6 +9,7 @@
 
 // scenarios are the cases that can be run.
 var scenarios = map[string]func(ctx context.Context, d *deployment, trouble bool) error{
+	"1": unreachableReaders,
 	"2": foreignEntries,
 	"3": drainedEntries,
 }
