--- a/review/standins/readers.go
+++ b/review/standins/readers.go
@@ -81,15 +81,22 @@
 		return err
 	}
 	acknowledged := time.Now()
+	var tests sync.WaitGroup
 	d.rec.add("the store has accepted version %d, without the route to %s", version, filesEndpoint)
 	for time.Since(acknowledged) < cutTime {
 		if err = sleep(ctx, testInterval); err != nil {
 			return err
 		}
 		for _, n := range inTouch {
-			go d.testRoute(ctx, n, acknowledged)
+			tests.Add(1)
+			go func() {
+				defer tests.Done()
+				d.testRoute(ctx, n, acknowledged)
+			}()
 		}
 	}
+	// The route is published again only when no test is under way: a flow to it is right then.
+	tests.Wait()
 	for _, n := range readers {
 		n.storeLink.cut.Store(false)
 	}
