--- a/review/flowlab/client.go
+++ b/review/flowlab/client.go
@@ -23,6 +23,9 @@
 
 	// ports is the number of its source ports, 0 for as many as it needs.
 	ports uint16
+	// strict is set if it takes nothing, and no echo either, from an acceptance after the one
+	// that it goes on with.
+	strict bool
 
 	mu    sync.Mutex
 	port  uint16
@@ -40,9 +43,10 @@
 	sequence     uint32
 	acknowledged uint32
 
-	mu   sync.Mutex
-	echo uint32 // the last one received on the flow
-	via  *node  // the node that took the last packet
+	mu     sync.Mutex
+	echo   uint32 // the last one received on the flow
+	isOpen bool
+	via    *node // the node that took the last packet
 }
 
 // arrival is a packet with its sender.
@@ -84,8 +88,14 @@
 			f.checkReset(from.Addr().Unmap())
 		} else {
 			f.mu.Lock()
-			f.echo = p.Token
+			ignored := c.strict && f.isOpen && p.Accept
+			if !ignored {
+				f.echo = p.Token
+			}
 			f.mu.Unlock()
+			if ignored {
+				continue
+			}
 		}
 		select {
 		case f.inbox <- arrival{p, from.Addr().Unmap()}:
@@ -129,17 +139,21 @@
 	}
 }
 
-// newFlow returns a flow from a new port, or from the port that was used least recently if the
-// client has only some. It returns nil if that port's flow is still there.
+// newFlow returns a flow from a new port, or from a port whose flow has ended if the client has
+// only some: the one after the last. It returns nil if all are in use.
 func (c *client) newFlow(service netip.AddrPort) *clientFlow {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.port++
-	if c.ports > 0 {
+	for tries := uint16(0); c.ports > 0; tries++ {
 		c.port = firstPort + (c.port-firstPort)%c.ports
-	}
-	if c.flows[c.port] != nil {
-		return nil
+		if c.flows[c.port] == nil {
+			break
+		}
+		if tries == c.ports {
+			return nil
+		}
+		c.port++
 	}
 	f := &clientFlow{client: c, key: flowKey{netip.AddrPortFrom(c.addr, c.port), service}, inbox: make(chan arrival, 64), sequence: rand.Uint32()}
 	c.flows[c.port] = f
@@ -191,6 +205,9 @@
 				return reset
 			}
 			if a.Accept && a.Acknowledged == f.sequence+1 {
+				f.mu.Lock()
+				f.isOpen = true
+				f.mu.Unlock()
 				f.sequence++
 				f.acknowledged = a.Sequence + 1
 				f.send(standin.Packet{Sequence: f.sequence, Acknowledged: f.acknowledged})
--- a/review/flowlab/drains.go
+++ b/review/flowlab/drains.go
@@ -15,30 +15,30 @@
 // once the host has closed the flow, and has two hosts drained and taken away.
 func runDrains(l *lab, trouble bool) error {
 	const (
-		length   = 60 * time.Second
-		interval = 40 * time.Millisecond // between requests
-		ports    = 32
+		length   = 42 * time.Second
+		interval = 12 * time.Millisecond // between requests
+		ports    = 64
 		longer   = 7 * time.Second // for which a host serves beyond drain-ms
 	)
 	service := netip.MustParseAddrPort("198.18.0.2:8443")
 	if err := l.setUp(deployment{
-		zone: "riga-a", nodes: 3, hosts: 4, work: 5 * time.Millisecond,
-		route: standin.Route{Name: "map-bundle", Service: service, Pool: "map-archive", Idempotent: true, Objective: 500 * time.Millisecond, Priority: 2},
+		zone: "asahikawa-b", nodes: 3, hosts: 6, work: 39 * time.Millisecond,
+		route: standin.Route{Name: "form-submit", Service: service, Pool: "filing-desk", Objective: 200 * time.Millisecond, Priority: 1},
 	}); err != nil {
 		return err
 	}
 	for _, c := range l.clients {
-		c.ports = ports
+		c.ports, c.strict = ports, true
 	}
 	for _, h := range l.hosts {
-		h.closes = true
+		h.closesAfter = 1
 	}
 	var clients, operator sync.WaitGroup
 	end := time.Now().Add(length)
 	if trouble {
 		operator.Go(func() {
 			for _, h := range l.hosts[:2] {
-				time.Sleep(15 * time.Second)
+				time.Sleep(10 * time.Second)
 				if err := h.leave(drainTime + longer); err != nil {
 					l.note("drain failed: %v", err)
 				}
@@ -100,7 +100,7 @@
 	}
 	id := requestID(requests.Add(1))
 	c.lab.note("client %s: sends %s", f.key.client, id)
-	o := f.request(id, 200, 5*time.Second)
+	o := f.request(id, 900, 1200*time.Millisecond)
 	c.lab.note("client %s: %s %s", f.key.client, id, o)
 	c.lab.count("requests " + string(o))
 	f.close()
--- a/review/flowlab/host.go
+++ b/review/flowlab/host.go
@@ -22,8 +22,8 @@
 	slots       chan struct{}
 	work        time.Duration
 	answerBytes int
-	// closes is set if the host closes each flow with its first answer.
-	closes bool
+	// closesAfter is the number of answers after which the host closes a flow, 0 for never.
+	closesAfter int
 
 	mu        sync.Mutex
 	draining  bool
@@ -39,6 +39,8 @@
 	echo         uint32
 	open         bool
 	openingAt    time.Time
+	answers      int
+	closed       bool            // by the host
 	answer       *standin.Packet // the last one, until the client has it
 	retransmit   *time.Timer
 }
@@ -178,7 +180,7 @@
 		h.lab.flows.closed(key)
 		delete(h.flows, key)
 		if p.Final {
-			h.send(&standin.Packet{Source: key.service, Destination: key.client, Final: !h.closes, Token: f.echo, Sequence: f.sequence, Acknowledged: p.Sequence + 1})
+			h.send(&standin.Packet{Source: key.service, Destination: key.client, Final: !f.closed, Token: f.echo, Sequence: f.sequence, Acknowledged: p.Sequence + 1})
 		}
 		return
 	}
@@ -210,11 +212,13 @@
 	}
 	payload := make([]byte, h.answerBytes)
 	copy(payload, id)
+	f.answers++
 	f.answer = &standin.Packet{
 		Source: key.service, Destination: key.client, Token: f.echo, Sequence: f.sequence, Acknowledged: f.acknowledged, Payload: payload,
-		Final: h.closes || h.draining,
+		Final: f.answers == h.closesAfter || h.draining,
 	}
 	f.sequence += uint32(len(payload))
+	f.closed = f.answer.Final
 	h.send(f.answer)
 	h.repeatAnswer(key, f, f.answer, 1, firstRetransmit)
 }
--- a/review/flowlab/main.go
+++ b/review/flowlab/main.go
@@ -10,6 +10,7 @@
 var cases = map[string]func(l *lab, trouble bool) error{
 	"drains":   runDrains,
 	"freezes":  runFreezes,
+	"ports":    runPorts,
 	"restarts": runRestarts,
 }
 
--- a/review/flowlab/restarts.go
+++ b/review/flowlab/restarts.go
@@ -64,6 +64,10 @@
 // longFlow opens a flow and makes some requests in it, with pauses between them.
 func (c *client) longFlow(service netip.AddrPort, count int, pause func() time.Duration) {
 	f := c.newFlow(service)
+	if f == nil {
+		c.lab.count("flows without a free port")
+		return
+	}
 	defer f.forget()
 	if o := f.open(); o != served {
 		c.lab.count("openings " + string(o))
