--- a/review/flowlab/restarts.go
+++ b/review/flowlab/restarts.go
@@ -15,7 +15,7 @@
 	const (
 		length   = 40 * time.Second
 		interval = 8 * time.Millisecond // between openings
-		before   = 12 * time.Second      // time before each round of restarts
+		before   = 12 * time.Second     // time before each round of restarts
 		gap      = 1300 * time.Millisecond
 	)
 	service := netip.MustParseAddrPort("198.18.0.1:8080")
