Log packets that have the token of another server than their flow's

Two causes would look alike in the nodes' logs: the flow's node was wrong about its server, or the caller sent back the token of another server and a node that didn't know the flow believed it. FlowAdopted counts the flows that a node takes over by their token alone, OtherServersToken the packets of known flows with another server's token, with a Flow line that names both servers.

--- a/bronzeedge/packets.go
+++ b/bronzeedge/packets.go
@@ -116,6 +116,12 @@
 	if d.Hedge != bronzesteer.NotHedged {
 		e.count(d.Hedge.String())
 	}
+	if d.Adopted {
+		e.count("FlowAdopted")
+	}
+	if d.Other != nil {
+		e.count("OtherServersToken")
+	}
 	e.logDecision(&p, &d, now)
 }
 
@@ -144,11 +150,11 @@
 	})
 }
 
-// logDecision logs a decision, except for packets that are steered by their token and those
-// before the first view. The line has what the decision was based on: the version of the
+// logDecision logs a decision, except for packets that are steered by their own server's token and
+// those before the first view. The line has what the decision was based on: the version of the
 // table, the time since the store confirmed this node's records, and the servers.
 func (e *Edge) logDecision(p *bronzesteer.Packet, d *bronzesteer.Decision, now time.Time) {
-	if d.Reason == bronzesteer.Steered || d.Reason == bronzesteer.NoView {
+	if d.Reason == bronzesteer.Steered && d.Other == nil || d.Reason == bronzesteer.NoView {
 		return
 	}
 	fields := Fields{
@@ -167,6 +173,9 @@
 		fields["Tried"] = d.Tried.Instance
 		fields["TriedStatus"] = d.Tried.Status.String()
 	}
+	if d.Other != nil {
+		fields["Other"] = d.Other.Instance
+	}
 	if d.Reason == bronzesteer.Overloaded {
 		fields["Cause"] = d.Verdict.Reason.String()
 		fields["Priority"] = d.Priority
--- a/bronzesteer/packet.go
+++ b/bronzesteer/packet.go
@@ -158,6 +158,10 @@
 	HandshakeTime time.Duration
 	// Hedge is set with the same packet to the outcome if further servers were tried.
 	Hedge HedgeOutcome
+	// Adopted is set with the first packet of an open flow that another node has opened.
+	Adopted bool
+	// Other is the server whose token the packet has, if that isn't the flow's server.
+	Other *bronzeroute.Server
 }
 
 // HedgeOutcome is the outcome of an opening that was sent to several servers.
--- a/bronzesteer/steer.go
+++ b/bronzesteer/steer.go
@@ -318,12 +318,13 @@
 	defer sh.mu.Unlock()
 	f := sh.flows[p.Key]
 	token := p.Token
+	var other *bronzeroute.Server
 	if f != nil && f.open {
 		// Two servers may have accepted transmissions of the opening. The caller continues
 		// with the one whose acceptance came first, but the acceptance of the other may
 		// still change the token that the caller sends back.
 		token = f.token
-		s.recordLateAccept(vs, f, p, at)
+		other = s.recordLateAccept(vs, f, p, at)
 	}
 	if token == 0 {
 		return Decision{Reason: NoToken}
@@ -339,7 +340,8 @@
 		return Decision{Kind: End, Reason: ServerGone, Tried: server}
 	}
 	b := vs.backendOf(server, f)
-	if f == nil {
+	adopted := f == nil
+	if adopted {
 		account := s.account(route)
 		if denial := account.Admit(); denial != bronzepool.Admitted {
 			return Decision{Kind: Forward, Reason: Steered, Server: server, Token: token, TrackingDenial: denial}
@@ -359,22 +361,31 @@
 	if p.Abort {
 		sh.remove(p.Key, at)
 	}
-	return Decision{Kind: Forward, Reason: Steered, Server: server, Token: token, HandshakeTime: handshakeTime, Hedge: hedge}
+	return Decision{
+		Kind: Forward, Reason: Steered, Server: server, Token: token, HandshakeTime: handshakeTime, Hedge: hedge,
+		Adopted: adopted, Other: other,
+	}
 }
 
 // recordLateAccept records that a further server has accepted a flow's opening, as the
-// token sent back by the caller shows: that server was late, not silent.
-func (s *Steerer) recordLateAccept(vs *viewState, f *flow, p *Packet, at time.Duration) {
+// token sent back by the caller shows: that server was late, not silent. It returns the server,
+// or nil if the token is that of the flow's own.
+func (s *Steerer) recordLateAccept(vs *viewState, f *flow, p *Packet, at time.Duration) (other *bronzeroute.Server) {
 	if p.Token == f.token || p.Token == 0 {
-		return
+		return nil
 	}
-	other := vs.view.ByToken(p.Key.ServiceAddrPort(), p.Token)
+	other = vs.view.ByToken(p.Key.ServiceAddrPort(), p.Token)
 	if other == nil || other.Status == bronzeroute.Gone {
-		return
+		return nil
+	}
+	b := vs.backendOf(other, nil)
+	if b == f.backend {
+		return nil
 	}
-	if b := vs.backendOf(other, nil); b != f.backend && !b.answeredSince(f.openedAt) {
+	if !b.answeredSince(f.openedAt) {
 		s.recordAnswer(b, at)
 	}
+	return other
 }
 
 // adopt starts tracking a flow that another node has opened.
