Send the token of a flow's server to other servers that may have accepted it

Cause: an opening whose acceptance is lost or late is sent to a second server. The one that the caller doesn't take repeats its acceptance for 9.4 s, and callers send back the token that they received last. Only the node that placed the opening knew better.

Ruled out: wrong decisions at the node that placed it. In the logs of all broken flows it forwarded by its own memory (OtherServersToken), and the reset came by way of a node that had no line of the flow before.

Now the node that sees the flow open sends the same opening again to the other servers, with the token of the flow's own: what they send from then on carries it, so the flow itself says where it is. Hosts take a SYN as its client wrote it, with any echo, and repeat their SYN+ACK. Two in 2.5 s at most, so that an idle flow hasn't three packets at other hosts within its timeout; none to a server or zone that drains.

With correctAll left out TestOpeningAtTwoServersKnownElsewhere, TestCorrectionRepeated and TestCorrectionsPaced fail.

--- a/bronzeedge/hedge.go
+++ b/bronzeedge/hedge.go
@@ -1,18 +1,26 @@
 package bronzeedge
 
-import "time"
+import (
+	"time"
+
+	"bronzeusher.example/bronzeusher/bronzesteer"
+)
 
 // finalReadWait is how long the node keeps reading after an opening is overdue, before it
 // hedges the opening. A read whose deadline has passed doesn't check for packets at all, so
 // if the node itself was late, the answers may already wait in the socket.
 const finalReadWait = time.Millisecond
 
-// setHedgeDeadline makes reading end when the next opening is overdue.
+// setHedgeDeadline makes reading end when the next opening is overdue or the next correction is
+// due.
 func (w *worker) setHedgeDeadline() {
 	if w.deadlinePassed {
 		return
 	}
 	at, ok := w.edge.steerer.NextHedge()
+	if due, waits := w.edge.steerer.NextCorrection(); waits && (!ok || due.Before(at)) {
+		at, ok = due, true
+	}
 	if !ok {
 		at = time.Time{}
 	}
@@ -40,19 +48,27 @@
 	w.setReadDeadline(time.Now().Add(finalReadWait))
 }
 
-// hedge sends overdue openings to further servers. The socket must hold no unread packets.
+// hedge sends overdue openings to further servers, and corrections that are due. The socket must hold no unread packets.
 func (w *worker) hedge() {
 	w.deadlinePassed = false
 	now := time.Now()
 	for _, h := range w.edge.steerer.Hedges(now) {
-		w.forward(h.Packet.Bytes, &h.Decision)
-		w.edge.counts.decision(&h.Decision)
-		w.edge.logDecision(&h.Packet, &h.Decision, now)
+		w.sendOpening(&h.Packet, &h.Decision, now)
+	}
+	for _, c := range w.edge.steerer.Corrections(now) {
+		w.sendOpening(&c.Packet, &c.Decision, now)
 	}
 	w.flush()
 	w.edge.spreadReports(now)
 }
 
+// sendOpening sends an opening that no packet has led to.
+func (w *worker) sendOpening(p *bronzesteer.Packet, d *bronzesteer.Decision, now time.Time) {
+	w.forward(p.Bytes, d)
+	w.edge.counts.decision(d)
+	w.edge.logDecision(p, d, now)
+}
+
 // wakeReader interrupts the goroutine that reads packets, so that it sets its deadline for
 // openings that another goroutine has handled.
 func (e *Edge) wakeReader() {
--- a/bronzesteer/flow.go
+++ b/bronzesteer/flow.go
@@ -48,8 +48,10 @@
 	idempotent bool
 	// countedUnanswered is set once the pending request has been counted as unanswered.
 	countedUnanswered bool
-	// pending is set while the caller hasn't continued after its opening.
+	// pending is set while the caller hasn't continued after its opening, opening as long as
+	// servers may accept it.
 	pending   *pendingOpening
+	opening   *pendingOpening
 	openedAt  time.Duration
 	retriedAt time.Duration
 	seenAt    time.Duration
@@ -96,6 +98,9 @@
 	f.backend.addOpenings(-1)
 	f.backend, f.token, f.retriedAt = next.backend, token, at
 	f.backend.addOpenings(1)
+	if f.opening != nil {
+		f.opening.addServer(next.backend)
+	}
 }
 
 // release removes the flow from the counts of its server and its Customer.
@@ -265,6 +270,9 @@
 			sh.remove(key, at)
 			continue
 		}
+		if f.open && f.opening != nil && at-f.openedAt > acceptTimeout {
+			f.opening = nil
+		}
 		l, ended := lost[f.backend]
 		if f.endedByRestart(at, now) {
 			l, ended = loss{reason: ServerReborn, certain: true}, true
--- a/bronzesteer/hedge.go
+++ b/bronzesteer/hedge.go
@@ -41,6 +41,11 @@
 	// first is the server first tried, hedges the number of servers tried since.
 	first  *backend
 	hedges int
+	// servers are all that it was sent to. corrections is the number of corrections queued,
+	// and correctedAt when the last of them are due. They are guarded by the flow's shard.
+	servers     []sentServer
+	corrections int
+	correctedAt [correctionBurst]time.Duration
 	// due is when the next server is to be tried, unless settled is set.
 	due     time.Duration
 	settled atomic.Bool
@@ -179,7 +184,8 @@
 	}
 	hedgeDelay := s.hedgeDelay(f.backend)
 	o := &pendingOpening{key: p.Key, bytes: append([]byte(nil), p.Bytes...), first: f.backend, due: at + hedgeDelay}
-	f.pending = o
+	o.addServer(f.backend)
+	f.pending, f.opening = o, o
 	if hedgeDelay <= maxHedgeDelay {
 		s.hedges.push(o)
 	}
--- a/bronzesteer/packet.go
+++ b/bronzesteer/packet.go
@@ -61,8 +61,8 @@
 // Reason is the reason of a Decision.
 type Reason uint8
 
-// Openings are Placed, Repeated, Retried or Hedged if they are forwarded, other packets
-// Steered. The remaining reasons are those for which packets are not forwarded.
+// Openings are Placed, Repeated, Retried, Hedged or Corrected if they are forwarded, other
+// packets Steered. The remaining reasons are those for which packets are not forwarded.
 const (
 	// Placed: an opening was placed on a server.
 	Placed Reason = iota
@@ -73,6 +73,9 @@
 	// Hedged: an unanswered opening was sent to a further server before its caller
 	// retransmitted it.
 	Hedged
+	// Corrected: the opening of an open flow was sent again to another server that may have
+	// accepted it, with the token of the flow's server.
+	Corrected
 	// Steered: the packet was sent to the server of its token.
 	Steered
 	// NoRoute: no route in force has the destination.
@@ -112,7 +115,7 @@
 )
 
 var reasonNames = [ReasonCount]string{
-	"Placed", "Repeated", "Retried", "Hedged", "Steered", "NoRoute", "RouteWithdrawn", "NoServer", "ZoneDrained",
+	"Placed", "Repeated", "Retried", "Hedged", "Corrected", "Steered", "NoRoute", "RouteWithdrawn", "NoServer", "ZoneDrained",
 	"ServersCold", "NoneAnswers", "Overloaded", "ServerGone", "ServerSilent", "ServerReborn", "NoToken", "TokenUnknown", "NotACaller", "NoView",
 	"Unsure",
 }
@@ -141,9 +144,9 @@
 	Server *bronzeroute.Server
 	Token  uint32
 	// Tried, if set, is the flow's previous server if Reason is Retried, Hedged, ServerGone
-	// or ServerSilent. If Reason is NoneAnswers or Overloaded, it is the server that would
-	// have been chosen, and if it is ZoneDrained or ServersCold, the one that was sent the
-	// opening before.
+	// or ServerSilent, and its present one if Reason is Corrected. If it is NoneAnswers or
+	// Overloaded, Tried is the server that would have been chosen, and if it is ZoneDrained or
+	// ServersCold, the one that was sent the opening before.
 	Tried *bronzeroute.Server
 	// Priority, Load and Verdict are what a first transmission was decided by, set if an
 	// opening is refused as Overloaded.
--- a/bronzesteer/steer.go
+++ b/bronzesteer/steer.go
@@ -47,7 +47,9 @@
 
 	admission bronzepool.Admission
 	hedges    hedgeQueue
-	health    localHealth
+	// corrections are the openings to be sent again after their flows have opened.
+	corrections correctionQueue
+	health      localHealth
 	// recordsUnconfirmed is set after a pause until the records are confirmed.
 	recordsUnconfirmed atomic.Bool
 
@@ -353,7 +355,11 @@
 		handshakeTime = at - f.openedAt
 		hedge = f.settle(b, at)
 	}
+	opened := !f.open
 	s.observePacket(f, b, token, p, at)
+	if opened {
+		s.correctAll(f, at)
+	}
 	if f.idempotent && p.Length > 0 && s.unresponsive(b, f.countedUnanswered, at) {
 		sh.remove(p.Key, at)
 		return Decision{Kind: End, Reason: ServerSilent, Tried: server}
@@ -385,6 +391,7 @@
 	if !b.answeredSince(f.openedAt) {
 		s.recordAnswer(b, at)
 	}
+	s.correctLateAccept(f, b, at)
 	return other
 }
 
