Tell the zone's nodes of openings that stall, so that their flows are corrected

The node that placed and hedged the opening never sees it go on, and the one that does knows of one server only.

A correction needs the opening and its servers; nothing but the first node had them.

An opening without a continuation for 150 ms is now announced to the nodes of the zone with the servers that it went to. A node at which the flow is open, or opens within three seconds, corrects them. A node that was paused announces its openings again, and a node that gets a copy of an announced opening places it elsewhere and corrects the first. This also reaches openings that one node placed before it stood still and another placed anew, and copies at nodes that were added.

Ruled out: announcing each hedge at once. In a zone of 83 nodes that is 3 KB a second and node for openings that go on within milliseconds.

--- a/bronzeedge/edge.go
+++ b/bronzeedge/edge.go
@@ -310,6 +310,7 @@
 			w.endFlow(&ended)
 		}
 		w.flush()
+		e.announceOpenings(now)
 		e.spreadReports(now)
 		e.updateZonePeers(now)
 		e.updateZoneNodes(now)
--- a/bronzeedge/peers.go
+++ b/bronzeedge/peers.go
@@ -78,6 +78,7 @@
 	g.OnSums = e.onSums
 	g.Reports = e.reports
 	g.OnReports = e.onReports
+	g.OnOpenings = e.onOpenings
 	e.steerer.Name = e.cfg.Name
 	e.steerer.Node = uint32(xxhash.Sum64String(e.cfg.Name))
 }
@@ -168,6 +169,32 @@
 	e.steerer.MergeReports(in, now)
 }
 
+// announceOpenings tells the other nodes of the zone of openings that have stalled here.
+func (e *Edge) announceOpenings(now time.Time) {
+	stalled := e.steerer.StalledOpenings()
+	if len(stalled) == 0 {
+		return
+	}
+	out := make([]bronzegossip.Opening, len(stalled))
+	for i, o := range stalled {
+		out[i] = bronzegossip.Opening{Packet: o.Bytes, Tokens: o.Tokens}
+	}
+	e.gossip.SendOpenings(out, now)
+}
+
+func (e *Edge) onOpenings(openings []bronzegossip.Opening, now time.Time) {
+	for _, o := range openings {
+		p, err := e.adapter.Wire.Parse(o.Packet)
+		if err != nil {
+			e.count("Malformed")
+			continue
+		}
+		p.Bytes = o.Packet
+		e.steerer.MergeStalledOpening(&p, o.Tokens, now)
+	}
+	e.wakeReader()
+}
+
 // spreadReports tells other nodes of new findings about servers, if there are any.
 func (e *Edge) spreadReports(now time.Time) {
 	if e.steerer.HasNewReports() {
--- a/bronzegossip/gossip.go
+++ b/bronzegossip/gossip.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"bronzeusher.example/bronzeusher/bronzerecord"
 )
 
@@ -80,6 +82,8 @@
 	// OnReports is called with a peer's reports on servers. SpreadReports forwards those
 	// that are new.
 	OnReports func(reports []Report, now time.Time)
+	// OnOpenings is called with a peer's stalled openings.
+	OnOpenings func(openings []Opening, now time.Time)
 	// OnPeer is called with PeerFound, PeerLost or PeerLeft when the state of a peer
 	// changes.
 	OnPeer func(p Peer, event string)
@@ -127,6 +131,8 @@
 	clockBegin   time.Time
 	suspendedFor time.Duration
 	outbox       []datagram
+	// openingLimit limits the messages with openings.
+	openingLimit *rate.Limiter
 }
 
 // datagram is a message to be sent after the lock is released.
@@ -283,6 +289,9 @@
 	if g.OnReports != nil && len(m.Reports) > 0 {
 		g.OnReports(m.Reports, now)
 	}
+	if g.OnOpenings != nil && len(m.Openings) > 0 {
+		g.OnOpenings(m.Openings, now)
+	}
 	if own := g.Records.Position(); own.Before(m.position()) && g.shouldFetch(own, &m, now) {
 		g.Fetch(m.From, own)
 	}
--- a/bronzegossip/message.go
+++ b/bronzegossip/message.go
@@ -74,6 +74,8 @@
 	// ages of.
 	Confirmation AnswerID `cbor:"16,keyasint,omitzero"`
 	Loading      AnswerID `cbor:"17,keyasint,omitzero"`
+	// Openings have stalled at the sender.
+	Openings []Opening `cbor:"18,keyasint,omitempty"`
 }
 
 // position returns the position of the sender's records.
@@ -133,6 +135,15 @@
 	Demand uint32
 }
 
+// Opening is an opening whose caller hasn't continued at the node that sends it.
+type Opening struct {
+	_ struct{} `cbor:",toarray"`
+	// Packet is the opening as received.
+	Packet []byte
+	// Tokens are those of the servers that it was sent to.
+	Tokens []uint32
+}
+
 // encode returns the encoding of m and sets its version.
 func encode(m *Message) (b []byte, err error) {
 	m.Version = version
--- a/bronzesteer/correct.go
+++ b/bronzesteer/correct.go
@@ -87,23 +87,25 @@
 // sentServer is a server that was sent an opening.
 type sentServer struct {
 	backend *backend
+	token   uint32
 	// correctedAt is when the last correction is or was due, 0 if there was none.
 	correctedAt time.Duration
 }
 
 // addServer notes that the opening was sent to a server.
-func (o *pendingOpening) addServer(b *backend) *sentServer {
+func (o *pendingOpening) addServer(b *backend, token uint32) *sentServer {
 	for i := range o.servers {
 		if o.servers[i].backend == b {
 			return &o.servers[i]
 		}
 	}
-	o.servers = append(o.servers, sentServer{backend: b})
+	o.announced = false
+	o.servers = append(o.servers, sentServer{backend: b, token: token})
 	return &o.servers[len(o.servers)-1]
 }
 
-// correctAll queues corrections for all servers that were sent the opening of a flow that has
-// just opened, other than the flow's own. Those that were tried last are the most likely to have
+// correctAll queues corrections for all servers that were sent the opening of a flow whose caller
+// has just continued at this node, other than the flow's own. Those that were tried last are the most likely to have
 // accepted.
 func (s *Steerer) correctAll(f *flow, at time.Duration) {
 	o := f.opening
@@ -119,12 +121,12 @@
 
 // correctLateAccept queues a correction for a server whose token the caller of an open flow
 // sends back.
-func (s *Steerer) correctLateAccept(f *flow, b *backend, at time.Duration) {
+func (s *Steerer) correctLateAccept(f *flow, b *backend, token uint32, at time.Duration) {
 	o := f.opening
 	if o == nil {
 		return
 	}
-	to := o.addServer(b)
+	to := o.addServer(b, token)
 	if to.correctedAt == 0 || at >= to.correctedAt+minCorrectionGap {
 		s.correct(o, to, f, at)
 	}
--- a/bronzesteer/flow.go
+++ b/bronzesteer/flow.go
@@ -37,6 +37,8 @@
 type shard struct {
 	mu    sync.Mutex
 	flows map[flowKey]*flow
+	// peerOpenings are openings that stalled at other nodes, of flows that this node doesn't know.
+	peerOpenings map[flowKey]*pendingOpening
 }
 
 // flow is what this node has seen of a flow. Times are relative to the Steerer's start.
@@ -99,7 +101,7 @@
 	f.backend, f.token, f.retriedAt = next.backend, token, at
 	f.backend.addOpenings(1)
 	if f.opening != nil {
-		f.opening.addServer(next.backend)
+		f.opening.addServer(next.backend, token)
 	}
 }
 
@@ -220,7 +222,9 @@
 		s.updateLoads(vs, at)
 	}
 	for i := range s.shards {
-		ended = append(ended, s.shards[i].sweep(at, now, lost)...)
+		endedHere, stalled := s.shards[i].sweep(at, now, lost)
+		ended = append(ended, endedHere...)
+		s.stalled.add(stalled)
 	}
 	return ended
 }
@@ -257,11 +261,15 @@
 	}
 }
 
-func (sh *shard) sweep(at time.Duration, now time.Time, lost map[*backend]loss) (endedFlows []EndedFlow) {
+func (sh *shard) sweep(at time.Duration, now time.Time, lost map[*backend]loss) (endedFlows []EndedFlow, stalled []StalledOpening) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
+	sh.expirePeerOpenings(at)
 	var pending []*flow
 	for key, f := range sh.flows {
+		if o, ok := f.takeStalled(at); ok {
+			stalled = append(stalled, o)
+		}
 		limit := flowTimeout
 		if !f.open {
 			limit = openingTimeout
@@ -293,7 +301,7 @@
 	for _, f := range pending {
 		f.checkOverdue(at)
 	}
-	return endedFlows
+	return endedFlows, stalled
 }
 
 // checkOverdue records the age of an unanswered request as a lower bound of the server's
--- a/bronzesteer/harness_test.go
+++ b/bronzesteer/harness_test.go
@@ -87,11 +87,15 @@
 	server *bronzeroute.Server
 }
 
+// caller returns the caller with a port.
+func caller(port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(port >> 8), byte(port)}), port)
+}
+
 // open sends the opening of a new flow.
 func (s *site) open(service netip.AddrPort) (*client, Decision) {
 	s.port++
-	caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(s.port >> 8), byte(s.port)}), s.port)
-	c := &client{site: s, packet: Packet{Key: bronzeflow.NewKey(bronzeflow.TCP, caller, service), Open: true, Sequence: 100, Bytes: []byte("opening")}}
+	c := &client{site: s, packet: Packet{Key: bronzeflow.NewKey(bronzeflow.TCP, caller(s.port), service), Open: true, Sequence: 100, Bytes: []byte("opening")}}
 	return c, c.send()
 }
 
--- a/bronzesteer/hedge.go
+++ b/bronzesteer/hedge.go
@@ -43,7 +43,9 @@
 	hedges int
 	// servers are all that it was sent to. corrections is the number of corrections queued,
 	// and correctedAt when the last of them are due. They are guarded by the flow's shard.
+	// announced is set once all of servers have been announced to other nodes.
 	servers     []sentServer
+	announced   bool
 	corrections int
 	correctedAt [correctionBurst]time.Duration
 	// due is when the next server is to be tried, unless settled is set.
@@ -184,7 +186,7 @@
 	}
 	hedgeDelay := s.hedgeDelay(f.backend)
 	o := &pendingOpening{key: p.Key, bytes: append([]byte(nil), p.Bytes...), first: f.backend, due: at + hedgeDelay}
-	o.addServer(f.backend)
+	o.addServer(f.backend, f.token)
 	f.pending, f.opening = o, o
 	if hedgeDelay <= maxHedgeDelay {
 		s.hedges.push(o)
--- a/bronzesteer/pause.go
+++ b/bronzesteer/pause.go
@@ -49,6 +49,9 @@
 			discarded.Openings++
 			f.retriedAt = at
 			f.dropPending()
+			if f.opening != nil {
+				f.opening.announced = false
+			}
 		case f.requestAt != 0:
 			discarded.Requests++
 			f.finishRequest()
--- a/bronzesteer/steer.go
+++ b/bronzesteer/steer.go
@@ -49,6 +49,7 @@
 	hedges    hedgeQueue
 	// corrections are the openings to be sent again after their flows have opened.
 	corrections correctionQueue
+	stalled     stalledQueue
 	health      localHealth
 	// recordsUnconfirmed is set after a pause until the records are confirmed.
 	recordsUnconfirmed atomic.Bool
@@ -202,7 +203,8 @@
 	if f := sh.flows[p.Key]; f != nil {
 		return s.handleRetransmit(vs, route, f, p, at, now)
 	}
-	c := s.place(vs, route, p, nil, at, now)
+	elsewhere := sh.peerOpenings[p.Key]
+	c := s.place(vs, route, p, elsewhere.lastServer(), at, now)
 	server := c.server
 	if server == nil {
 		d := s.refuseNoServer(vs, route, p, now)
@@ -229,6 +231,9 @@
 		f.backend.addOpenings(1)
 		sh.flows[p.Key] = f
 		s.scheduleHedge(f, p, at)
+		if elsewhere != nil && f.opening != nil {
+			f.opening.merge(sh.takePeerOpening(p.Key))
+		}
 	}
 	return d
 }
@@ -355,7 +360,7 @@
 		handshakeTime = at - f.openedAt
 		hedge = f.settle(b, at)
 	}
-	opened := !f.open
+	opened := !f.open || adopted && f.opening != nil
 	s.observePacket(f, b, token, p, at)
 	if opened {
 		s.correctAll(f, at)
@@ -391,7 +396,7 @@
 	if !b.answeredSince(f.openedAt) {
 		s.recordAnswer(b, at)
 	}
-	s.correctLateAccept(f, b, at)
+	s.correctLateAccept(f, b, p.Token, at)
 	return other
 }
 
@@ -403,6 +408,9 @@
 		sequence: p.Sequence, acknowledged: p.Acknowledged,
 		idempotent: route.Idempotent,
 	}
+	if f.opening = sh.takePeerOpening(p.Key); f.opening != nil {
+		f.opening.addServer(b, token)
+	}
 	account.Established()
 	f.backend.addFlows(1)
 	sh.flows[p.Key] = f
