Drop openings that waited during a pause and may have opened elsewhere

Cause: openings waited in its socket while the callers' copies went to other nodes.

Evidence: each broken flow has Placed with Copy 1 by one node, and 0.3 s later Placed with Copy 0 by the node that had just logged Paused. Ruled out: hedges that were due during the pause (they are cleared), and openings placed before it (no such line).

Openings that waited during a pause are dropped, but for a caller's last copy: if that waits here, the router hadn't moved the caller. A caller's next copy comes within 400 ms.

TestOpeningFromBeforePauseDropped fails without the rule (Forward for Drop).

--- a/bronzeedge/packets.go
+++ b/bronzeedge/packets.go
@@ -31,6 +31,8 @@
 	// has timed out since the worker last hedged.
 	deadline       time.Time
 	deadlinePassed bool
+	// delayed says that packets may still wait in the socket that arrived during a pause.
+	delayed bool
 }
 
 // heldPackets are the packets that arrived before the first view.
@@ -66,12 +68,14 @@
 			continue
 		}
 		if e.dropOldPackets(n) {
+			w.delayed = false
 			continue
 		}
 		now := time.Now()
+		delayed := w.readDelayed(&e.pauses, n)
 		e.lastPacketAt.Store(int64(now.Sub(e.started)))
 		for i := range w.in[:n] {
-			w.handle(w.in[i].Buf[:w.in[i].N], now)
+			w.handle(w.in[i].Buf[:w.in[i].N], delayed, now)
 		}
 		// The mean of the batch, so that the clock is read once for all its packets.
 		e.counts.decisionTime.RecordDuration(time.Since(now) / time.Duration(max(n, 1)))
@@ -83,8 +87,17 @@
 	}
 }
 
-// handle decides on one packet and carries out the decision.
-func (w *worker) handle(b []byte, now time.Time) {
+// readDelayed reports whether the n packets just read may have waited during a pause. That is so
+// for those read right after it, until a read finds no more.
+func (w *worker) readDelayed(p *pauseDetector, n int) (delayed bool) {
+	delayed = p.takeDelayedPackets(time.Now()) || w.delayed
+	w.delayed = delayed && n == len(w.in)
+	return delayed
+}
+
+// handle decides on one packet and carries out the decision. delayed says that the packet waited
+// during a pause.
+func (w *worker) handle(b []byte, delayed bool, now time.Time) {
 	e := w.edge
 	p, err := e.adapter.Wire.Parse(b)
 	if err != nil {
@@ -92,7 +105,7 @@
 		return
 	}
 	if p.Open {
-		p.Bytes = b
+		p.Bytes, p.Delayed = b, delayed
 	}
 	d := e.steerer.Decide(&p, now)
 	switch d.Kind {
@@ -242,7 +255,7 @@
 	e.held.mu.Unlock()
 	w := e.newWorker()
 	for _, b := range packets {
-		w.handle(b, time.Now())
+		w.handle(b, false, time.Now())
 	}
 	w.flush()
 	e.wakeReader()
--- a/bronzeedge/pause.go
+++ b/bronzeedge/pause.go
@@ -68,9 +68,10 @@
 	endedAt     time.Time
 	unconfirmed bool
 	// oldPackets and oldMessages say that callers' packets and other nodes' messages that
-	// wait to be read arrived during a pause.
-	oldPackets  bool
-	oldMessages bool
+	// wait to be read arrived during a pause, delayedPackets that callers' packets may have.
+	oldPackets     bool
+	oldMessages    bool
+	delayedPackets bool
 }
 
 // start enables the detection of pauses.
@@ -101,7 +102,7 @@
 	defer p.mu.Unlock()
 	p.endedAt, p.unconfirmed = now, true
 	p.oldPackets = p.oldPackets || d >= callerTimeout
-	p.oldMessages = true
+	p.oldMessages, p.delayedPackets = true, true
 }
 
 // endedWithin reports whether a pause ended within the last d.
@@ -146,6 +147,16 @@
 	return old
 }
 
+// takeDelayedPackets reports, once after a pause, whether the packets just read may have waited
+// during the pause.
+func (p *pauseDetector) takeDelayedPackets(now time.Time) (delayed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delayed = p.delayedPackets && now.Sub(p.endedAt) <= tickInterval
+	p.delayedPackets = false
+	return delayed
+}
+
 // takeOldMessages reports, once after a pause, that waiting messages of other nodes are
 // old.
 func (p *pauseDetector) takeOldMessages() (old bool) {
--- a/bronzeedge/pause_test.go
+++ b/bronzeedge/pause_test.go
@@ -137,7 +137,7 @@
 }
 
 // A node is paused for 700 ms. Its callers have retransmitted their packets once or twice
-// and still wait, so the packets are forwarded: that is sooner than the next
+// and still wait, so that the packets are not dropped: forwarding data is sooner than its next
 // retransmission.
 func TestShortPauseKeepsPackets(t *testing.T) {
 	e, _ := newPausedEdge(t, 700*time.Millisecond)
@@ -147,6 +147,26 @@
 	require.True(t, e.dropOldMessages())
 }
 
+// Openings that waited during a pause may be open elsewhere. All packets that are read right after
+// the pause are marked for that, more than one batch if as many wait, and none that come later.
+func TestPauseMarksWaitingPackets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var p pauseDetector
+		w := &worker{in: make([]bronzesocket.Datagram, 4)}
+		p.start(time.Now())
+		time.Sleep(700 * time.Millisecond)
+		p.pauseEnded(time.Now(), 700*time.Millisecond)
+		require.True(t, w.readDelayed(&p, 4))
+		require.True(t, w.readDelayed(&p, 4))
+		require.True(t, w.readDelayed(&p, 1))
+		require.False(t, w.readDelayed(&p, 4))
+
+		p.pauseEnded(time.Now(), 700*time.Millisecond)
+		time.Sleep(tickInterval + time.Millisecond)
+		require.False(t, w.readDelayed(&p, 1), "nothing waited")
+	})
+}
+
 // A watch of the store is answered while the node is paused, and the node reads the answer
 // when it resumes. It must not tell others that the store confirmed its records a moment
 // ago: their callers would be sent to servers that have left since.
--- a/bronzesteer/packet.go
+++ b/bronzesteer/packet.go
@@ -22,6 +22,8 @@
 	Abort bool
 	// Returned marks a packet that a node has sent back.
 	Returned bool
+	// Delayed marks a packet that waited in this node while it was paused.
+	Delayed bool
 	// Token is the token that the flow's server last sent, 0 if none.
 	Token uint32
 	// Sequence is the number of the first of Length payload bytes, Acknowledged the number
@@ -108,6 +110,9 @@
 	NotACaller
 	// NoView: there is no view yet.
 	NoView
+	// Delayed: the opening waited while the node was paused, and its caller still retransmits
+	// it or has done so by way of another node.
+	Delayed
 	// Unsure: the records would have the packet refused, but may be out of date.
 	Unsure
 	// ReasonCount is the number of reasons.
@@ -117,7 +122,7 @@
 var reasonNames = [ReasonCount]string{
 	"Placed", "Repeated", "Retried", "Hedged", "Corrected", "Steered", "NoRoute", "RouteWithdrawn", "NoServer", "ZoneDrained",
 	"ServersCold", "NoneAnswers", "Overloaded", "ServerGone", "ServerSilent", "ServerReborn", "NoToken", "TokenUnknown", "NotACaller", "NoView",
-	"Unsure",
+	"Delayed", "Unsure",
 }
 
 // String returns the reason's name.
--- a/bronzesteer/pause.go
+++ b/bronzesteer/pause.go
@@ -2,6 +2,11 @@
 
 import "time"
 
+// callerRetransmits is how often a caller retransmits an opening. If the last retransmission
+// waits in a paused node, the others do too. If it doesn't, routers have moved the caller to
+// another node, where the flow may be open, or it will still come.
+const callerRetransmits = 2
+
 // Discarded counts what a node discards after a pause.
 type Discarded struct {
 	// Openings and Requests count those that waited for answers, Findings the servers that
--- a/bronzesteer/pause_test.go
+++ b/bronzesteer/pause_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"bronzeusher.example/bronzeusher/bronzeflow"
 	"bronzeusher.example/bronzeusher/bronzeroute"
 )
 
@@ -119,6 +120,33 @@
 	require.NotEmpty(t, s.endedFlows)
 }
 
+// An opening waited in a paused node, and its copy has opened the flow by way of another one. Sent
+// on, it would be accepted by a second server, whose token leads the flow's packets astray. The last
+// copy that a caller sends has waited here only if the caller wasn't moved, and must be placed.
+func TestOpeningFromBeforePauseDropped(t *testing.T) {
+	s := newSite(t, 3)
+	s.completeHandshakes(20, 3*time.Millisecond)
+	s.now = s.now.Add(1300 * time.Millisecond)
+	s.node.Paused(s.now)
+	for retransmits := range callerRetransmits + 1 {
+		s.port++
+		p := Packet{
+			Key: bronzeflow.NewKey(bronzeflow.TCP, caller(s.port), live), Open: true, Bytes: []byte("opening"),
+			Retransmits: retransmits, Delayed: true,
+		}
+		d := s.node.Decide(&p, s.now)
+		if retransmits == callerRetransmits {
+			require.Equal(t, Forward, d.Kind)
+			continue
+		}
+		require.Equal(t, Drop, d.Kind)
+		require.Equal(t, Delayed, d.Reason)
+		require.Nil(t, s.node.shard(&p).flows[p.Key])
+		p.Delayed = false
+		require.Equal(t, Forward, s.node.Decide(&p, s.now).Kind, "a copy that comes after the pause")
+	}
+}
+
 // A delayed node reads an opening from its socket together with both retransmissions. Its
 // caller has given up and continues with no server. No server may be avoided or reported
 // for it, and none is tried twice.
--- a/bronzesteer/steer.go
+++ b/bronzesteer/steer.go
@@ -181,6 +181,8 @@
 		return Decision{Kind: Wait, Reason: NoView}
 	case p.Returned, p.Open && p.Accept:
 		return Decision{Reason: NotACaller}
+	case p.Open && p.Delayed && p.Retransmits < callerRetransmits:
+		return Decision{Reason: Delayed}
 	case p.Open:
 		return s.placeOpening(vs, p, now)
 	default:
