Tell flows from one source port apart by their numbers

Cause: a node took every packet between two ends for one of the flow that it remembers between them. Its memory went before the packet's token, and a new opening was a copy.

Ruled out: the tokens.

An opening is a copy only with the flow's own number, and a packet belongs to a flow only if both its numbers are near those seen. Otherwise the token says where the flow is. A draining server gets no copies of openings, and flows that are over aren't reset.

--- a/bronzesteer/flow.go
+++ b/bronzesteer/flow.go
@@ -74,6 +74,11 @@
 	acknowledged uint32
 	// answeredUpTo is acknowledged at the time of the request.
 	answeredUpTo uint32
+	// openingSequence is the number of the opening, if this node has seen it. final is set
+	// once the caller has sent its last byte.
+	openingSequence uint32
+	sawOpening      bool
+	final           bool
 }
 
 // sentAt returns when the opening was first sent to the present server.
@@ -287,7 +292,9 @@
 		}
 		if ended && f.open && f.mayReset(l, at) {
 			p := Packet{Key: key, Token: f.token, Sequence: f.sequence, Acknowledged: f.acknowledged}
-			endedFlows = append(endedFlows, EndedFlow{Packet: p, Instance: f.backend.instance, Reason: l.reason})
+			if !f.isOver() {
+				endedFlows = append(endedFlows, EndedFlow{Packet: p, Instance: f.backend.instance, Reason: l.reason})
+			}
 			sh.remove(key, at)
 			continue
 		}
--- a/bronzesteer/hedge.go
+++ b/bronzesteer/hedge.go
@@ -38,6 +38,8 @@
 type pendingOpening struct {
 	key   flowKey
 	bytes []byte
+	// sequence is the number of the opening.
+	sequence uint32
 	// first is the server first tried, hedges the number of servers tried since.
 	first  *backend
 	hedges int
@@ -185,7 +187,7 @@
 		return
 	}
 	hedgeDelay := s.hedgeDelay(f.backend)
-	o := &pendingOpening{key: p.Key, bytes: append([]byte(nil), p.Bytes...), first: f.backend, due: at + hedgeDelay}
+	o := &pendingOpening{key: p.Key, bytes: append([]byte(nil), p.Bytes...), sequence: p.Sequence, first: f.backend, due: at + hedgeDelay}
 	o.addServer(f.backend, f.token)
 	f.pending, f.opening = o, o
 	if hedgeDelay <= maxHedgeDelay {
--- a/bronzesteer/stalled.go
+++ b/bronzesteer/stalled.go
@@ -100,14 +100,16 @@
 // the flow. It returns nil if no more openings of other nodes can be kept.
 func (sh *shard) openingOf(f *flow, p *Packet, at time.Duration) (o *pendingOpening) {
 	switch {
+	case f != nil && f.sawOpening && f.openingSequence != p.Sequence:
+		return nil
 	case f != nil && f.opening != nil:
 		return f.opening
-	case f == nil && sh.peerOpenings[p.Key] != nil:
-		return sh.peerOpenings[p.Key]
+	case f == nil && sh.peerOpening(p) != nil:
+		return sh.peerOpening(p)
 	case f == nil && len(sh.peerOpenings) >= maxPeerOpenings:
 		return nil
 	}
-	o = &pendingOpening{key: p.Key, bytes: append([]byte(nil), p.Bytes...), due: at}
+	o = &pendingOpening{key: p.Key, bytes: append([]byte(nil), p.Bytes...), sequence: p.Sequence, due: at}
 	if f != nil {
 		o.addServer(f.backend, f.token)
 		f.opening = o
@@ -120,10 +122,19 @@
 	return o
 }
 
-// takePeerOpening removes and returns what another node has told of a flow's opening, or nil.
-func (sh *shard) takePeerOpening(key flowKey) (o *pendingOpening) {
-	o = sh.peerOpenings[key]
-	delete(sh.peerOpenings, key)
+// peerOpening returns what another node has told of the opening of a packet's flow, or nil.
+func (sh *shard) peerOpening(p *Packet) (o *pendingOpening) {
+	o = sh.peerOpenings[p.Key]
+	if o == nil || p.Open && p.Sequence != o.sequence || !p.Open && p.Sequence-o.sequence > maxAdvance {
+		return nil
+	}
+	return o
+}
+
+// takePeerOpening removes and returns peerOpening.
+func (sh *shard) takePeerOpening(p *Packet) (o *pendingOpening) {
+	o = sh.peerOpening(p)
+	delete(sh.peerOpenings, p.Key)
 	return o
 }
 
--- a/bronzesteer/stalled_test.go
+++ b/bronzesteer/stalled_test.go
@@ -16,15 +16,15 @@
 	list := from.StalledOpenings()
 	for _, to := range others {
 		for _, o := range list {
-			p := Packet{Key: openingKeys[string(o.Bytes)], Open: true, Bytes: o.Bytes}
+			p := openings[string(o.Bytes)]
 			to.MergeStalledOpening(&p, o.Tokens, s.now)
 		}
 	}
 	return len(list)
 }
 
-// openingKeys are the keys of openings by their bytes, which a driver parses.
-var openingKeys = map[string]bronzeflow.Key{}
+// openings are the openings by their bytes, which a driver parses.
+var openings = map[string]Packet{}
 
 // openThrough sends the opening of a new flow to a node.
 func (s *site) openThrough(n *Steerer, sent acceptances) (c *client, d Decision) {
@@ -32,7 +32,7 @@
 	s.port++
 	c, _ = s.open(live)
 	c.packet.Bytes = fmt.Appendf(nil, "opening %d", s.port)
-	openingKeys[string(c.packet.Bytes)] = c.packet.Key
+	openings[string(c.packet.Bytes)] = c.packet
 	n.forget(&c.packet)
 	d = c.send()
 	require.Equal(s.t, Forward, d.Kind)
--- a/bronzesteer/steer.go
+++ b/bronzesteer/steer.go
@@ -202,10 +202,11 @@
 	sh := s.shard(p)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	if f := sh.flows[p.Key]; f != nil {
+	if f := sh.flows[p.Key]; f != nil && f.isOpening(p, at) {
 		return s.handleRetransmit(vs, route, f, p, at, now)
 	}
-	elsewhere := sh.peerOpenings[p.Key]
+	sh.remove(p.Key, at)
+	elsewhere := sh.peerOpening(p)
 	c := s.place(vs, route, p, elsewhere.lastServer(), at, now)
 	server := c.server
 	if server == nil {
@@ -229,12 +230,13 @@
 		f := &flow{
 			account: account, backend: c.backend, token: token,
 			idempotent: route.Idempotent, openedAt: at, seenAt: at,
+			openingSequence: p.Sequence, sawOpening: true,
 		}
 		f.backend.addOpenings(1)
 		sh.flows[p.Key] = f
 		s.scheduleHedge(f, p, at)
 		if elsewhere != nil && f.opening != nil {
-			f.opening.merge(sh.takePeerOpening(p.Key))
+			f.opening.merge(sh.takePeerOpening(p))
 		}
 	}
 	return d
@@ -251,6 +253,9 @@
 		if server == nil || server.Status == bronzeroute.Gone {
 			return s.ifConfirmed(Decision{Kind: End, Reason: ServerGone})
 		}
+		if server.Status == bronzeroute.Draining {
+			return Decision{Reason: NoServer, Tried: server}
+		}
 		return Decision{Kind: Forward, Reason: Repeated, Server: server, Token: f.token}
 	}
 	if server != nil && server.Status == bronzeroute.Serving && s.arrivedTogether(f, p, at) {
@@ -278,6 +283,8 @@
 	switch {
 	case server.ZoneDrained:
 		return Decision{Reason: ZoneDrained, Tried: server}
+	case server.Status == bronzeroute.Draining:
+		return Decision{Reason: NoServer, Tried: server}
 	case s.isRateLimited(server, now) && !s.takeColdSend(server, f.backend, at):
 		return Decision{Reason: ServersCold, Tried: server}
 	default:
@@ -327,6 +334,11 @@
 	defer sh.mu.Unlock()
 	f := sh.flows[p.Key]
 	token := p.Token
+	if f != nil && token != 0 && !f.contains(p) {
+		// The caller has used its port again: the flow is another one.
+		sh.remove(p.Key, at)
+		f = nil
+	}
 	var other *bronzeroute.Server
 	if f != nil && f.open {
 		// Two servers may have accepted transmissions of the opening. The caller continues
@@ -371,6 +383,7 @@
 		sh.remove(p.Key, at)
 		return Decision{Kind: End, Reason: ServerSilent, Tried: server}
 	}
+	f.final = f.final || p.Final
 	if p.Abort {
 		sh.remove(p.Key, at)
 	}
@@ -410,7 +423,7 @@
 		sequence: p.Sequence, acknowledged: p.Acknowledged,
 		idempotent: route.Idempotent,
 	}
-	if f.opening = sh.takePeerOpening(p.Key); f.opening != nil {
+	if f.opening = sh.takePeerOpening(p); f.opening != nil {
 		f.opening.addServer(b, token)
 	}
 	account.Established()
