Keep removals that fall between the pages of a load

A first load page by page, a record removed after the first page and before its own, a watch answered with 410 and a second load: a peer that has the record takes the delta over the gap and keeps the record for good. A gone server stays a candidate, or a zone drained.

Cause: the copy counts as complete up to the lowest revision of a page, but lacks records removed up to the highest. The gap of the second load covers records created within it.

Ruled out: refusing deltas over such gaps.

--- a/bronzerecord/load.go
+++ b/bronzerecord/load.go
@@ -40,7 +40,8 @@
 
 // load reads the whole contents page by page. The pages are no consistent snapshot: the
 // contents are complete up to the lowest revision of any page, and a watch from there
-// returns the rest.
+// returns the rest. Until then records are missing that were removed while pages were read, up to
+// the highest revision of any page.
 //
 // The first load accepts stale pages. Hundreds of nodes that start need many times the
 // calls of the rest of the day, and stale reads, which cost a tenth and aren't counted
@@ -53,7 +54,7 @@
 // refusal made them start over, none would have all pages within 30 s.
 func (f *Follower) load(ctx context.Context, stale bool) (d Delta, err error) {
 	d.Whole = true
-	empty, after, fails := f.Set.Position().IsZero(), "", 0
+	empty, after, fails, latest := f.Set.Position().IsZero(), "", 0, uint64(0)
 	var backoff bronzeretry.Backoff
 	for {
 		p, err := f.Source.Read(ctx, after, stale)
@@ -77,8 +78,12 @@
 		if after == "" || p.Revision < d.To {
 			d.Epoch, d.To = p.Epoch, p.Revision
 		}
+		latest = max(latest, p.Revision)
 		d.Changed = append(d.Changed, p.Records...)
 		if !p.More || len(p.Records) == 0 {
+			if latest > d.To {
+				d.Latest = latest
+			}
 			return d, nil
 		}
 		after = p.Records[len(p.Records)-1].Name
--- a/bronzerecord/set.go
+++ b/bronzerecord/set.go
@@ -30,6 +30,9 @@
 	To      uint64
 	Changed []Record
 	Removed []Removal
+	// Latest is set in a snapshot that was read in parts, to the highest revision of any part if
+	// that is above To. The snapshot may lack records that were removed between To and Latest.
+	Latest uint64 `cbor:",omitempty"`
 	// Gaps are the parts of the history for which Removed lacks the records that were both
 	// created and removed within them.
 	Gaps []Gap `cbor:",omitempty"`
@@ -38,6 +41,9 @@
 	Recollection *LostHistory `cbor:",omitempty"`
 }
 
+// latest returns the highest revision that a snapshot is from.
+func (d *Delta) latest() uint64 { return max(d.To, d.Latest) }
+
 // position returns the position to which the delta leads.
 func (d *Delta) position() Position { return Position{Epoch: d.Epoch, Revision: d.To} }
 
@@ -49,7 +55,8 @@
 
 // Gap is a part of the store's history that a copy doesn't have, since it was brought from
 // one revision to the other by a snapshot. Changed of a Delta with a Gap holds all records
-// that were created within it and exist at its end.
+// that were created within it and exist at its end. Its end is beyond To of the Delta if the
+// snapshot was read in parts.
 type Gap struct{ From, To uint64 }
 
 // tombstone is a Removal in an epoch.
@@ -82,12 +89,15 @@
 
 	mu       sync.Mutex
 	position Position
-	records  map[string]Record
-	lost     lostRecords
+	// latest is Latest of the last snapshot. Until the position reaches it, records may be missing
+	// here that exist at the position.
+	latest  uint64
+	records map[string]Record
+	lost    lostRecords
 	// tombstones are those of the latest removals, oldest first, for Since. Those of
 	// earlier epochs come before the others. compacted is the revision after which those
-	// of the present epoch are complete, but for the gaps, which are in the order of
-	// revisions.
+	// of the present epoch are complete, but for the gaps, which are in the order of their
+	// ends.
 	tombstones []tombstone
 	compacted  uint64
 	gaps       []Gap
@@ -139,6 +149,9 @@
 	c.Changed = s.applyChanged(&d, newEpoch)
 	c.Removed = s.applyRemoved(&d, newEpoch)
 	s.addGaps(&d, newEpoch)
+	if d.Whole {
+		s.latest = d.Latest
+	}
 	s.position = d.position()
 	if d.Recollection != nil {
 		c.Lost = s.mergeLost(d.Recollection, now)
@@ -238,24 +251,33 @@
 }
 
 // impliedRemovals returns the removals of the records that d would have if they existed:
-// all of those in this copy for a snapshot, otherwise those created within a gap.
+// all of those in this copy for a snapshot, otherwise those created within a gap. A record that
+// was changed after To may have been removed before its part of the snapshot was read.
 func (s *Set) impliedRemovals(d *Delta) (removed []Removal) {
 	present := make(map[string]struct{}, len(d.Changed))
 	for _, r := range d.Changed {
 		present[r.Name] = struct{}{}
 	}
 	for name, r := range s.records {
-		if _, ok := present[name]; !ok && (d.Whole || d.inGap(r.Created)) {
-			removed = append(removed, Removal{Name: name, Revision: d.To})
+		if _, ok := present[name]; ok {
+			continue
+		}
+		if end, inGap := d.gapEnd(r.Created); d.Whole || inGap {
+			removed = append(removed, Removal{Name: name, Revision: max(d.latest(), end)})
 		}
 	}
 	slices.SortFunc(removed, func(a, b Removal) int { return cmp.Compare(a.Name, b.Name) })
 	return removed
 }
 
-// inGap reports whether the revision is within one of d's gaps.
-func (d *Delta) inGap(revision uint64) bool {
-	return slices.ContainsFunc(d.Gaps, func(g Gap) bool { return revision > g.From && revision <= g.To })
+// gapEnd returns the latest end of d's gaps that the revision is within.
+func (d *Delta) gapEnd(revision uint64) (end uint64, inGap bool) {
+	for _, g := range d.Gaps {
+		if revision > g.From && revision <= g.To {
+			end, inGap = max(end, g.To), true
+		}
+	}
+	return end, inGap
 }
 
 // addGaps adds the gaps that this copy has once it has applied d. A snapshot brings the
@@ -265,9 +287,9 @@
 	known := s.position.Revision
 	switch {
 	case newEpoch || d.Whole && known == 0:
-		s.compacted, s.gaps = d.To, nil
+		s.compacted, s.gaps = d.latest(), nil
 	case d.Whole:
-		s.gaps = append(s.gaps, Gap{From: known, To: d.To})
+		s.gaps = append(s.gaps, Gap{From: known, To: d.latest()})
 	default:
 		for _, g := range d.Gaps {
 			if g.From = max(g.From, known); g.From < g.To {
@@ -316,29 +338,44 @@
 	}
 	slices.SortFunc(d.Changed, func(a, b Record) int { return cmp.Compare(a.Name, b.Name) })
 	if whole {
+		d.Latest = s.latestRemoval()
 		if h, ok := s.lostHistory(time.Now()); ok {
 			d.Recollection = &h
 		}
 		return d, true
 	}
 	for _, r := range s.tombstones {
-		if r.epoch == d.Epoch && r.Revision > d.From {
+		// A record that was created again replaces its former state. Its removal may be known
+		// by a later revision than its own.
+		if _, exists := s.records[r.Name]; !exists && r.epoch == d.Epoch && r.Revision > d.From {
 			d.Removed = append(d.Removed, r.Removal)
 		}
 	}
 	return d, true
 }
 
+// latestRemoval returns the revision up to which removed records may be missing here, 0 if that
+// isn't beyond the position.
+func (s *Set) latestRemoval() (revision uint64) {
+	revision = s.latest
+	for _, g := range s.gaps {
+		revision = max(revision, g.To)
+	}
+	if revision <= s.position.Revision {
+		return 0
+	}
+	return revision
+}
+
 // gapsSince returns the gaps after a revision, and the revision from which a delta starts
 // that leads over them.
 func (s *Set) gapsSince(revision uint64) (from uint64, gaps []Gap) {
+	from = revision
 	for _, g := range s.gaps {
 		if g.To > revision {
 			gaps = append(gaps, g)
+			from = min(from, g.From)
 		}
 	}
-	if len(gaps) == 0 {
-		return revision, nil
-	}
-	return min(revision, gaps[0].From), gaps
+	return from, gaps
 }
