--- a/bronzerecord/copies_test.go
+++ b/bronzerecord/copies_test.go
@@ -83,16 +83,15 @@
 }
 
 // fetch has one node get what another has.
-func (m *fleetModel) fetch(to, from *Follower) (applied bool) {
+func (m *fleetModel) fetch(to, from *Follower) {
 	d, ok := from.Set.Since(to.Set.Position())
 	if !ok || !to.Set.Apply(d) {
-		return false
+		return
 	}
 	m.drawn["Fetched"]++
 	if len(d.Gaps) > 0 {
 		m.drawn["FetchedOverGap"]++
 	}
-	return true
 }
 
 // settle lets the nodes get up to date: from each other where they can, else from the store.
