Count only time in which the store answers before missing servers are gone

The store is down until registrations lapse, back for 0.3, 0.8 or 1.5 s and down again: all servers were gone 2.3 s after they were seen to lapse, though none could say that it was back. Open flows at live servers were reset, new ones refused.

Cause: Directory.Advance went by the clock alone.

The directory is told how long ago the store answered any node. A server is gone once the store has shown it missing for 2 s since it was last back; while the store isn't away, after 2.9 s at the latest.

--- a/bronzeedge/records.go
+++ b/bronzeedge/records.go
@@ -143,6 +143,7 @@
 	defer e.routing.mu.Unlock()
 	// After a pause, wait until the records are confirmed: servers that seem missing may have
 	// come back during it.
+	e.routing.directory.Confirmed(e.gossip.SinceConfirmed(now), now)
 	if !e.pauses.isUnconfirmed() && e.routing.directory.Advance(now) {
 		e.publishView()
 	}
--- a/bronzeroute/directory.go
+++ b/bronzeroute/directory.go
@@ -16,6 +16,14 @@
 	// seconds after it ends, and new flows must avoid a server that is gone within three
 	// seconds.
 	MissingTimeout = 2300 * time.Millisecond
+	// awayTimeout is how long after its last answer the store counts as away. A watch is answered
+	// within a second.
+	awayTimeout = 1200 * time.Millisecond
+	// minMissingConfirmed is for how long the store must have shown a server to be missing, since
+	// it was last away, before the server is Gone. maxConfirmDelay is how much longer than
+	// MissingTimeout that may take while the store isn't away.
+	minMissingConfirmed = 2 * time.Second
+	maxConfirmDelay     = 600 * time.Millisecond
 	// GoneRetention is how long the token and address of a gone server are kept. No flow lives
 	// longer than a minute.
 	GoneRetention = 75 * time.Second
@@ -41,8 +49,13 @@
 	// their records are written again or the recall expires.
 	recalled  map[string]*entry
 	withdrawn map[netip.AddrPort]time.Time
-	zones     zones
-	tokens    *tokens
+	// confirmedAt is when the store last showed the present records to any node, zero if that is
+	// never told. away is set while the store is away, and returnedAt is when it was last back.
+	confirmedAt time.Time
+	away        bool
+	returnedAt  time.Time
+	zones       zones
+	tokens      *tokens
 	// lastView is the most recent view. A new view reuses the parts of it that have not
 	// changed: routesStale reports that the routes have, stalePools names the pools that have.
 	lastView    *View
@@ -191,6 +204,37 @@
 	e.invalid = true
 }
 
+// Confirmed tells the Directory how long ago the store showed the present records to any node. Call
+// it before Advance. Servers whose registrations have lapsed can't be registered again while the
+// store is away, so that this time doesn't count for MissingTimeout. Without any call, the store is
+// never away.
+func (d *Directory) Confirmed(ago time.Duration, now time.Time) {
+	d.confirmedAt = now.Add(-ago)
+	switch {
+	case ago > awayTimeout:
+		d.away = true
+	case d.away:
+		d.away, d.returnedAt = false, d.confirmedAt
+	}
+}
+
+// hasLapsed reports whether a missing server has been so for long enough to be gone.
+func (d *Directory) hasLapsed(e *entry, now time.Time) bool {
+	since := e.missingSince
+	if d.returnedAt.After(since) {
+		since = d.returnedAt
+	}
+	age := now.Sub(since)
+	switch {
+	case age <= MissingTimeout:
+		return false
+	case d.confirmedAt.IsZero() || d.confirmedAt.Sub(since) >= minMissingConfirmed:
+		return true
+	default:
+		return !d.away && age > MissingTimeout+maxConfirmDelay
+	}
+}
+
 // Advance turns missing servers into gone ones after MissingTimeout and drops expired state. It
 // reports whether earlier Views are out of date.
 func (d *Directory) Advance(now time.Time) (changed bool) {
@@ -204,7 +248,7 @@
 			d.sharedTokens().remove(name)
 			d.markChanged(e)
 			changed = true
-		case !e.missingSince.IsZero() && e.goneSince.IsZero() && now.Sub(e.missingSince) > MissingTimeout:
+		case !e.missingSince.IsZero() && e.goneSince.IsZero() && d.hasLapsed(e, now):
 			e.goneSince = now
 			d.markChanged(e)
 			changed = true
