Join with all records of a peer, not with the first part

On the own interface a joining node put the first part of a peer's records in force, announced their revision and so became ready and an owner of flows. Packets of services whose records came in later parts were dropped.

Now a node without a configuration announces its revision once it has all bodies that the peer listed, or after 3 s, as no peer has the newest version of a record that all refused.

TestJoiningNodeAwaitsAllRecords fails before (7 for 0 after the first part).

--- a/bronzenode/records.go
+++ b/bronzenode/records.go
@@ -45,8 +45,17 @@
 func (n *Node) onSnapshot(s *bronzeconf.Snapshot) {
 	n.tunnels.Store(newTunnels(s))
 	n.balancer.SetSnapshot(s)
-	n.revision.Store(s.Revision)
-	n.fleet.SetRevision(s.Revision)
+	if n.revision.Load() == 0 && n.missing.awaitsFirst(n.store.Missing) {
+		return
+	}
+	n.announceRevision(s.Revision)
+}
+
+// announceRevision tells the fleet that a revision is in force. A joining node becomes an owner of
+// flows by that.
+func (n *Node) announceRevision(revision uint64) {
+	n.revision.Store(revision)
+	n.fleet.SetRevision(revision)
 }
 
 // onBehind asks a peer for the records in force there that this node lacks.
@@ -111,6 +120,10 @@
 	for _, b := range r.Bodies {
 		bodies = append(bodies, bronzeconf.StoredRecord{Name: b.Name, Revision: b.Revision, Body: b.Body})
 	}
+	if n.revision.Load() == 0 {
+		// Each part changes the configuration, which is complete with the last one.
+		n.missing.set(r.Revision, present)
+	}
 	if _, err := n.store.Apply(r.Revision, present, bodies); err != nil {
 		n.log.WithError(err).WithField("Peer", from).Debug("records of a peer not applied")
 		return
@@ -124,6 +137,9 @@
 	// of a record is invalid; they never end, because peers may have been out of reach.
 	minMissingPause = 2 * time.Second
 	maxMissingPause = time.Minute
+	// firstRecordsTimeout is how long a joining node waits for the bodies of all records that a
+	// peer has listed. No peer has the newest version of a record that all have refused.
+	firstRecordsTimeout = 3 * time.Second
 )
 
 // missingRecords remembers the records that a peer listed as present, so that
@@ -138,17 +154,30 @@
 	backoff  bronzeretry.Backoff
 	// next is the earliest time of the next request.
 	next time.Time
+	// listedAt is when the first list was set.
+	listedAt time.Time
 }
 
 func (m *missingRecords) set(revision uint64, present []bronzeconf.RecordVersion) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.listedAt.IsZero() {
+		m.listedAt = time.Now()
+	}
 	if revision > m.revision {
 		m.revision, m.present, m.next = revision, present, time.Time{}
 		m.backoff = bronzeretry.Backoff{Min: minMissingPause, Max: maxMissingPause}
 	}
 }
 
+// awaitsFirst reports whether bodies of the first records are missing that may still arrive. Without
+// them a joining node would own flows of services that it doesn't know.
+func (m *missingRecords) awaitsFirst(missing func([]bronzeconf.RecordVersion) []string) (ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.listedAt.IsZero() && time.Since(m.listedAt) < firstRecordsTimeout && len(missing(m.present)) > 0
+}
+
 // shouldRequest reports whether bodies are missing that are to be requested now,
 // and if so begins the pause before the next request.
 func (m *missingRecords) shouldRequest(missing func([]bronzeconf.RecordVersion) []string) (ok bool) {
@@ -164,6 +193,9 @@
 
 // requestMissing asks a peer for bodies that didn't arrive.
 func (n *Node) requestMissing() {
+	if r := n.store.Revision(); r > 0 && n.revision.Load() == 0 && !n.missing.awaitsFirst(n.store.Missing) {
+		n.announceRevision(r)
+	}
 	if !n.missing.shouldRequest(n.store.Missing) {
 		return
 	}
