Keep announced openings apart from earlier flows of the same port

A node that remembers an adopted flow was told of the opening of a later one from the same port, took it for the flow's, and sent the later flow's servers the earlier one's token. Found by reading; TestStalledOpeningOfLaterFlow fails before.

--- a/bronzesteer/stalled.go
+++ b/bronzesteer/stalled.go
@@ -76,6 +76,10 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	f := sh.flows[p.Key]
+	if f != nil && !f.isOpening(p, at) {
+		// An earlier flow from the same port.
+		f = nil
+	}
 	o := sh.openingOf(f, p, at)
 	if o == nil {
 		return
@@ -100,8 +104,6 @@
 // the flow. It returns nil if no more openings of other nodes can be kept.
 func (sh *shard) openingOf(f *flow, p *Packet, at time.Duration) (o *pendingOpening) {
 	switch {
-	case f != nil && f.sawOpening && f.openingSequence != p.Sequence:
-		return nil
 	case f != nil && f.opening != nil:
 		return f.opening
 	case f == nil && sh.peerOpening(p) != nil:
--- a/bronzesteer/stalled_test.go
+++ b/bronzesteer/stalled_test.go
@@ -137,6 +137,40 @@
 	s.requireKnown(c, other.Server.Instance, sent)
 }
 
+// A node remembers a flow from a port that is used again, and is told of an opening of the later flow. The
+// later flow's servers must not be sent the token of the earlier one's.
+func TestStalledOpeningOfLaterFlow(t *testing.T) {
+	for _, adopted := range []bool{true, false} {
+		t.Run(fmt.Sprint(adopted), func(t *testing.T) {
+			s := newSite(t, 3)
+			c := s.serve(live)
+			if adopted {
+				s.node = s.newNode()
+				c.request()
+				c.acknowledge()
+			}
+			c.finish()
+			remembers, first, sent := s.node, s.newNode(), acceptances{}
+			s.now = s.now.Add(5 * time.Second)
+			s.node = first
+			next := c.reuse()
+			next.packet.Bytes = []byte("later opening")
+			openings[string(next.packet.Bytes)] = next.packet
+			d := next.send()
+			sent.take(d)
+			h := s.nextHedges()[0].Decision
+			sent.take(h)
+			s.now = s.now.Add(stalledAge)
+			require.Equal(t, 1, s.announce(first, remembers))
+			s.node = remembers
+			require.Empty(t, s.correctFor(time.Second, sent))
+			require.Equal(t, h.Server.Instance, next.acceptWith(h.Token, 0x1d00_0000).Server.Instance)
+			s.correctFor(time.Second, sent)
+			s.requireKnown(next, h.Server.Instance, sent)
+		})
+	}
+}
+
 // Two nodes have placed one opening. Each must learn of the other's server, and neither may go on
 // announcing.
 func TestStalledAtTwoNodes(t *testing.T) {
