Let missing servers go where answers of the store are heard late

In a large fleet a node hears of each answer of the store up to a second late, so that the age of the last one passes 1.2 s again and again. That counted as an outage, and began the clock of missing servers anew: none was ever gone. Found by reading.

The store counts as away after 2 s, and as answering up to 1.2 s. TestMissingWhereAnswersAreHeardLate fails before (Missing for Gone).

--- a/bronzeedge/hedge.go
+++ b/bronzeedge/hedge.go
@@ -48,7 +48,8 @@
 	w.setReadDeadline(time.Now().Add(finalReadWait))
 }
 
-// hedge sends overdue openings to further servers, and corrections that are due. The socket must hold no unread packets.
+// hedge sends overdue openings to further servers, and corrections that are due. The socket must
+// hold no unread packets.
 func (w *worker) hedge() {
 	w.deadlinePassed = false
 	now := time.Now()
--- a/bronzeroute/away_test.go
+++ b/bronzeroute/away_test.go
@@ -95,6 +95,19 @@
 	require.Equal(t, Gone, m.status("s"))
 }
 
+// In a large fleet nodes hear of each answer of the store up to a second late. That must not make it
+// count as away again and again, so that no server is ever gone.
+func TestMissingWhereAnswersAreHeardLate(t *testing.T) {
+	m := newAwayModel("s")
+	m.lapse("s")
+	for range 3 {
+		m.pass(time.Second, false)
+		m.answered = m.now.Add(-600 * time.Millisecond)
+	}
+	m.pass(100*time.Millisecond, false)
+	require.Equal(t, Gone, m.status("s"))
+}
+
 // A node whose own calls of the store fail is told by others that it answers: to this node the store isn't
 // away. One that hears of no answer keeps missing servers.
 func TestMissingWhereOthersReadStore(t *testing.T) {
--- a/bronzeroute/directory.go
+++ b/bronzeroute/directory.go
@@ -17,11 +17,13 @@
 	// seconds.
 	MissingTimeout = 2300 * time.Millisecond
 	// awayTimeout is how long after its last answer the store counts as away. A watch is answered
-	// within a second.
-	awayTimeout = 1200 * time.Millisecond
+	// within a second, and in a large fleet nodes hear of that up to a second later.
+	// freshConfirmation is the age up to which the answer says that the store isn't away.
+	awayTimeout       = 2 * time.Second
+	freshConfirmation = 1200 * time.Millisecond
 	// minMissingConfirmed is for how long the store must have shown a server to be missing, since
 	// it was last away, before the server is Gone. maxConfirmDelay is how much longer than
-	// MissingTimeout that may take while the store isn't away.
+	// MissingTimeout that may take while the store answers.
 	minMissingConfirmed = 2 * time.Second
 	maxConfirmDelay     = 600 * time.Millisecond
 	// GoneRetention is how long the token and address of a gone server are kept. No flow lives
@@ -231,7 +233,7 @@
 	case d.confirmedAt.IsZero() || d.confirmedAt.Sub(since) >= minMissingConfirmed:
 		return true
 	default:
-		return !d.away && age > MissingTimeout+maxConfirmDelay
+		return now.Sub(d.confirmedAt) <= freshConfirmation && age > MissingTimeout+maxConfirmDelay
 	}
 }
 
