--- a/bronzeedge/hedge.go
+++ b/bronzeedge/hedge.go
@@ -1,10 +1,6 @@
 package bronzeedge
 
-import (
-	"time"
-
-	"bronzeusher.example/bronzeusher/bronzesteer"
-)
+import "time"
 
 // finalReadWait is how long the node keeps reading after an opening is overdue, before it
 // hedges the opening. A read whose deadline has passed doesn't check for packets at all, so
@@ -53,23 +49,15 @@
 func (w *worker) hedge() {
 	w.deadlinePassed = false
 	now := time.Now()
-	for _, h := range w.edge.steerer.Hedges(now) {
-		w.sendOpening(&h.Packet, &h.Decision, now)
-	}
-	for _, c := range w.edge.steerer.Corrections(now) {
-		w.sendOpening(&c.Packet, &c.Decision, now)
+	for _, h := range append(w.edge.steerer.Hedges(now), w.edge.steerer.Corrections(now)...) {
+		w.forward(h.Packet.Bytes, &h.Decision)
+		w.edge.counts.decision(&h.Decision)
+		w.edge.logDecision(&h.Packet, &h.Decision, now)
 	}
 	w.flush()
 	w.edge.spreadReports(now)
 }
 
-// sendOpening sends an opening that no packet has led to.
-func (w *worker) sendOpening(p *bronzesteer.Packet, d *bronzesteer.Decision, now time.Time) {
-	w.forward(p.Bytes, d)
-	w.edge.counts.decision(d)
-	w.edge.logDecision(p, d, now)
-}
-
 // wakeReader interrupts the goroutine that reads packets, so that it sets its deadline for
 // openings that another goroutine has handled.
 func (e *Edge) wakeReader() {
--- a/bronzeedge/packets.go
+++ b/bronzeedge/packets.go
@@ -72,7 +72,7 @@
 			continue
 		}
 		now := time.Now()
-		delayed := w.readDelayed(&e.pauses, n)
+		delayed := w.readDelayed(&e.pauses, n, now)
 		e.lastPacketAt.Store(int64(now.Sub(e.started)))
 		for i := range w.in[:n] {
 			w.handle(w.in[i].Buf[:w.in[i].N], delayed, now)
@@ -89,8 +89,8 @@
 
 // readDelayed reports whether the n packets just read may have waited during a pause. That is so
 // for those read right after it, until a read finds no more.
-func (w *worker) readDelayed(p *pauseDetector, n int) (delayed bool) {
-	delayed = p.takeDelayedPackets(time.Now()) || w.delayed
+func (w *worker) readDelayed(p *pauseDetector, n int, now time.Time) (delayed bool) {
+	delayed = p.takeDelayedPackets(now) || w.delayed
 	w.delayed = delayed && n == len(w.in)
 	return delayed
 }
--- a/bronzeedge/pause_test.go
+++ b/bronzeedge/pause_test.go
@@ -156,14 +156,14 @@
 		p.start(time.Now())
 		time.Sleep(700 * time.Millisecond)
 		p.pauseEnded(time.Now(), 700*time.Millisecond)
-		require.True(t, w.readDelayed(&p, 4))
-		require.True(t, w.readDelayed(&p, 4))
-		require.True(t, w.readDelayed(&p, 1))
-		require.False(t, w.readDelayed(&p, 4))
+		require.True(t, w.readDelayed(&p, 4, time.Now()))
+		require.True(t, w.readDelayed(&p, 4, time.Now()))
+		require.True(t, w.readDelayed(&p, 1, time.Now()))
+		require.False(t, w.readDelayed(&p, 4, time.Now()))
 
 		p.pauseEnded(time.Now(), 700*time.Millisecond)
 		time.Sleep(tickInterval + time.Millisecond)
-		require.False(t, w.readDelayed(&p, 1), "nothing waited")
+		require.False(t, w.readDelayed(&p, 1, time.Now()), "nothing waited")
 	})
 }
 
--- a/bronzeedge/records.go
+++ b/bronzeedge/records.go
@@ -141,9 +141,9 @@
 func (e *Edge) advanceDirectory(now time.Time) {
 	e.routing.mu.Lock()
 	defer e.routing.mu.Unlock()
+	e.routing.directory.Confirmed(e.gossip.SinceConfirmed(now), now)
 	// After a pause, wait until the records are confirmed: servers that seem missing may have
 	// come back during it.
-	e.routing.directory.Confirmed(e.gossip.SinceConfirmed(now), now)
 	if !e.pauses.isUnconfirmed() && e.routing.directory.Advance(now) {
 		e.publishView()
 	}
--- a/bronzenode/records.go
+++ b/bronzenode/records.go
@@ -45,15 +45,15 @@
 func (n *Node) onSnapshot(s *bronzeconf.Snapshot) {
 	n.tunnels.Store(newTunnels(s))
 	n.balancer.SetSnapshot(s)
-	if n.revision.Load() == 0 && n.missing.awaitsFirst(n.store.Missing) {
-		return
-	}
 	n.announceRevision(s.Revision)
 }
 
 // announceRevision tells the fleet that a revision is in force. A joining node becomes an owner of
-// flows by that.
+// flows by that, and waits for the rest of its first records.
 func (n *Node) announceRevision(revision uint64) {
+	if n.revision.Load() == 0 && n.missing.awaitsFirst(n.store.Missing) {
+		return
+	}
 	n.revision.Store(revision)
 	n.fleet.SetRevision(revision)
 }
@@ -193,7 +193,7 @@
 
 // requestMissing asks a peer for bodies that didn't arrive.
 func (n *Node) requestMissing() {
-	if r := n.store.Revision(); r > 0 && n.revision.Load() == 0 && !n.missing.awaitsFirst(n.store.Missing) {
+	if r := n.store.Revision(); r > 0 && n.revision.Load() == 0 {
 		n.announceRevision(r)
 	}
 	if !n.missing.shouldRequest(n.store.Missing) {
--- a/bronzerecord/load.go
+++ b/bronzerecord/load.go
@@ -54,7 +54,7 @@
 // refusal made them start over, none would have all pages within 30 s.
 func (f *Follower) load(ctx context.Context, stale bool) (d Delta, err error) {
 	d.Whole = true
-	empty, after, fails, latest := f.Set.Position().IsZero(), "", 0, uint64(0)
+	empty, after, fails := f.Set.Position().IsZero(), "", 0
 	var backoff bronzeretry.Backoff
 	for {
 		p, err := f.Source.Read(ctx, after, stale)
@@ -78,12 +78,9 @@
 		if after == "" || p.Revision < d.To {
 			d.Epoch, d.To = p.Epoch, p.Revision
 		}
-		latest = max(latest, p.Revision)
+		d.Latest = max(d.Latest, p.Revision)
 		d.Changed = append(d.Changed, p.Records...)
 		if !p.More || len(p.Records) == 0 {
-			if latest > d.To {
-				d.Latest = latest
-			}
 			return d, nil
 		}
 		after = p.Records[len(p.Records)-1].Name
--- a/bronzerecord/set.go
+++ b/bronzerecord/set.go
@@ -30,8 +30,8 @@
 	To      uint64
 	Changed []Record
 	Removed []Removal
-	// Latest is set in a snapshot that was read in parts, to the highest revision of any part if
-	// that is above To. The snapshot may lack records that were removed between To and Latest.
+	// Latest is the highest revision of any part of a snapshot that was read in parts. If it is
+	// above To, the snapshot may lack records that were removed in between.
 	Latest uint64 `cbor:",omitempty"`
 	// Gaps are the parts of the history for which Removed lacks the records that were both
 	// created and removed within them.
@@ -354,16 +354,12 @@
 	return d, true
 }
 
-// latestRemoval returns the revision up to which removed records may be missing here, 0 if that
-// isn't beyond the position.
+// latestRemoval returns the revision up to which removed records may be missing here.
 func (s *Set) latestRemoval() (revision uint64) {
 	revision = s.latest
 	for _, g := range s.gaps {
 		revision = max(revision, g.To)
 	}
-	if revision <= s.position.Revision {
-		return 0
-	}
 	return revision
 }
 
--- a/bronzeroute/away_test.go
+++ b/bronzeroute/away_test.go
@@ -108,8 +108,8 @@
 	require.Equal(t, Gone, m.status("s"))
 }
 
-// A node whose own calls of the store fail is told by others that it answers: to this node the store isn't
-// away. One that hears of no answer keeps missing servers.
+// A node whose own calls of the store fail learns from its peers that the store answers, and missing
+// servers are gone there as elsewhere. A node that learns of no answer keeps them.
 func TestMissingWhereOthersReadStore(t *testing.T) {
 	told, cut := newAwayModel("s"), newAwayModel("s")
 	told.lapse("s")
--- a/bronzesteer/correct.go
+++ b/bronzesteer/correct.go
@@ -26,13 +26,6 @@
 	minCorrectionGap = 500 * time.Millisecond
 )
 
-// Correction is an opening that is sent again, after its flow has opened, to a server that the
-// caller didn't continue with.
-type Correction struct {
-	Packet   Packet
-	Decision Decision
-}
-
 // correction is an opening to be sent again, after its flow has opened, to another server that
 // may have accepted it. That server repeats its acceptance, and callers send back the token that
 // they received last, so that a node that doesn't know the flow would forward its packets to the
@@ -166,7 +159,7 @@
 }
 
 // Corrections returns the openings to be sent again at now.
-func (s *Steerer) Corrections(now time.Time) (list []Correction) {
+func (s *Steerer) Corrections(now time.Time) (list []Hedge) {
 	vs := s.state.Load()
 	if vs == nil {
 		return nil
@@ -182,7 +175,7 @@
 
 // correction returns a correction that is due, unless its flow has ended since or the server may
 // take no openings.
-func (s *Steerer) correction(vs *viewState, c correction, at time.Duration, now time.Time) (sent Correction, ok bool) {
+func (s *Steerer) correction(vs *viewState, c correction, at time.Duration, now time.Time) (sent Hedge, ok bool) {
 	p := Packet{Key: c.opening.key, Open: true, Bytes: c.opening.bytes}
 	route := vs.view.Route(p.Key.ServiceAddrPort())
 	sh := s.shard(&p)
@@ -193,13 +186,13 @@
 		return sent, false
 	}
 	server := vs.view.ByName(c.backend.instance)
-	if server == nil || server.Status != bronzeroute.Serving || server.ZoneDrained || vs.backendOf(server, nil) != c.backend {
+	if server == nil || server.Status != bronzeroute.Serving || vs.backendOf(server, nil) != c.backend {
 		return sent, false
 	}
 	if !placesIn(route, server.Pool) || s.isRateLimited(server, now) && !s.takeColdSend(server, c.backend, at) {
 		return sent, false
 	}
-	return Correction{Packet: p, Decision: Decision{
+	return Hedge{Packet: p, Decision: Decision{
 		Kind: Forward, Reason: Corrected, Server: server, Token: f.token, Tried: vs.view.ByName(f.backend.instance),
 	}}, true
 }
--- a/bronzesteer/correct_test.go
+++ b/bronzesteer/correct_test.go
@@ -1,6 +1,7 @@
 package bronzesteer
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -37,6 +38,18 @@
 	}
 }
 
+// openHedged opens a flow whose opening is sent to a second server, and whose caller continues with
+// the first.
+func (s *site) openHedged(service netip.AddrPort) (c *client, own, other Decision) {
+	s.t.Helper()
+	s.completeHandshakes(20, 3*time.Millisecond)
+	c, own = s.open(service)
+	other = s.nextHedges()[0].Decision
+	c.packet.Token = own.Token
+	c.accept()
+	return c, own, other
+}
+
 // An opening was sent to two servers, and the one that the caller didn't continue with repeats its
 // acceptance: the token that the caller sends back from then on must lead nodes that don't know
 // the flow to the flow's server.
@@ -77,11 +90,7 @@
 // The first correction is lost. A second one must follow while the server repeats its acceptance.
 func TestCorrectionRepeated(t *testing.T) {
 	s := newSite(t, 3)
-	s.completeHandshakes(20, 3*time.Millisecond)
-	c, d := s.open(live)
-	s.nextHedges()
-	c.packet.Token = d.Token
-	c.accept()
+	s.openHedged(live)
 	require.Len(t, s.correctFor(acceptTimeout, acceptances{}), correctionsPerServer)
 }
 
@@ -133,15 +142,7 @@
 // no opening then, whatever it has accepted before.
 func TestNoCorrectionToServerThatTakesNone(t *testing.T) {
 	for name, end := range map[string]func(*site, string){
-		"Draining": func(s *site, instance string) {
-			for _, server := range s.node.View().Servers {
-				if server.Instance == instance {
-					draining := *server
-					draining.Draining = true
-					s.directory.Register(draining)
-				}
-			}
-		},
+		"Draining":    (*site).drain,
 		"ZoneDrained": func(s *site, _ string) { s.directory.DrainZone("a") },
 		"Weight": func(s *site, _ string) {
 			s.directory.SetTable(&bronzeroute.Table{Version: 2, Routes: []bronzeroute.Route{
@@ -151,12 +152,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSite(t, 3)
-			s.completeHandshakes(20, 3*time.Millisecond)
-			c, d := s.open(live)
-			h := s.nextHedges()[0].Decision
-			c.packet.Token = d.Token
-			c.accept()
-			end(s, h.Server.Instance)
+			_, _, other := s.openHedged(live)
+			end(s, other.Server.Instance)
 			s.node.SetView(s.directory.View())
 			require.Empty(t, s.correctFor(acceptTimeout, acceptances{}))
 		})
@@ -166,11 +163,7 @@
 // A flow that its caller has given up needs no correction.
 func TestNoCorrectionAfterAbort(t *testing.T) {
 	s := newSite(t, 3)
-	s.completeHandshakes(20, 3*time.Millisecond)
-	c, d := s.open(live)
-	s.nextHedges()
-	c.packet.Token = d.Token
-	c.accept()
+	c, _, _ := s.openHedged(live)
 	c.packet.Abort = true
 	c.send()
 	require.Empty(t, s.correctFor(acceptTimeout, acceptances{}))
--- a/bronzesteer/hedge.go
+++ b/bronzesteer/hedge.go
@@ -53,6 +53,9 @@
 	// due is when the next server is to be tried, unless settled is set.
 	due     time.Duration
 	settled atomic.Bool
+	// heardAt is when another node told of the opening, for those of flows that this node doesn't
+	// know.
+	heardAt time.Duration
 }
 
 // hedgeQueue holds the openings that wait for their answers, and the budget for hedges. All
@@ -119,7 +122,8 @@
 
 // Hedge is an opening that is sent to a second server because the first hasn't answered. At
 // most one flow is opened: the caller continues with the server whose acceptance comes
-// first, and the other server drops the flow that nobody continues.
+// first, and the other server drops the flow that nobody continues. Corrections returns the
+// openings that are sent again after that in the same form.
 type Hedge struct {
 	Packet   Packet
 	Decision Decision
--- a/bronzesteer/reuse_test.go
+++ b/bronzesteer/reuse_test.go
@@ -120,11 +120,7 @@
 // accepted the opening. They must go to the flow's own, as before the end.
 func TestLatePacketOfEndedFlow(t *testing.T) {
 	s := newSite(t, 3)
-	s.completeHandshakes(20, 3*time.Millisecond)
-	c, d := s.open(outline)
-	h := s.nextHedges()[0].Decision
-	c.packet.Token = d.Token
-	c.accept()
+	c, d, h := s.openHedged(outline)
 	c.request()
 	c.acknowledge()
 	c.finish()
--- a/bronzesteer/stalled.go
+++ b/bronzesteer/stalled.go
@@ -111,7 +111,7 @@
 	case f == nil && len(sh.peerOpenings) >= maxPeerOpenings:
 		return nil
 	}
-	o = &pendingOpening{key: p.Key, bytes: append([]byte(nil), p.Bytes...), sequence: p.Sequence, due: at}
+	o = &pendingOpening{key: p.Key, bytes: append([]byte(nil), p.Bytes...), sequence: p.Sequence, heardAt: at}
 	if f != nil {
 		o.addServer(f.backend, f.token)
 		f.opening = o
@@ -143,7 +143,7 @@
 // expirePeerOpenings removes the openings of other nodes that their callers have given up.
 func (sh *shard) expirePeerOpenings(at time.Duration) {
 	for key, o := range sh.peerOpenings {
-		if at-o.due > openingTimeout {
+		if at-o.heardAt > openingTimeout {
 			delete(sh.peerOpenings, key)
 		}
 	}
